Add the workspace, shared types, micro-kernel and wire protocol

Cause: the system needs a common base before its parts can be written apart. Conclusion: the interfaces are ready for the parts that build on them.

--- /dev/null
+++ b/crates/pimentousher/src/bin/fake-engine.rs
@@ -0,0 +1,3 @@
+//! The `fake-engine` program.
+
+fn main() {}
--- /dev/null
+++ b/crates/pimentousher/src/bin/fake-service.rs
@@ -0,0 +1,3 @@
+//! The `fake-service` program.
+
+fn main() {}
--- /dev/null
+++ b/crates/pimentousher/src/bin/pimentousher-control.rs
@@ -0,0 +1,3 @@
+//! The `pimentousher-control` program.
+
+fn main() {}
--- /dev/null
+++ b/crates/pimentousher/src/bin/pimentousher-entry.rs
@@ -0,0 +1,3 @@
+//! The `pimentousher-entry` program.
+
+fn main() {}
--- /dev/null
+++ b/crates/pimentousher/src/bin/pimentousher.rs
@@ -0,0 +1,3 @@
+//! The `pimentousher` program.
+
+fn main() {}
--- /dev/null
+++ b/crates/pimentousher/src/lib.rs
@@ -0,0 +1,1 @@
+//! Command line and daemons of the pimentousher serving system
--- /dev/null
+++ b/crates/usher_bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Load and experiment tool
--- /dev/null
+++ b/crates/usher_consensus/src/lib.rs
@@ -0,0 +1,1 @@
+//! Consensus core as a pure state machine
--- /dev/null
+++ b/crates/usher_entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Library of the entry daemon
--- /dev/null
+++ b/crates/usher_kernel/tests/kernel.rs
@@ -0,0 +1,40 @@
+//! Services are found by name and type, and a stop goes through its phases in order.
+
+use usher_kernel::{KernelError, ServiceRegistry, StopSource};
+
+/// Guards against a service that silently replaces another one of its name.
+#[test]
+fn second_service_of_a_name_is_refused() {
+    let registry = ServiceRegistry::new();
+    registry.register("limits", 1_u8).unwrap();
+    let error = registry.register("limits", 2_u8).unwrap_err();
+    assert_eq!(error, KernelError::Duplicate("limits"));
+    assert_eq!(*registry.find::<u8>("limits").unwrap(), 1);
+}
+
+/// Guards against a look-up with another type that gives a wrong handle.
+#[test]
+fn missing_and_wrong_services_are_told_apart() {
+    let registry = ServiceRegistry::new();
+    registry.register("limits", 1_u8).unwrap();
+    assert_eq!(
+        registry.find::<u16>("limits").unwrap_err(),
+        KernelError::WrongType("limits")
+    );
+    assert_eq!(
+        registry.find::<u8>("routes").unwrap_err(),
+        KernelError::Missing("routes")
+    );
+}
+
+/// Guards against a second SIGTERM that takes a stopping daemon back to draining.
+#[tokio::test]
+async fn stop_never_goes_back() {
+    let (source, signal) = StopSource::new();
+    assert!(!signal.is_draining());
+    source.stop();
+    source.drain();
+    signal.draining().await;
+    signal.stopped().await;
+    assert!(signal.is_draining());
+}
--- /dev/null
+++ b/crates/usher_log/src/lib.rs
@@ -0,0 +1,1 @@
+//! Durable log with checksummed records, snapshots and folder lock
--- /dev/null
+++ b/crates/usher_policy/src/lib.rs
@@ -0,0 +1,1 @@
+//! Routing, limits, roles and retries as pure decisions
--- /dev/null
+++ b/crates/usher_report/src/lib.rs
@@ -0,0 +1,1 @@
+//! Service-level burn report and explanations from bounded records
--- /dev/null
+++ b/crates/usher_state/src/lib.rs
@@ -0,0 +1,1 @@
+//! The replicated state: configuration, claims, orders, targets and daemons
--- /dev/null
+++ b/crates/usher_types/src/size.rs
@@ -0,0 +1,54 @@
+//! Sizes in bytes, tokens and pieces of engine memory. Not for: rates.
+
+use crate::macros;
+
+/// How many tokens of KV cache one piece of engine memory holds.
+pub const TOKENS_PER_PIECE: u64 = 1_024;
+
+/// Tells why a text isn't a size.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("{what} {text:?} is not valid: expected a whole number")]
+pub struct ParseSizeError {
+    what: &'static str,
+    text: String,
+}
+
+impl ParseSizeError {
+    pub(crate) fn new(what: &'static str, text: &str) -> Self {
+        Self {
+            what,
+            text: text.to_owned(),
+        }
+    }
+}
+
+macros::number_type!(
+    /// A size in bytes.
+    ByteSize,
+    u64,
+    ParseSizeError
+);
+macros::number_type!(
+    /// A number of tokens.
+    TokenCount,
+    u64,
+    ParseSizeError
+);
+macros::number_type!(
+    /// A number of pieces of engine memory, each of 1,024 tokens.
+    PieceCount,
+    u64,
+    ParseSizeError
+);
+
+impl TokenCount {
+    /// Returns how many pieces of engine memory hold this many tokens.
+    ///
+    /// ```
+    /// use usher_types::{PieceCount, TokenCount};
+    /// assert_eq!(TokenCount::new(1_025).pieces(), PieceCount::new(2));
+    /// ```
+    pub const fn pieces(self) -> PieceCount {
+        PieceCount::new(self.0.div_ceil(TOKENS_PER_PIECE))
+    }
+}
--- /dev/null
+++ b/crates/usher_wire/src/lib.rs
@@ -0,0 +1,22 @@
+//! Messages and framing between the system's own processes.
+//!
+//! For: the messages, the connection with its versioned hello, calls and replies. Not for: what
+//! a message means, nor for HTTP.
+
+mod call;
+mod codec;
+mod error;
+mod server;
+mod stream;
+
+/// Generated message types; written by `cargo run -p wire_gen`.
+#[allow(missing_docs, clippy::all, clippy::pedantic)]
+pub mod message {
+    include!("generated/usher.rs");
+}
+
+pub use call::CallClient;
+pub use codec::{EnvelopeCodec, MAX_FRAME_BYTES};
+pub use error::{CallError, WireError};
+pub use server::{serve, CallHandler};
+pub use stream::{accept, connect, WireIdentity, WireStream, PROTOCOL_VERSION};
--- /dev/null
+++ b/crates/usher_wire/tests/calls.rs
@@ -0,0 +1,119 @@
+//! Calls over real connections: replies reach their call, and lost replies are told apart from
+//! requests that were never sent.
+
+use std::{net, sync, time};
+
+use tokio::net as tokio_net;
+use usher_types::{IncarnationId, NodeName};
+use usher_wire::{message, CallClient, CallError, CallHandler, WireError, WireIdentity};
+
+const TIMEOUT: time::Duration = time::Duration::from_secs(5);
+
+fn identity(cluster: &str, node: &str) -> WireIdentity {
+    WireIdentity {
+        cluster: cluster.to_owned(),
+        node: NodeName::new(node),
+        incarnation: IncarnationId::new(1),
+    }
+}
+
+fn request(sequence: u64) -> message::envelope::Body {
+    message::envelope::Body::SyncRequest(message::SyncRequest {
+        sequence,
+        ..Default::default()
+    })
+}
+
+/// Answers a heartbeat with its own number; the odd ones late, so that replies change order.
+struct EchoHandler;
+
+impl CallHandler for EchoHandler {
+    async fn handle(
+        &self,
+        _peer: &WireIdentity,
+        body: message::envelope::Body,
+    ) -> Option<message::envelope::Body> {
+        let message::envelope::Body::SyncRequest(request) = body else {
+            return None;
+        };
+        if request.sequence % 2 == 1 {
+            tokio::time::sleep(time::Duration::from_millis(20)).await;
+        }
+        Some(message::envelope::Body::SyncReply(message::SyncReply {
+            sequence: request.sequence,
+            ..Default::default()
+        }))
+    }
+}
+
+async fn start_server(cluster: &str) -> net::SocketAddr {
+    let listener = tokio_net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let handler = sync::Arc::new(EchoHandler);
+    let identity = identity(cluster, "server");
+    tokio::spawn(usher_wire::serve(
+        listener,
+        identity,
+        handler,
+        std::future::pending(),
+    ));
+    address
+}
+
+/// Guards against a reply that reaches another call when replies overtake each other.
+#[tokio::test]
+async fn replies_match_their_calls_out_of_order() {
+    let address = start_server("one").await;
+    let client = CallClient::new(address, identity("one", "client"));
+    let mut tasks = tokio::task::JoinSet::new();
+    for sequence in 0..100 {
+        let client = client.clone();
+        tasks.spawn(async move { (sequence, client.call(request(sequence), TIMEOUT).await) });
+    }
+    while let Some(result) = tasks.join_next().await {
+        let (sequence, reply) = result.unwrap();
+        let message::envelope::Body::SyncReply(reply) = reply.unwrap() else {
+            panic!("reply of another kind");
+        };
+        assert_eq!(reply.sequence, sequence);
+    }
+}
+
+/// Guards against claiming that a request was sent when nobody listens.
+#[tokio::test]
+async fn refused_connection_is_not_sent() {
+    let listener = tokio_net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    let client = CallClient::new(address, identity("one", "client"));
+    let error = client.call(request(1), TIMEOUT).await.unwrap_err();
+    assert!(matches!(error, CallError::NotSent(_)), "{error}");
+}
+
+/// Guards against claiming "not sent" when the peer closed after it had read the request.
+#[tokio::test]
+async fn closed_connection_after_the_request_is_unknown() {
+    let listener = tokio_net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        use futures_util::StreamExt as _;
+        let (socket, _) = listener.accept().await.unwrap();
+        let (mut stream, _) = usher_wire::accept(socket, &identity("one", "server"))
+            .await
+            .unwrap();
+        let _ = stream.next().await;
+    });
+    let client = CallClient::new(address, identity("one", "client"));
+    let error = client.call(request(1), TIMEOUT).await.unwrap_err();
+    assert!(matches!(error, CallError::Unknown(_)), "{error}");
+}
+
+/// Guards against two installations on one network that exchange messages by mistake.
+#[tokio::test]
+async fn peer_of_another_cluster_is_refused() {
+    let address = start_server("one").await;
+    let error = usher_wire::connect(address, &identity("two", "client"))
+        .await
+        .unwrap_err();
+    assert!(matches!(error, WireError::Cluster { .. }), "{error}");
+}
--- /dev/null
+++ b/crates/usher_wire/tests/frames.rs
@@ -0,0 +1,65 @@
+//! Frames that are too long, cut or changed end in an error, never in a panic or a large buffer.
+
+use bytes::BytesMut;
+use proptest::prelude::{any, proptest, ProptestConfig};
+use tokio_util::codec::{Decoder as _, Encoder as _};
+use usher_wire::{message, EnvelopeCodec, MAX_FRAME_BYTES};
+
+fn encoded() -> BytesMut {
+    let mut buffer = BytesMut::new();
+    let body = message::envelope::Body::FinishRequest(message::FinishRequest {
+        finish: Some(message::FinishClaim {
+            key: "key".to_owned(),
+            answer: Some(message::RecordedAnswer {
+                body: vec![7; 64],
+                ..Default::default()
+            }),
+            ..Default::default()
+        }),
+    });
+    let envelope = message::Envelope {
+        call: 9,
+        body: Some(body),
+    };
+    EnvelopeCodec::new().encode(envelope, &mut buffer).unwrap();
+    buffer
+}
+
+/// Guards against reserving memory for a length that a peer made up.
+#[test]
+fn too_long_frame_is_refused_from_its_length() {
+    let length = u32::try_from(MAX_FRAME_BYTES + 1).unwrap();
+    let mut buffer = BytesMut::from(&length.to_be_bytes()[..]);
+    assert!(EnvelopeCodec::new().decode(&mut buffer).is_err());
+    assert!(buffer.capacity() < MAX_FRAME_BYTES);
+}
+
+/// Guards against taking a cut frame for a whole one.
+#[test]
+fn cut_frame_waits_for_the_rest() {
+    let whole = encoded();
+    for cut in 0..whole.len() {
+        let mut buffer = BytesMut::from(&whole[..cut]);
+        assert!(matches!(EnvelopeCodec::new().decode(&mut buffer), Ok(None)));
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 512, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Guards against a panic in the reader on any bytes.
+    #[test]
+    fn random_bytes_never_panic(bytes in proptest::collection::vec(any::<u8>(), 0..512)) {
+        let mut buffer = BytesMut::from(&bytes[..]);
+        let _ = EnvelopeCodec::new().decode(&mut buffer);
+    }
+
+    /// Guards against a panic in the reader on a changed message.
+    #[test]
+    fn mutated_frames_never_panic(position in 4_usize..80, value in any::<u8>()) {
+        let mut buffer = encoded();
+        let position = position.min(buffer.len() - 1);
+        buffer[position] = value;
+        let _ = EnvelopeCodec::new().decode(&mut buffer);
+    }
+}
