Add the fake engine and the fake plain service: fakes usable

Cause: the entry, the control daemon and the demo need targets that answer, take time and fail on demand. Change: FakeEngine with continuous batching, priorities, KV memory, prefix cache with late and gapped events, lagged load reports, orders with and without fencing check, KV export and import, resume, cancel and injected faults; FakeService that counts effects by key and can die around them; the thin programs fake-engine and fake-service. Conclusion: usable by the other crates; text, delays and faults are reproducible from the request id and the options.

--- /dev/null
+++ b/crates/usher_fake/src/announce.rs
@@ -0,0 +1,114 @@
+//! Announcing a target to the entries. Not for: load that isn't reported.
+
+use std::{net, time};
+
+use http_body_util::BodyExt as _;
+
+use crate::server;
+
+/// How long one announcement may take.
+const ANNOUNCE_TIMEOUT: time::Duration = time::Duration::from_millis(900);
+
+/// The load part of an announcement and the answer to `GET /v1/load`.
+#[derive(Clone, Copy, Debug, Default, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct LoadSnapshot {
+    /// Wall time of the report, in ms since 1970.
+    pub at_ms: u64,
+    /// Streams that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Prompt tokens not yet processed.
+    pub prefill_tokens_waiting: u64,
+    /// Pieces of memory in use.
+    pub kv_pieces_used: u64,
+}
+
+/// The body of `POST /v1/targets/announce`.
+#[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct Announcement {
+    /// Name of the target.
+    pub name: usher_types::TargetName,
+    /// Life under that name.
+    pub incarnation: usher_types::IncarnationId,
+    /// Where it listens.
+    pub address: net::SocketAddr,
+    /// Engine or plain service.
+    pub kind: usher_types::TargetKind,
+    /// Service that it belongs to.
+    pub service: usher_types::ServiceName,
+    /// Model that an engine has loaded.
+    pub model: Option<usher_types::ModelName>,
+    /// Adapters that an engine has loaded.
+    pub adapters: Vec<usher_types::AdapterName>,
+    /// Version of the model.
+    pub version: Option<usher_types::VersionName>,
+    /// Part of the work that an engine does.
+    pub role: Option<usher_types::EngineRole>,
+    /// Region.
+    pub region: usher_types::RegionName,
+    /// Failure domain.
+    pub domain: usher_types::DomainName,
+    /// Memory of an engine.
+    pub kv_pieces: u64,
+    /// Whether an engine checks fencing numbers.
+    pub fenced: bool,
+    /// Whether it takes no new work.
+    pub leaving: bool,
+    /// Its load.
+    pub load: LoadSnapshot,
+}
+
+/// Announces to the entries in turn until the switch ends.
+pub(crate) async fn run_announcer<F>(
+    entries: Vec<net::SocketAddr>,
+    interval: time::Duration,
+    switch: server::ServerSwitch,
+    mut make: F,
+) where
+    F: FnMut() -> Announcement + Send + 'static,
+{
+    if entries.is_empty() {
+        return;
+    }
+    let client = make_client();
+    let mut ticks = tokio::time::interval(interval);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    for entry in entries.iter().cycle() {
+        tokio::select! {
+            () = switch.ended() => return,
+            _ = ticks.tick() => {}
+        }
+        let announcement = make();
+        let post = post_json(&client, *entry, &announcement);
+        if tokio::time::timeout(ANNOUNCE_TIMEOUT, post).await.is_err() {
+            tracing::debug!(%entry, "announcement timed out");
+        }
+    }
+}
+
+type AnnounceClient = hyper_util::client::legacy::Client<
+    hyper_util::client::legacy::connect::HttpConnector,
+    http_body_util::Full<bytes::Bytes>,
+>;
+
+fn make_client() -> AnnounceClient {
+    hyper_util::client::legacy::Client::builder(hyper_util::rt::TokioExecutor::new()).build_http()
+}
+
+async fn post_json(client: &AnnounceClient, entry: net::SocketAddr, body: &Announcement) {
+    let Ok(bytes) = serde_json::to_vec(body) else {
+        return;
+    };
+    let request = http::Request::post(format!("http://{entry}/v1/targets/announce"))
+        .header(http::header::CONTENT_TYPE, "application/json")
+        .body(http_body_util::Full::from(bytes));
+    let Ok(request) = request else {
+        return;
+    };
+    match client.request(request).await {
+        // The connection is only used again once the body has been read.
+        Ok(response) => drop(response.into_body().collect().await),
+        Err(error) => tracing::debug!(%entry, %error, "announcement failed"),
+    }
+}
--- /dev/null
+++ b/crates/usher_fake/src/batch.rs
@@ -0,0 +1,319 @@
+//! Continuous batching: which streams make progress in which step. Not for: HTTP.
+
+use std::{collections, time};
+
+use tokio::sync as tokio_sync;
+
+use crate::{cache, engine_options, faults, prompt};
+
+/// What a stream gets from the batch.
+#[derive(Debug, PartialEq)]
+pub(crate) enum StreamEvent {
+    /// The token at this index of the answer.
+    Token(u64),
+    /// The answer is complete with this many tokens in all.
+    Done(u64),
+    /// Bytes that aren't SSE follow.
+    Garbage,
+    /// The stream ends without its last event.
+    Cut,
+}
+
+/// A request as the batch sees it.
+#[derive(Debug)]
+pub(crate) struct BatchJob {
+    pub(crate) id: String,
+    pub(crate) priority: u8,
+    pub(crate) prompt: String,
+    /// Tokens already delivered by another engine.
+    pub(crate) resume_from: u64,
+    /// Index after the last token.
+    pub(crate) end: u64,
+    pub(crate) events: tokio_sync::mpsc::UnboundedSender<StreamEvent>,
+}
+
+#[derive(Debug)]
+struct RunningJob {
+    job: BatchJob,
+    order: u64,
+    prefixes: Vec<String>,
+    prefill_left: u64,
+    next: u64,
+    pieces: u64,
+}
+
+/// What the step that was planned does once its time is over.
+#[derive(Debug, Default)]
+struct StepPlan {
+    // Prefill tokens by the order number of the stream.
+    prefill: collections::HashMap<u64, u64>,
+    decode: bool,
+}
+
+/// Whether the step killed the process.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum StepEnd {
+    Alive,
+    Crashed,
+}
+
+/// The streams of one engine.
+#[derive(Debug)]
+pub(crate) struct BatchQueue {
+    options: engine_options::EngineOptions,
+    cache: cache::PrefixCache,
+    // Sorted by priority, then arrival.
+    waiting: collections::BTreeMap<(u8, u64), RunningJob>,
+    running: Vec<RunningJob>,
+    imported: collections::HashSet<String>,
+    arrivals: u64,
+    plan: StepPlan,
+    pub(crate) generated: u64,
+    pub(crate) cancelled: u64,
+}
+
+impl BatchQueue {
+    pub(crate) fn new(options: engine_options::EngineOptions) -> Self {
+        let event_lag = options.scaled(options.event_lag);
+        Self {
+            cache: cache::PrefixCache::new(event_lag, options.event_gap),
+            options,
+            waiting: collections::BTreeMap::new(),
+            running: Vec::new(),
+            imported: collections::HashSet::new(),
+            arrivals: 0,
+            plan: StepPlan::default(),
+            generated: 0,
+            cancelled: 0,
+        }
+    }
+
+    pub(crate) fn cache(&self) -> &cache::PrefixCache {
+        &self.cache
+    }
+
+    pub(crate) fn add(&mut self, job: BatchJob) {
+        self.arrivals += 1;
+        let order = self.arrivals;
+        let prompt_tokens = prompt::count_tokens(&job.prompt).get() + job.resume_from;
+        let total = usher_types::TokenCount::new(prompt_tokens + job.end - job.resume_from);
+        let running = RunningJob {
+            order,
+            prefixes: prompt::prefix_hashes(&job.prompt),
+            prefill_left: prompt_tokens,
+            next: job.resume_from,
+            pieces: total.pieces().get(),
+            job,
+        };
+        self.waiting.insert((running.job.priority, order), running);
+    }
+
+    /// Whether a request of this size can ever fit.
+    pub(crate) fn fits(&self, tokens: u64) -> bool {
+        usher_types::TokenCount::new(tokens).pieces() <= self.options.kv_pieces
+    }
+
+    /// Marks the KV cache of a request as imported, so that its prefill is skipped.
+    pub(crate) fn import(&mut self, id: &str) {
+        self.imported.insert(id.to_owned());
+    }
+
+    /// Returns the tokens in memory of a request that runs.
+    pub(crate) fn export(&self, id: &str) -> Option<u64> {
+        let found = self.running.iter().find(|running| running.job.id == id)?;
+        Some(prompt::count_tokens(&found.job.prompt).get() + found.next)
+    }
+
+    /// Removes the streams of a request; returns whether there were any.
+    pub(crate) fn cancel(&mut self, id: &str) -> bool {
+        let before = self.waiting.len() + self.running.len();
+        self.waiting.retain(|_, running| running.job.id != id);
+        self.running.retain(|running| running.job.id != id);
+        let removed = before - self.waiting.len() - self.running.len();
+        self.cancelled += removed as u64;
+        removed > 0
+    }
+
+    pub(crate) fn running(&self) -> u32 {
+        u32::try_from(self.running.len()).unwrap_or(u32::MAX)
+    }
+
+    pub(crate) fn waiting(&self) -> u32 {
+        u32::try_from(self.waiting.len()).unwrap_or(u32::MAX)
+    }
+
+    pub(crate) fn is_idle(&self) -> bool {
+        self.running.is_empty() && self.waiting.is_empty()
+    }
+
+    pub(crate) fn prefill_waiting(&self) -> u64 {
+        let waiting: u64 = self.waiting.values().map(|job| job.prefill_left).sum();
+        let running: u64 = self.running.iter().map(|job| job.prefill_left).sum();
+        waiting + running
+    }
+
+    fn pieces_running(&self) -> u64 {
+        self.running.iter().map(|running| running.pieces).sum()
+    }
+
+    pub(crate) fn pieces_used(&self) -> u64 {
+        self.pieces_running() + self.cache.pieces()
+    }
+
+    /// Plans the next step and returns how long it takes; `None` when there is nothing to do.
+    pub(crate) fn plan(
+        &mut self,
+        faults: &faults::FaultRequest,
+        role: usher_types::EngineRole,
+        now: time::Instant,
+    ) -> Option<time::Duration> {
+        self.drop_abandoned();
+        self.admit(now);
+        if faults.stalled == Some(true) {
+            return None;
+        }
+        let mut plan = StepPlan::default();
+        let mut chunk = self.options.prefill_chunk;
+        for running in &self.running {
+            let tokens = running.prefill_left.min(chunk);
+            if tokens > 0 {
+                plan.prefill.insert(running.order, tokens);
+                chunk -= tokens;
+            }
+            plan.decode |= is_decoding(running, faults);
+        }
+        if plan.prefill.is_empty() && !plan.decode {
+            return None;
+        }
+        let prefilled: u64 = plan.prefill.values().sum();
+        let decode = plan.decode;
+        self.plan = plan;
+        Some(self.step_time(prefilled, decode, faults, role))
+    }
+
+    fn step_time(
+        &self,
+        prefilled: u64,
+        decode: bool,
+        faults: &faults::FaultRequest,
+        role: usher_types::EngineRole,
+    ) -> time::Duration {
+        // An engine with a role is set up for one part of the work and slow at the other.
+        let (prefill_factor, decode_factor) = match role {
+            usher_types::EngineRole::Mixed => (1.0, 1.0),
+            usher_types::EngineRole::Prefill => (0.8, 4.0),
+            usher_types::EngineRole::Decode => (4.0, 0.8),
+        };
+        let prefill = self.options.prefill_rate.time_for(prefilled as f64);
+        let mut step = prefill.mul_f64(prefill_factor);
+        if decode {
+            step += self.options.decode_step.mul_f64(decode_factor);
+        }
+        let slowdown = faults.slowdown.unwrap_or(1.0).max(0.0);
+        self.options.scaled(step.mul_f64(slowdown))
+    }
+
+    /// Removes streams whose receiver is gone, as an engine does when its client disconnects.
+    fn drop_abandoned(&mut self) {
+        let before = self.waiting.len() + self.running.len();
+        self.waiting
+            .retain(|_, running| !running.job.events.is_closed());
+        self.running
+            .retain(|running| !running.job.events.is_closed());
+        self.cancelled += (before - self.waiting.len() - self.running.len()) as u64;
+    }
+
+    fn admit(&mut self, now: time::Instant) {
+        while self.running.len() < self.options.max_running {
+            let Some(first) = self.waiting.first_entry() else {
+                return;
+            };
+            let needed = first.get().pieces;
+            let used: u64 = self.running.iter().map(|running| running.pieces).sum();
+            let total = self.options.kv_pieces.get();
+            // The head of the queue waits for memory, so that large requests aren't starved.
+            if used + needed > total {
+                return;
+            }
+            let mut running = first.remove();
+            self.cache.shrink(total - used - needed, now);
+            let hit = self.cache.hit(&running.prefixes) * usher_types::TOKENS_PER_PIECE;
+            // The last token of the prompt is always processed.
+            running.prefill_left = running.prefill_left.saturating_sub(hit).max(1);
+            if self.imported.remove(&running.job.id) {
+                running.prefill_left = 1;
+            }
+            self.running.push(running);
+            self.running
+                .sort_by_key(|running| (running.job.priority, running.order));
+        }
+    }
+
+    /// Carries out the planned step.
+    pub(crate) fn finish_step(
+        &mut self,
+        faults: &faults::FaultRequest,
+        now: time::Instant,
+    ) -> StepEnd {
+        let plan = std::mem::take(&mut self.plan);
+        let mut end = StepEnd::Alive;
+        let mut prefilled = Vec::new();
+        for running in &mut self.running {
+            if let Some(tokens) = plan.prefill.get(&running.order) {
+                running.prefill_left = running.prefill_left.saturating_sub(*tokens);
+                if running.prefill_left == 0 {
+                    prefilled.push(running.prefixes.clone());
+                }
+            } else if plan.decode && is_decoding(running, faults) {
+                self.generated += 1;
+                if decode_token(running, faults) == StepEnd::Crashed {
+                    end = StepEnd::Crashed;
+                }
+            }
+        }
+        self.running
+            .retain(|running| !running.job.events.is_closed() && running.next < running.job.end);
+        let room = self
+            .options
+            .kv_pieces
+            .get()
+            .saturating_sub(self.pieces_running());
+        for prefixes in prefilled {
+            self.cache.insert(&prefixes, room, now);
+        }
+        end
+    }
+}
+
+fn is_decoding(running: &RunningJob, faults: &faults::FaultRequest) -> bool {
+    let stalled = faults
+        .stall_after
+        .is_some_and(|after| running.next >= after);
+    running.prefill_left == 0 && !stalled
+}
+
+/// Sends the next token of a stream, or the fault that is due instead of it.
+fn decode_token(running: &mut RunningJob, faults: &faults::FaultRequest) -> StepEnd {
+    let due = |after: Option<u64>| after.is_some_and(|after| running.next >= after);
+    if due(faults.crash_after) {
+        return StepEnd::Crashed;
+    }
+    let fault = if due(faults.garbage_after) {
+        Some(StreamEvent::Garbage)
+    } else if due(faults.cut_after) {
+        Some(StreamEvent::Cut)
+    } else {
+        None
+    };
+    if let Some(event) = fault {
+        let _ = running.job.events.send(event);
+        running.next = running.job.end;
+        return StepEnd::Alive;
+    }
+    let _ = running.job.events.send(StreamEvent::Token(running.next));
+    running.next += 1;
+    if running.next >= running.job.end {
+        let _ = running.job.events.send(StreamEvent::Done(running.job.end));
+    }
+    StepEnd::Alive
+}
--- /dev/null
+++ b/crates/usher_fake/src/engine.rs
@@ -0,0 +1,257 @@
+//! A running fake engine. Not for: its HTTP surface.
+
+use std::{collections, io, net, sync, time};
+
+use tokio::sync as tokio_sync;
+
+use crate::{announce, batch, engine_http, engine_options, faults, order, server};
+
+/// How long a stalled or idle engine waits before it looks again.
+const IDLE_WAIT: time::Duration = time::Duration::from_millis(10);
+
+/// How far behind its schedule an engine may be before it gives up catching up.
+const MAX_BEHIND: time::Duration = time::Duration::from_millis(50);
+
+/// The parts that the HTTP handlers and the background tasks share.
+pub(crate) struct EngineCore {
+    pub(crate) options: engine_options::EngineOptions,
+    pub(crate) batch: sync::Mutex<batch::BatchQueue>,
+    pub(crate) orders: sync::Mutex<order::OrderBook>,
+    pub(crate) faults: faults::EngineFaults,
+    pub(crate) switch: server::ServerSwitch,
+    pub(crate) work: tokio_sync::Notify,
+    pub(crate) requests: sync::Mutex<Vec<String>>,
+    leaving: sync::atomic::AtomicBool,
+    loads: sync::Mutex<collections::VecDeque<(time::Instant, announce::LoadSnapshot)>>,
+}
+
+/// Locks a mutex; a panic elsewhere doesn't make the state unusable.
+pub(crate) fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
+}
+
+/// Returns the wall time in ms since 1970.
+pub(crate) fn wall_ms() -> u64 {
+    let since = time::SystemTime::now()
+        .duration_since(time::UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
+
+impl EngineCore {
+    pub(crate) fn is_leaving(&self) -> bool {
+        let leaving = self.leaving.load(sync::atomic::Ordering::SeqCst);
+        leaving || lock(&self.orders).is_draining()
+    }
+
+    fn load_now(&self) -> announce::LoadSnapshot {
+        let batch = lock(&self.batch);
+        announce::LoadSnapshot {
+            at_ms: wall_ms(),
+            running: batch.running(),
+            waiting: batch.waiting(),
+            prefill_tokens_waiting: batch.prefill_waiting(),
+            kv_pieces_used: batch.pieces_used(),
+        }
+    }
+
+    /// Returns the newest report that is as old as the lag.
+    pub(crate) fn load(&self) -> announce::LoadSnapshot {
+        let lag = self.options.scaled(self.options.load_lag);
+        if lag.is_zero() {
+            return self.load_now();
+        }
+        let now = time::Instant::now();
+        let loads = lock(&self.loads);
+        let old = loads.iter().rev().find(|(at, _)| now - *at >= lag);
+        old.map(|(_, load)| *load).unwrap_or_default()
+    }
+
+    fn announcement(&self, address: net::SocketAddr) -> announce::Announcement {
+        let shape = lock(&self.orders).shape().clone();
+        announce::Announcement {
+            name: self.options.name.clone(),
+            incarnation: self.options.incarnation,
+            address,
+            kind: usher_types::TargetKind::Engine,
+            service: self.options.service.clone(),
+            model: Some(shape.model),
+            adapters: shape.adapters,
+            version: Some(shape.version),
+            role: Some(shape.role),
+            region: self.options.region.clone(),
+            domain: self.options.domain.clone(),
+            kv_pieces: self.options.kv_pieces.get(),
+            fenced: self.options.fenced,
+            leaving: self.is_leaving(),
+            load: self.load(),
+        }
+    }
+}
+
+/// A stand-in for an engine, serving on loopback.
+///
+/// ```
+/// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+/// use usher_fake::{EngineOptions, FakeEngine};
+/// let engine = FakeEngine::start(EngineOptions::new("engine-1")).await.unwrap();
+/// engine.faults().slow_by(5.0);
+/// assert_ne!(engine.address().port(), 0);
+/// # });
+/// ```
+#[derive(Clone)]
+pub struct FakeEngine {
+    core: sync::Arc<EngineCore>,
+    address: net::SocketAddr,
+}
+
+impl FakeEngine {
+    /// Starts the engine inside the current tokio runtime.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it can't listen.
+    pub async fn start(options: engine_options::EngineOptions) -> io::Result<Self> {
+        let orders = order::OrderBook::new(options.fenced, options.shape.clone());
+        let core = sync::Arc::new(EngineCore {
+            batch: sync::Mutex::new(batch::BatchQueue::new(options.clone())),
+            orders: sync::Mutex::new(orders),
+            faults: faults::EngineFaults::default(),
+            switch: server::ServerSwitch::new(),
+            work: tokio_sync::Notify::new(),
+            requests: sync::Mutex::default(),
+            leaving: sync::atomic::AtomicBool::new(false),
+            loads: sync::Mutex::default(),
+            options,
+        });
+        let make_router = |_| engine_http::router(core.clone());
+        let address = server::start(core.options.bind, make_router, core.switch.clone()).await?;
+        tokio::spawn(run_steps(core.clone()));
+        tokio::spawn(run_load_sampler(core.clone()));
+        let announcing = core.clone();
+        tokio::spawn(announce::run_announcer(
+            core.options.entries.clone(),
+            core.options.announce_interval,
+            core.switch.clone(),
+            move || announcing.announcement(address),
+        ));
+        Ok(Self { core, address })
+    }
+
+    /// Returns where it listens.
+    pub fn address(&self) -> net::SocketAddr {
+        self.address
+    }
+
+    /// Returns the faults, which can be changed at any time.
+    pub fn faults(&self) -> &faults::EngineFaults {
+        &self.core.faults
+    }
+
+    /// Dies at once: connections are reset and nothing listens any more.
+    pub fn crash(&self) {
+        self.core.switch.crash();
+    }
+
+    /// Announces that it is leaving, finishes the running streams, and stops.
+    pub async fn leave(&self) {
+        self.begin_leaving();
+        while !lock(&self.core.batch).is_idle() && !self.core.switch.is_ended() {
+            tokio::time::sleep(IDLE_WAIT).await;
+        }
+        // The last bytes of the streams are still on their way to the connections.
+        tokio::time::sleep(self.core.options.announce_interval).await;
+        self.core.switch.stop();
+    }
+
+    /// Announces from now on that it is leaving; goes on serving.
+    pub fn begin_leaving(&self) {
+        self.core
+            .leaving
+            .store(true, sync::atomic::Ordering::SeqCst);
+    }
+
+    /// Closes the connections and stops.
+    pub fn stop(&self) {
+        self.core.switch.stop();
+    }
+
+    /// Waits until it has stopped or died.
+    pub async fn ended(&self) {
+        self.core.switch.ended().await;
+    }
+
+    /// Returns the ids of the requests that it accepted, in order of arrival.
+    pub fn requests(&self) -> Vec<String> {
+        lock(&self.core.requests).clone()
+    }
+
+    /// Returns how many tokens it has generated.
+    pub fn generated_tokens(&self) -> u64 {
+        lock(&self.core.batch).generated
+    }
+
+    /// Returns how many streams ended early because they were cancelled or abandoned.
+    pub fn cancelled_streams(&self) -> u64 {
+        lock(&self.core.batch).cancelled
+    }
+
+    /// Returns how many streams run or wait.
+    pub fn open_streams(&self) -> usize {
+        let batch = lock(&self.core.batch);
+        (batch.running() + batch.waiting()) as usize
+    }
+
+    /// Returns the orders that it has seen and its state.
+    pub fn order_state(&self) -> order::OrderState {
+        lock(&self.core.orders).state()
+    }
+}
+
+/// Runs the batch step by step; sleeps between steps, and catches up after short delays.
+async fn run_steps(core: sync::Arc<EngineCore>) {
+    let mut due = time::Instant::now();
+    while !core.switch.is_ended() {
+        let faults = core.faults.current();
+        let role = lock(&core.orders).shape().role;
+        let now = time::Instant::now();
+        let planned = lock(&core.batch).plan(&faults, role, now);
+        let Some(step) = planned else {
+            // Also wakes up without work, to notice abandoned streams and faults that were cleared.
+            let _ = tokio::time::timeout(IDLE_WAIT, core.work.notified()).await;
+            due = time::Instant::now();
+            continue;
+        };
+        due = due.max(now - MAX_BEHIND.min(step)) + step;
+        if due > now {
+            tokio::select! {
+                () = core.switch.ended() => return,
+                () = tokio::time::sleep_until(due.into()) => {}
+            }
+        }
+        let end = lock(&core.batch).finish_step(&faults, time::Instant::now());
+        if end == batch::StepEnd::Crashed {
+            core.switch.crash();
+        }
+        // Without delays the loop would otherwise not let the connections write.
+        tokio::task::yield_now().await;
+    }
+}
+
+async fn run_load_sampler(core: sync::Arc<EngineCore>) {
+    let lag = core.options.scaled(core.options.load_lag);
+    if lag.is_zero() {
+        return;
+    }
+    let interval = (lag / 4).max(time::Duration::from_millis(5));
+    while !core.switch.is_ended() {
+        let now = time::Instant::now();
+        let load = core.load_now();
+        {
+            let mut loads = lock(&core.loads);
+            loads.push_back((now, load));
+            loads.retain(|(at, _)| now - *at <= lag * 3);
+        }
+        tokio::time::sleep(interval).await;
+    }
+}
--- /dev/null
+++ b/crates/usher_fake/src/order.rs
@@ -0,0 +1,223 @@
+//! Orders to an engine and what came of them. Not for: who may give them.
+
+use std::{collections, time};
+
+/// What an engine has loaded and does.
+#[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct EngineShape {
+    /// Model.
+    pub model: usher_types::ModelName,
+    /// Version of the model.
+    pub version: usher_types::VersionName,
+    /// Adapters on top of the model.
+    pub adapters: Vec<usher_types::AdapterName>,
+    /// Part of the work.
+    pub role: usher_types::EngineRole,
+}
+
+impl EngineShape {
+    /// Makes the shape of a mixed engine with version 1 of a model.
+    pub fn new(model: &str) -> Self {
+        Self {
+            model: usher_types::ModelName::new(model),
+            version: usher_types::VersionName::new("1"),
+            adapters: Vec::new(),
+            role: usher_types::EngineRole::Mixed,
+        }
+    }
+}
+
+/// The body of `POST /v1/orders`.
+#[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct OrderRequest {
+    /// Identifies the order.
+    #[serde(default)]
+    pub order: String,
+    /// Fencing number.
+    pub fence: u64,
+    /// `load`, `role` or `drain`.
+    pub kind: String,
+    /// Model to load.
+    #[serde(default)]
+    pub model: Option<usher_types::ModelName>,
+    /// Adapter to load.
+    #[serde(default)]
+    pub adapter: Option<usher_types::AdapterName>,
+    /// Version to load.
+    #[serde(default)]
+    pub version: Option<usher_types::VersionName>,
+    /// Role to take.
+    #[serde(default)]
+    pub role: Option<usher_types::EngineRole>,
+}
+
+/// One order that the engine accepted.
+#[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct OrderRecord {
+    /// The order.
+    pub request: OrderRequest,
+    /// Whether it has been carried out.
+    pub done: bool,
+    /// Whether another order was being carried out when this one began.
+    pub overlapped: bool,
+}
+
+/// The answer to `GET /v1/orders`.
+#[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct OrderState {
+    /// Highest fencing number seen.
+    pub fence: u64,
+    /// What is loaded now.
+    pub shape: EngineShape,
+    /// Whether a change is being carried out.
+    pub changing: bool,
+    /// Whether the engine takes no new work because of a drain order.
+    pub draining: bool,
+    /// The last orders, oldest first.
+    pub orders: Vec<OrderRecord>,
+}
+
+/// How many orders are kept for reading.
+const KEPT_ORDERS: usize = 1_024;
+
+/// Checks, keeps and carries out orders.
+#[derive(Debug)]
+pub(crate) struct OrderBook {
+    fenced: bool,
+    fence: u64,
+    shape: EngineShape,
+    draining: bool,
+    changing: u32,
+    orders: collections::VecDeque<OrderRecord>,
+}
+
+/// How an order was received.
+#[derive(Debug, PartialEq)]
+pub(crate) enum OrderStart {
+    /// It is being carried out and takes this long.
+    Started(OrderDuration),
+    /// The same order was carried out before.
+    Repeated,
+    /// A higher number was seen.
+    Stale(u64),
+    /// It can't be understood.
+    Invalid(&'static str),
+}
+
+/// Which duration of the options an order takes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum OrderDuration {
+    Role,
+    Load,
+    None,
+}
+
+impl OrderDuration {
+    pub(crate) fn of(self, role: time::Duration, load: time::Duration) -> time::Duration {
+        match self {
+            Self::Role => role,
+            Self::Load => load,
+            Self::None => time::Duration::ZERO,
+        }
+    }
+}
+
+impl OrderBook {
+    pub(crate) fn new(fenced: bool, shape: EngineShape) -> Self {
+        Self {
+            fenced,
+            fence: 0,
+            shape,
+            draining: false,
+            changing: 0,
+            orders: collections::VecDeque::new(),
+        }
+    }
+
+    pub(crate) fn shape(&self) -> &EngineShape {
+        &self.shape
+    }
+
+    pub(crate) fn is_draining(&self) -> bool {
+        self.draining
+    }
+
+    pub(crate) fn is_changing(&self) -> bool {
+        self.changing > 0
+    }
+
+    pub(crate) fn begin(&mut self, request: &OrderRequest) -> OrderStart {
+        let duration = match request.kind.as_str() {
+            "role" if request.role.is_some() => OrderDuration::Role,
+            "role" => return OrderStart::Invalid("an order of kind role needs a role"),
+            "load" => OrderDuration::Load,
+            "drain" => OrderDuration::None,
+            _ => return OrderStart::Invalid("kind must be load, role or drain"),
+        };
+        if self.fenced {
+            if request.fence < self.fence {
+                return OrderStart::Stale(self.fence);
+            }
+            if request.fence == self.fence {
+                let same = self.orders.back().map(|record| &record.request) == Some(request);
+                return if same {
+                    OrderStart::Repeated
+                } else {
+                    OrderStart::Stale(self.fence)
+                };
+            }
+        }
+        self.fence = self.fence.max(request.fence);
+        if self.orders.len() == KEPT_ORDERS {
+            self.orders.pop_front();
+        }
+        self.orders.push_back(OrderRecord {
+            request: request.clone(),
+            done: false,
+            overlapped: self.changing > 0,
+        });
+        self.changing += 1;
+        OrderStart::Started(duration)
+    }
+
+    pub(crate) fn finish(&mut self, request: &OrderRequest) {
+        self.changing = self.changing.saturating_sub(1);
+        match request.kind.as_str() {
+            "role" => self.shape.role = request.role.unwrap_or(self.shape.role),
+            "drain" => self.draining = true,
+            _ => self.load(request),
+        }
+        let record = self
+            .orders
+            .iter_mut()
+            .rev()
+            .find(|record| record.request == *request);
+        if let Some(record) = record {
+            record.done = true;
+        }
+    }
+
+    fn load(&mut self, request: &OrderRequest) {
+        if let Some(model) = &request.model {
+            self.shape.model = model.clone();
+        }
+        if let Some(version) = &request.version {
+            self.shape.version = version.clone();
+        }
+        if let Some(adapter) = &request.adapter {
+            if !self.shape.adapters.contains(adapter) {
+                self.shape.adapters.push(adapter.clone());
+            }
+        }
+    }
+
+    pub(crate) fn state(&self) -> OrderState {
+        OrderState {
+            fence: self.fence,
+            shape: self.shape.clone(),
+            changing: self.changing > 0,
+            draining: self.draining,
+            orders: self.orders.iter().cloned().collect(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/usher_fake/src/service.rs
@@ -0,0 +1,229 @@
+//! A running fake plain service that counts its effects. Not for: engines.
+
+use std::{collections, io, net, sync, time};
+
+use axum::{extract, response, response::IntoResponse as _, routing, Json};
+
+use crate::{announce, engine, server, service_options};
+
+/// The largest request body, in bytes; more than an entry accepts.
+const MAX_BODY_BYTES: usize = 16 << 20;
+
+/// How often each call had its effect, by key; also the answer to `GET /fake/calls`.
+pub type CallCounts = collections::BTreeMap<String, u64>;
+
+struct ServiceCore {
+    options: service_options::ServiceOptions,
+    behaviour: sync::Mutex<service_options::ServiceBehaviour>,
+    calls: sync::Mutex<CallCounts>,
+    running: sync::atomic::AtomicU32,
+    leaving: sync::atomic::AtomicBool,
+    switch: server::ServerSwitch,
+}
+
+/// A stand-in for a plain service, serving on loopback.
+///
+/// A call is known by its `Idempotency-Key` header, else by its method and path. The answer
+/// echoes the key, the path and the body.
+#[derive(Clone)]
+pub struct FakeService {
+    core: sync::Arc<ServiceCore>,
+    address: net::SocketAddr,
+}
+
+impl FakeService {
+    /// Starts the service inside the current tokio runtime.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it can't listen.
+    pub async fn start(options: service_options::ServiceOptions) -> io::Result<Self> {
+        let core = sync::Arc::new(ServiceCore {
+            behaviour: sync::Mutex::new(options.behaviour.clone()),
+            calls: sync::Mutex::default(),
+            running: sync::atomic::AtomicU32::new(0),
+            leaving: sync::atomic::AtomicBool::new(false),
+            switch: server::ServerSwitch::new(),
+            options,
+        });
+        let make_router = |_| router(core.clone());
+        let address = server::start(core.options.bind, make_router, core.switch.clone()).await?;
+        let announcing = core.clone();
+        tokio::spawn(announce::run_announcer(
+            core.options.entries.clone(),
+            core.options.announce_interval,
+            core.switch.clone(),
+            move || announcing.announcement(address),
+        ));
+        Ok(Self { core, address })
+    }
+
+    /// Returns where it listens.
+    pub fn address(&self) -> net::SocketAddr {
+        self.address
+    }
+
+    /// Returns how often each call had its effect.
+    pub fn calls(&self) -> CallCounts {
+        engine::lock(&self.core.calls).clone()
+    }
+
+    /// Changes how it treats the next calls.
+    pub fn behave(&self, behaviour: service_options::ServiceBehaviour) {
+        *engine::lock(&self.core.behaviour) = behaviour;
+    }
+
+    /// Announces from now on that it is leaving; goes on serving.
+    pub fn begin_leaving(&self) {
+        self.core
+            .leaving
+            .store(true, sync::atomic::Ordering::SeqCst);
+    }
+
+    /// Announces that it is leaving, finishes the running calls, and stops.
+    pub async fn leave(&self) {
+        self.begin_leaving();
+        let interval = self.core.options.announce_interval;
+        tokio::time::sleep(interval).await;
+        while self.core.running.load(sync::atomic::Ordering::SeqCst) > 0 {
+            tokio::time::sleep(time::Duration::from_millis(10)).await;
+        }
+        self.core.switch.stop();
+    }
+
+    /// Dies at once: connections are reset and nothing listens any more.
+    pub fn crash(&self) {
+        self.core.switch.crash();
+    }
+
+    /// Closes the connections and stops.
+    pub fn stop(&self) {
+        self.core.switch.stop();
+    }
+
+    /// Waits until it has stopped or died.
+    pub async fn ended(&self) {
+        self.core.switch.ended().await;
+    }
+}
+
+impl ServiceCore {
+    fn announcement(&self, address: net::SocketAddr) -> announce::Announcement {
+        announce::Announcement {
+            name: self.options.name.clone(),
+            incarnation: self.options.incarnation,
+            address,
+            kind: usher_types::TargetKind::Plain,
+            service: self.options.service.clone(),
+            model: None,
+            adapters: Vec::new(),
+            version: None,
+            role: None,
+            region: self.options.region.clone(),
+            domain: self.options.domain.clone(),
+            kv_pieces: 0,
+            fenced: false,
+            leaving: self.leaving.load(sync::atomic::Ordering::SeqCst),
+            load: announce::LoadSnapshot {
+                at_ms: engine::wall_ms(),
+                running: self.running.load(sync::atomic::Ordering::SeqCst),
+                ..announce::LoadSnapshot::default()
+            },
+        }
+    }
+}
+
+fn router(core: sync::Arc<ServiceCore>) -> axum::Router {
+    axum::Router::new()
+        .route("/fake/calls", routing::get(read_calls))
+        .route("/fake/behaviour", routing::post(set_behaviour))
+        .fallback(handle_call)
+        .layer(extract::DefaultBodyLimit::max(MAX_BODY_BYTES))
+        .with_state(core)
+}
+
+type CoreState = extract::State<sync::Arc<ServiceCore>>;
+
+async fn read_calls(extract::State(core): CoreState) -> Json<CallCounts> {
+    Json(engine::lock(&core.calls).clone())
+}
+
+async fn set_behaviour(
+    extract::State(core): CoreState,
+    Json(behaviour): Json<service_options::ServiceBehaviour>,
+) -> http::StatusCode {
+    *engine::lock(&core.behaviour) = behaviour;
+    http::StatusCode::NO_CONTENT
+}
+
+async fn handle_call(
+    extract::State(core): CoreState,
+    method: http::Method,
+    uri: http::Uri,
+    headers: http::HeaderMap,
+    body: bytes::Bytes,
+) -> response::Response {
+    // Its own task: a call that has begun has its effect even when the connection breaks.
+    let task = tokio::spawn(run_call(core, method, uri, headers, body));
+    match task.await {
+        Ok(response) => response,
+        Err(_) => http::StatusCode::INTERNAL_SERVER_ERROR.into_response(),
+    }
+}
+
+async fn run_call(
+    core: sync::Arc<ServiceCore>,
+    method: http::Method,
+    uri: http::Uri,
+    headers: http::HeaderMap,
+    body: bytes::Bytes,
+) -> response::Response {
+    let behaviour = engine::lock(&core.behaviour).clone();
+    let name = headers.get("idempotency-key");
+    let name = name.and_then(|value| value.to_str().ok());
+    let key = name.map_or_else(|| format!("{method} {}", uri.path()), str::to_owned);
+    core.running.fetch_add(1, sync::atomic::Ordering::SeqCst);
+    let response = run_behaviour(&core, &behaviour, &key, &uri, &body).await;
+    core.running.fetch_sub(1, sync::atomic::Ordering::SeqCst);
+    response
+}
+
+async fn run_behaviour(
+    core: &ServiceCore,
+    behaviour: &service_options::ServiceBehaviour,
+    key: &str,
+    uri: &http::Uri,
+    body: &bytes::Bytes,
+) -> response::Response {
+    tokio::time::sleep(time::Duration::from_millis(behaviour.delay_ms)).await;
+    if behaviour.die_before {
+        core.switch.crash();
+    }
+    // A process that died meanwhile has no effect any more.
+    if core.switch.is_ended() {
+        return std::future::pending().await;
+    }
+    if behaviour.failing {
+        let message = "injected failure";
+        return (http::StatusCode::INTERNAL_SERVER_ERROR, message).into_response();
+    }
+    let count = {
+        let mut calls = engine::lock(&core.calls);
+        let count = calls.entry(key.to_owned()).or_default();
+        *count += 1;
+        *count
+    };
+    if behaviour.die_after {
+        core.switch.crash();
+        return std::future::pending().await;
+    }
+    tokio::time::sleep(time::Duration::from_millis(behaviour.answer_delay_ms)).await;
+    Json(serde_json::json!({
+        "key": key,
+        "path": uri.path(),
+        "count": count,
+        "body": String::from_utf8_lossy(body),
+        "padding": "x".repeat(behaviour.padding),
+    }))
+    .into_response()
+}
