--- /dev/null
+++ b/crates/usher_policy/src/settings.rs
@@ -0,0 +1,87 @@
+//! What an operator can set of the policies. Not for: reading files.
+
+use std::{collections, time};
+
+use usher_types::RegionName;
+
+/// Settings of routing and admission in one entry.
+///
+/// ```
+/// use usher_policy::RouteSettings;
+/// let settings = RouteSettings::new("south-a").with_seed(7);
+/// assert_eq!(settings.seed, 7);
+/// ```
+#[derive(Clone, Debug, PartialEq)]
+pub struct RouteSettings {
+    /// Region of the entry.
+    pub home: RegionName,
+    /// One-way delay to other regions.
+    pub links: collections::BTreeMap<RegionName, time::Duration>,
+    /// One-way delay inside the home region.
+    pub near_delay: time::Duration,
+    /// One-way delay to regions that `links` doesn't name.
+    pub far_delay: time::Duration,
+    /// Seconds of expected time that one megabyte to another region is worth.
+    pub far_cost_per_megabyte: f64,
+    /// Prefill rate assumed before anything was observed, in tokens per second.
+    pub prefill_rate: f64,
+    /// Time per output token assumed before anything was observed.
+    pub token_time: time::Duration,
+    /// Time to load an adapter that isn't resident.
+    pub adapter_load: time::Duration,
+    /// Bandwidth at which KV cache moves between engines, in tokens per second.
+    pub kv_move_rate: f64,
+    /// Calls that may run on one engine at a time.
+    pub batch_limit: u32,
+    /// Time to first token that is aimed at.
+    pub first_token_goal: time::Duration,
+    /// Seed of the random choices.
+    pub seed: u64,
+}
+
+impl RouteSettings {
+    /// Makes settings for an entry in a region.
+    pub fn new(home: &str) -> Self {
+        Self {
+            home: RegionName::new(home),
+            links: collections::BTreeMap::new(),
+            near_delay: time::Duration::from_millis(1),
+            far_delay: time::Duration::from_millis(30),
+            // Cross-region traffic is billed by volume: a 1 MB prompt is worth 200 ms.
+            far_cost_per_megabyte: 0.2,
+            prefill_rate: 8_000.0,
+            token_time: time::Duration::from_millis(40),
+            adapter_load: time::Duration::from_millis(1_500),
+            kv_move_rate: 100_000.0,
+            batch_limit: 64,
+            first_token_goal: time::Duration::from_millis(510),
+            seed: 1,
+        }
+    }
+
+    /// Sets the one-way delay to a region.
+    pub fn with_link(mut self, region: &str, delay: time::Duration) -> Self {
+        self.links.insert(RegionName::new(region), delay);
+        self
+    }
+
+    /// Sets the seed.
+    pub fn with_seed(mut self, seed: u64) -> Self {
+        self.seed = seed;
+        self
+    }
+
+    /// Sets the prefill rate assumed at the start, in tokens per second.
+    pub fn with_prefill_rate(mut self, rate: f64) -> Self {
+        self.prefill_rate = rate;
+        self
+    }
+
+    /// Returns the one-way delay from the entry to a region.
+    pub fn delay_to(&self, region: &RegionName) -> time::Duration {
+        if *region == self.home {
+            return self.near_delay;
+        }
+        self.links.get(region).copied().unwrap_or(self.far_delay)
+    }
+}
--- /dev/null
+++ b/crates/usher_policy/src/share.rs
@@ -0,0 +1,203 @@
+//! Divides capacity fairly: weighted max-min over cooperative, firm and team. Not for: routing.
+
+use std::{collections, time};
+
+use usher_types::{FirmName, TeamName};
+
+/// Time over which recent use fades to a third.
+const USE_MEMORY: time::Duration = time::Duration::from_secs(5);
+/// Use above its share that an account may have before it is held back, so that noise in the
+/// arrivals isn't refused.
+const SHARE_SLACK: f64 = 1.02;
+/// Firms and teams idle for longer than this are forgotten.
+const IDLE_FORGOTTEN: time::Duration = time::Duration::from_secs(120);
+
+/// Divides `capacity` among demands by weighted max-min: nobody gets more than asked for, and
+/// what one leaves is divided among the others by weight.
+///
+/// ```
+/// let parts = usher_policy::max_min(10.0, &[(2.0, 1.0), (9.0, 1.0), (9.0, 1.0)]);
+/// assert_eq!(parts, vec![2.0, 4.0, 4.0]);
+/// ```
+pub fn max_min(capacity: f64, demands: &[(f64, f64)]) -> Vec<f64> {
+    let mut order: Vec<usize> = (0..demands.len()).collect();
+    let need = |at: &usize| demands[*at].0 / demands[*at].1.max(f64::MIN_POSITIVE);
+    order.sort_by(|a, b| need(a).total_cmp(&need(b)).then(a.cmp(b)));
+    let mut parts = vec![0.0; demands.len()];
+    let mut left = capacity.max(0.0);
+    let mut weights: f64 = demands.iter().map(|(_, weight)| weight.max(0.0)).sum();
+    for at in order {
+        let (demand, weight) = demands[at];
+        if weight <= 0.0 || weights <= 0.0 {
+            continue;
+        }
+        let part = demand.clamp(0.0, (left * weight / weights).max(0.0));
+        parts[at] = part;
+        left -= part;
+        weights -= weight;
+    }
+    parts
+}
+
+#[derive(Clone, Debug)]
+struct UseMeter {
+    asked: f64,
+    used: f64,
+    at: time::Instant,
+}
+
+impl UseMeter {
+    fn new(at: time::Instant) -> Self {
+        Self {
+            asked: 0.0,
+            used: 0.0,
+            at,
+        }
+    }
+
+    fn fade(&mut self, now: time::Instant) {
+        let elapsed = now.saturating_duration_since(self.at).as_secs_f64();
+        let factor = (-elapsed / USE_MEMORY.as_secs_f64()).exp();
+        self.asked *= factor;
+        self.used *= factor;
+        self.at = self.at.max(now);
+    }
+}
+
+#[derive(Clone, Debug)]
+struct FirmMeter {
+    meter: UseMeter,
+    weight: f64,
+    teams: collections::BTreeMap<TeamName, (UseMeter, f64)>,
+}
+
+/// Recent use of capacity by firm and team, and who is over the fair share.
+///
+/// Work is counted in engine-seconds. The cooperative is the root: its use is that of all firms.
+#[derive(Clone, Debug, Default)]
+pub struct FairShare {
+    firms: collections::BTreeMap<FirmName, FirmMeter>,
+}
+
+impl FairShare {
+    /// Makes a record without use.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Sets the weight of a firm; 1 unless set.
+    pub fn set_firm_weight(&mut self, firm: &FirmName, weight: f64, now: time::Instant) {
+        self.firm_mut(firm, now).weight = weight.max(0.0);
+    }
+
+    /// Sets the weight of a team in its firm; 1 unless set.
+    pub fn set_team_weight(
+        &mut self,
+        firm: &FirmName,
+        team: &TeamName,
+        weight: f64,
+        now: time::Instant,
+    ) {
+        let firm = self.firm_mut(firm, now);
+        let entry = firm.teams.entry(team.clone());
+        entry.or_insert_with(|| (UseMeter::new(now), 1.0)).1 = weight.max(0.0);
+    }
+
+    /// Notes that work was asked for.
+    pub fn on_asked(&mut self, firm: &FirmName, team: &TeamName, work: f64, now: time::Instant) {
+        let (firm_meter, team_meter) = self.meters(firm, team, now);
+        firm_meter.asked += work;
+        team_meter.asked += work;
+    }
+
+    /// Notes that work was accepted.
+    pub fn on_accepted(&mut self, firm: &FirmName, team: &TeamName, work: f64, now: time::Instant) {
+        let (firm_meter, team_meter) = self.meters(firm, team, now);
+        firm_meter.used += work;
+        team_meter.used += work;
+    }
+
+    /// Returns whether the firm, or the team within its firm, uses more than its fair share.
+    ///
+    /// The capacity divided is what all firms together used recently.
+    pub fn is_over(&mut self, firm: &FirmName, team: &TeamName, now: time::Instant) -> bool {
+        self.fade(now);
+        let demands = self.firms.values().map(|f| (f.meter.asked, f.weight));
+        let demands: Vec<(f64, f64)> = demands.collect();
+        let capacity: f64 = self.firms.values().map(|f| f.meter.used).sum();
+        let parts = max_min(capacity, &demands);
+        let position = self.firms.keys().position(|name| name == firm);
+        let Some((meter, part)) =
+            position.and_then(|at| Some((self.firms.get(firm)?, *parts.get(at)?)))
+        else {
+            return false;
+        };
+        if meter.meter.used > part * SHARE_SLACK {
+            return true;
+        }
+        Self::is_team_over(meter, team)
+    }
+
+    fn is_team_over(firm: &FirmMeter, team: &TeamName) -> bool {
+        let demands = firm
+            .teams
+            .values()
+            .map(|(meter, weight)| (meter.asked, *weight));
+        let demands: Vec<(f64, f64)> = demands.collect();
+        let parts = max_min(firm.meter.used, &demands);
+        let position = firm.teams.keys().position(|name| name == team);
+        let part = position.and_then(|at| parts.get(at).copied());
+        match (firm.teams.get(team), part) {
+            (Some((meter, _)), Some(part)) => meter.used > part * SHARE_SLACK,
+            _ => false,
+        }
+    }
+
+    /// Returns the recent demand of each firm.
+    pub fn demands(&mut self, now: time::Instant) -> Vec<(FirmName, f64)> {
+        self.fade(now);
+        let firms = self.firms.iter();
+        firms
+            .map(|(name, firm)| (name.clone(), firm.meter.asked))
+            .collect()
+    }
+
+    fn fade(&mut self, now: time::Instant) {
+        for firm in self.firms.values_mut() {
+            firm.meter.fade(now);
+            for (meter, _) in firm.teams.values_mut() {
+                meter.fade(now);
+            }
+        }
+    }
+
+    fn firm_mut(&mut self, firm: &FirmName, now: time::Instant) -> &mut FirmMeter {
+        self.firms.entry(firm.clone()).or_insert_with(|| FirmMeter {
+            meter: UseMeter::new(now),
+            weight: 1.0,
+            teams: collections::BTreeMap::new(),
+        })
+    }
+
+    fn meters(
+        &mut self,
+        firm: &FirmName,
+        team: &TeamName,
+        now: time::Instant,
+    ) -> (&mut UseMeter, &mut UseMeter) {
+        let firm = self.firm_mut(firm, now);
+        firm.meter.fade(now);
+        let entry = firm.teams.entry(team.clone());
+        let (team_meter, _) = entry.or_insert_with(|| (UseMeter::new(now), 1.0));
+        team_meter.fade(now);
+        (&mut firm.meter, team_meter)
+    }
+
+    /// Forgets teams without recent use, so that memory doesn't grow with every team ever seen.
+    pub fn forget_idle(&mut self, now: time::Instant) {
+        for firm in self.firms.values_mut() {
+            firm.teams
+                .retain(|_, (meter, _)| now.saturating_duration_since(meter.at) < IDLE_FORGOTTEN);
+        }
+    }
+}
--- /dev/null
+++ b/crates/usher_policy/src/state.rs
@@ -0,0 +1,166 @@
+//! What an entry knows of one target: own work exactly, the work of others from late reports.
+//! Not for: decisions.
+
+use std::{collections, time};
+
+use usher_types::{TokenCount, WorkClass};
+
+use crate::target;
+
+/// How long own load is remembered, so that a late report can be compared with it. Reports that
+/// are older than this are compared with the oldest remembered load.
+const HISTORY: time::Duration = time::Duration::from_secs(4);
+
+/// Own load points closer together than this are merged.
+const HISTORY_STEP: time::Duration = time::Duration::from_millis(20);
+
+usher_types::value_type! {
+    /// Work on a target at some moment.
+    #[derive(Copy, Default)]
+    pub struct TargetLoad {
+        /// Prompt tokens of short work that wait for prefill.
+        pub short_prefill: f64,
+        /// Prompt tokens of long work that wait for prefill.
+        pub long_prefill: f64,
+        /// Calls that haven't finished.
+        pub calls: f64,
+        /// Pieces of memory in use or promised.
+        pub pieces: f64,
+    }
+}
+
+impl TargetLoad {
+    /// Returns all prompt tokens that wait.
+    pub fn prefill(&self) -> f64 {
+        self.short_prefill + self.long_prefill
+    }
+
+    fn add(&mut self, other: &Self, sign: f64) {
+        self.short_prefill = (self.short_prefill + sign * other.short_prefill).max(0.0);
+        self.long_prefill = (self.long_prefill + sign * other.long_prefill).max(0.0);
+        self.calls = (self.calls + sign * other.calls).max(0.0);
+        self.pieces = (self.pieces + sign * other.pieces).max(0.0);
+    }
+}
+
+/// Whether a target may get new work.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum TargetStanding {
+    Live,
+    Suspect,
+    Gone,
+}
+
+/// One target as one entry sees it.
+#[derive(Clone, Debug)]
+pub(crate) struct TargetState {
+    pub(crate) info: target::TargetInfo,
+    pub(crate) standing: TargetStanding,
+    own: TargetLoad,
+    history: collections::VecDeque<(time::Instant, TargetLoad)>,
+    others: TargetLoad,
+    reported_at: Option<time::Instant>,
+    /// Observed prefill time relative to the expected one.
+    pub(crate) prefill_pace: f64,
+    /// Observed time per token relative to the expected one.
+    pub(crate) decode_pace: f64,
+    pub(crate) last_progress: Option<time::Instant>,
+    /// Own calls that run far beyond their estimated output.
+    pub(crate) stragglers: u32,
+    /// Failures in a row without a success.
+    pub(crate) failures: u32,
+    pub(crate) failed_at: Option<time::Instant>,
+    /// Weight from the detector of slow targets.
+    pub(crate) weight: f64,
+}
+
+impl TargetState {
+    pub(crate) fn new(info: target::TargetInfo) -> Self {
+        Self {
+            info,
+            standing: TargetStanding::Live,
+            own: TargetLoad::default(),
+            history: collections::VecDeque::new(),
+            others: TargetLoad::default(),
+            reported_at: None,
+            prefill_pace: 1.0,
+            decode_pace: 1.0,
+            last_progress: None,
+            stragglers: 0,
+            failures: 0,
+            failed_at: None,
+            weight: 1.0,
+        }
+    }
+
+    pub(crate) fn takes_work(&self) -> bool {
+        self.standing == TargetStanding::Live && !self.info.leaving
+    }
+
+    /// Returns the load: own work as it is now, plus the work of others as last reported.
+    pub(crate) fn load(&self) -> TargetLoad {
+        let mut load = self.own;
+        load.add(&self.others, 1.0);
+        load
+    }
+
+    pub(crate) fn own(&self) -> &TargetLoad {
+        &self.own
+    }
+
+    pub(crate) fn change_own(&mut self, change: &TargetLoad, sign: f64, now: time::Instant) {
+        self.remember(now);
+        self.own.add(change, sign);
+    }
+
+    fn remember(&mut self, now: time::Instant) {
+        let merged = self
+            .history
+            .back()
+            .is_some_and(|(at, _)| now.duration_since(*at) < HISTORY_STEP);
+        if !merged {
+            self.history.push_back((now, self.own));
+        }
+        while self
+            .history
+            .front()
+            .is_some_and(|(at, _)| now.duration_since(*at) > HISTORY)
+        {
+            self.history.pop_front();
+        }
+    }
+
+    /// Returns own load as it was at `at`.
+    fn own_at(&self, at: time::Instant) -> TargetLoad {
+        // Each point holds the load before the change at its time.
+        let next = self.history.iter().find(|(changed, _)| *changed > at);
+        next.map_or(self.own, |(_, load)| *load)
+    }
+
+    /// Takes a late report: what it shows beyond own load at that time is the work of others.
+    pub(crate) fn take_report(&mut self, report: &target::LoadReport, short_share: f64) {
+        if self.reported_at.is_some_and(|at| at > report.taken_at) {
+            return;
+        }
+        self.reported_at = Some(report.taken_at);
+        let own = self.own_at(report.taken_at);
+        let prefill = (report.prefill_waiting.get() as f64 - own.prefill()).max(0.0);
+        self.others = TargetLoad {
+            short_prefill: prefill * short_share,
+            long_prefill: prefill * (1.0 - short_share),
+            calls: (f64::from(report.running) + f64::from(report.waiting) - own.calls).max(0.0),
+            pieces: (report.pieces_used.get() as f64 - own.pieces).max(0.0),
+        };
+    }
+}
+
+/// Makes the load of one call.
+pub(crate) fn load_of(class: WorkClass, prefill: f64, total: TokenCount) -> TargetLoad {
+    let short = class == WorkClass::Short;
+    TargetLoad {
+        short_prefill: if short { prefill } else { 0.0 },
+        long_prefill: if short { 0.0 } else { prefill },
+        calls: 1.0,
+        pieces: total.pieces().get() as f64,
+    }
+}
--- /dev/null
+++ b/crates/usher_policy/src/table.rs
@@ -0,0 +1,466 @@
+//! The targets as one entry sees them, updated by events. Not for: choosing among them.
+
+use std::{collections, time};
+
+use usher_types::{RegionName, ServiceName, TargetName, TokenCount, WorkClass};
+
+use crate::{prefix, request, settings, slot, slow, state, target};
+
+/// Weight of a new observation in a target's pace.
+const PACE_GAIN: f64 = 0.15;
+/// Weight of a new observation in the share of short work.
+const SHARE_GAIN: f64 = 0.02;
+/// Bounds of the pace, so that one odd observation doesn't make a target unusable.
+const PACE_MIN: f64 = 0.2;
+const PACE_MAX: f64 = 10.0;
+/// A call is a straggler when its output exceeds its estimate this many times.
+const STRAGGLER_FACTOR: u64 = 4;
+/// A target that failed this often in a row is avoided for a while.
+const FAILURES_IN_ROW: u32 = 2;
+/// How long a target is avoided after failures in a row.
+const FAILURE_PAUSE: time::Duration = time::Duration::from_secs(2);
+/// Prompt tokens that an engine prefills in one batch step, as most engines do by default.
+const CHUNK_TOKENS: f64 = 512.0;
+/// Time that one more running call adds to a batch step, relative to the step of an empty batch.
+const STEP_GROWTH: f64 = 0.02;
+
+/// How old the weights of targets may be; sorting all targets for each decision costs too much.
+const REFRESH_EVERY: time::Duration = time::Duration::from_millis(20);
+
+#[derive(Clone, Debug)]
+struct AttemptState {
+    slot: slot::TargetSlot,
+    load: state::TargetLoad,
+    sent_at: time::Instant,
+    expected_first: f64,
+    estimate: u64,
+    tokens: u64,
+    progressed_at: Option<time::Instant>,
+    straggler: bool,
+    marks: Vec<request::PrefixMark>,
+}
+
+/// Targets, own outstanding work, late reports, cache map and speed of each target.
+///
+/// The entry calls one `on_...` method for each event; no method does I/O or reads a clock.
+#[derive(Clone, Debug)]
+pub struct RouteTable {
+    settings: settings::RouteSettings,
+    slots: collections::BTreeMap<TargetName, slot::TargetSlot>,
+    states: Vec<state::TargetState>,
+    pools: collections::BTreeMap<
+        ServiceName,
+        collections::BTreeMap<RegionName, Vec<slot::TargetSlot>>,
+    >,
+    attempts: collections::HashMap<slot::AttemptId, AttemptState>,
+    next_attempt: u64,
+    prefixes: prefix::PrefixMap,
+    detector: slow::SlowDetector,
+    short_share: f64,
+    refreshed: collections::BTreeMap<ServiceName, time::Instant>,
+}
+
+impl RouteTable {
+    /// Makes a table without targets.
+    pub fn new(settings: settings::RouteSettings) -> Self {
+        Self {
+            settings,
+            slots: collections::BTreeMap::new(),
+            states: Vec::new(),
+            pools: collections::BTreeMap::new(),
+            attempts: collections::HashMap::new(),
+            next_attempt: 1,
+            prefixes: prefix::PrefixMap::default(),
+            detector: slow::SlowDetector::new(),
+            short_share: 0.5,
+            refreshed: collections::BTreeMap::new(),
+        }
+    }
+
+    /// Takes a change of the registry.
+    pub fn on_registry(&mut self, change: target::RegistryChange) {
+        match change {
+            target::RegistryChange::Put(info) => self.put(info),
+            target::RegistryChange::Leaving(name) => {
+                if let Some(state) = self.state_mut_of(&name) {
+                    state.info.leaving = true;
+                }
+            }
+            target::RegistryChange::Suspect(name) => {
+                if let Some(state) = self.state_mut_of(&name) {
+                    state.standing = state::TargetStanding::Suspect;
+                }
+            }
+            target::RegistryChange::Gone(name) => {
+                if let Some(&slot) = self.slots.get(&name) {
+                    self.states[slot.index()].standing = state::TargetStanding::Gone;
+                    self.prefixes.remove(slot);
+                    self.detector.forget(slot);
+                    self.rebuild_pools();
+                }
+            }
+        }
+    }
+
+    fn put(&mut self, info: target::TargetInfo) {
+        let Some(&slot) = self.slots.get(&info.name) else {
+            let slot = slot::TargetSlot(self.states.len() as u32);
+            self.slots.insert(info.name.clone(), slot);
+            self.states.push(state::TargetState::new(info));
+            self.rebuild_pools();
+            return;
+        };
+        let state = &mut self.states[slot.index()];
+        if state.info.incarnation != info.incarnation {
+            // A new life has neither the work nor the cache of the old one.
+            *state = state::TargetState::new(info);
+            self.prefixes.remove(slot);
+            self.detector.forget(slot);
+            self.attempts.retain(|_, attempt| attempt.slot != slot);
+            self.rebuild_pools();
+            return;
+        }
+        let moved = state.info.service != info.service
+            || state.info.region != info.region
+            || state.standing == state::TargetStanding::Gone;
+        // Within one life a leaving mark is never taken back by a late announcement.
+        let leaving = state.info.leaving || info.leaving;
+        state.info = info;
+        state.info.leaving = leaving;
+        state.standing = state::TargetStanding::Live;
+        if moved {
+            self.rebuild_pools();
+        }
+    }
+
+    fn rebuild_pools(&mut self) {
+        self.pools.clear();
+        for slot in self.slots.values() {
+            let state = &self.states[slot.index()];
+            if state.standing == state::TargetStanding::Gone {
+                continue;
+            }
+            let regions = self.pools.entry(state.info.service.clone()).or_default();
+            let slots = regions.entry(state.info.region.clone()).or_default();
+            slots.push(*slot);
+        }
+    }
+
+    /// Notes that a call was sent to a target; the number is used in the events that follow.
+    pub fn on_sent(
+        &mut self,
+        request: &request::CallRequest,
+        slot: slot::TargetSlot,
+        now: time::Instant,
+    ) -> slot::AttemptId {
+        let id = slot::AttemptId(self.next_attempt);
+        self.next_attempt += 1;
+        let expected_first = self.expect_first(request, slot);
+        let prefill = self.prefill_work(request, slot);
+        let total = request.prompt.get().saturating_add(request.output.get());
+        let load = state::load_of(request.class, prefill, TokenCount::new(total));
+        let share = f64::from(u8::from(request.class == WorkClass::Short));
+        self.short_share += SHARE_GAIN * (share - self.short_share);
+        if let Some(state) = self.states.get_mut(slot.index()) {
+            state.change_own(&load, 1.0, now);
+        }
+        self.attempts.insert(
+            id,
+            AttemptState {
+                slot,
+                load,
+                sent_at: now,
+                expected_first,
+                estimate: request.output.get().max(1),
+                tokens: 0,
+                progressed_at: None,
+                straggler: false,
+                marks: request.prefixes.clone(),
+            },
+        );
+        id
+    }
+
+    /// Notes the first token of an attempt.
+    pub fn on_first_token(&mut self, id: slot::AttemptId, now: time::Instant) {
+        let Some(attempt) = self.attempts.get_mut(&id) else {
+            return;
+        };
+        if attempt.progressed_at.is_some() {
+            return;
+        }
+        attempt.progressed_at = Some(now);
+        attempt.tokens += 1;
+        let prefill = state::TargetLoad {
+            short_prefill: attempt.load.short_prefill,
+            long_prefill: attempt.load.long_prefill,
+            ..state::TargetLoad::default()
+        };
+        attempt.load.short_prefill = 0.0;
+        attempt.load.long_prefill = 0.0;
+        let observed = now.duration_since(attempt.sent_at).as_secs_f64();
+        let ratio = observed / attempt.expected_first.max(0.001);
+        let slot = attempt.slot;
+        for mark in std::mem::take(&mut attempt.marks) {
+            self.prefixes.add(slot, mark.hash);
+        }
+        let state = &mut self.states[slot.index()];
+        state.change_own(&prefill, -1.0, now);
+        state.failures = 0;
+        state.last_progress = Some(now);
+        let pace = state.prefill_pace * (1.0 + PACE_GAIN * (ratio - 1.0));
+        state.prefill_pace = pace.clamp(PACE_MIN, PACE_MAX);
+    }
+
+    /// Notes that an attempt delivered more tokens, `total` since its start.
+    pub fn on_progress(&mut self, id: slot::AttemptId, total: u64, now: time::Instant) {
+        let Some(attempt) = self.attempts.get_mut(&id) else {
+            return;
+        };
+        let slot = attempt.slot;
+        let since = attempt.progressed_at.replace(now);
+        let tokens = total.saturating_sub(attempt.tokens);
+        attempt.tokens = attempt.tokens.max(total);
+        let became_straggler = !attempt.straggler
+            && attempt.tokens > attempt.estimate.saturating_mul(STRAGGLER_FACTOR);
+        attempt.straggler |= became_straggler;
+        let expected = self.expect_token(slot);
+        let state = &mut self.states[slot.index()];
+        state.stragglers += u32::from(became_straggler);
+        state.last_progress = Some(now);
+        let Some(since) = since.filter(|_| tokens > 0) else {
+            return;
+        };
+        let observed = now.duration_since(since).as_secs_f64() / tokens as f64;
+        // The expected time holds the pace already; the detector compares without it.
+        let plain = expected / state.decode_pace;
+        let ratio = observed / plain.max(0.000_1);
+        let pace = state.decode_pace + PACE_GAIN * (ratio - state.decode_pace);
+        state.decode_pace = pace.clamp(PACE_MIN, PACE_MAX);
+        self.detector.observe(slot, ratio, now);
+    }
+
+    /// Notes that an attempt ended with its whole answer.
+    pub fn on_finished(&mut self, id: slot::AttemptId, now: time::Instant) {
+        if let Some(slot) = self.release(id, now) {
+            let state = &mut self.states[slot.index()];
+            state.failures = 0;
+            state.failed_at = None;
+        }
+    }
+
+    /// Notes that an attempt ended without its whole answer.
+    pub fn on_failed(
+        &mut self,
+        id: slot::AttemptId,
+        kind: target::FailureKind,
+        now: time::Instant,
+    ) {
+        let Some(slot) = self.release(id, now) else {
+            return;
+        };
+        if kind == target::FailureKind::Cancelled {
+            return;
+        }
+        let state = &mut self.states[slot.index()];
+        state.failures += 1;
+        state.failed_at = Some(now);
+    }
+
+    fn release(&mut self, id: slot::AttemptId, now: time::Instant) -> Option<slot::TargetSlot> {
+        let attempt = self.attempts.remove(&id)?;
+        let state = self.states.get_mut(attempt.slot.index())?;
+        state.change_own(&attempt.load, -1.0, now);
+        if attempt.straggler {
+            state.stragglers = state.stragglers.saturating_sub(1);
+        }
+        Some(attempt.slot)
+    }
+
+    /// Takes a late load report.
+    pub fn on_report(&mut self, name: &TargetName, report: &target::LoadReport) {
+        let share = self.short_share;
+        if let Some(state) = self.state_mut_of(name) {
+            state.take_report(report, share);
+        }
+    }
+
+    /// Takes cache events; returns whether none is missing. When some are, the entry fetches a
+    /// complete listing and passes it to [`RouteTable::on_cache_listing`].
+    pub fn on_cache_events(
+        &mut self,
+        name: &TargetName,
+        events: &[target::CacheEvent],
+        next: u64,
+    ) -> bool {
+        match self.slots.get(name) {
+            Some(&slot) => self.prefixes.apply(slot, events, next),
+            None => true,
+        }
+    }
+
+    /// Takes a complete listing of a target's prefix cache.
+    pub fn on_cache_listing(&mut self, name: &TargetName, hashes: &[u64], next: u64) {
+        if let Some(&slot) = self.slots.get(name) {
+            self.prefixes.replace(slot, hashes, next);
+        }
+    }
+
+    /// Returns the number of the next cache event expected from a target.
+    pub fn next_cache_event(&self, name: &TargetName) -> u64 {
+        let slot = self.slots.get(name);
+        slot.map_or(0, |slot| self.prefixes.next_seq(*slot))
+    }
+
+    /// Returns the slot of a target.
+    pub fn slot_of(&self, name: &TargetName) -> Option<slot::TargetSlot> {
+        self.slots.get(name).copied()
+    }
+
+    /// Returns what the registry says of a target.
+    pub fn info(&self, slot: slot::TargetSlot) -> Option<&target::TargetInfo> {
+        self.states.get(slot.index()).map(|state| &state.info)
+    }
+
+    /// Returns the name of a target.
+    pub fn name(&self, slot: slot::TargetSlot) -> Option<&TargetName> {
+        self.info(slot).map(|info| &info.name)
+    }
+
+    /// Returns the load of a target, own and others'.
+    pub fn load(&self, slot: slot::TargetSlot) -> state::TargetLoad {
+        let state = self.states.get(slot.index());
+        state.map_or_else(state::TargetLoad::default, state::TargetState::load)
+    }
+
+    /// Returns the own load of a target.
+    pub fn own_load(&self, slot: slot::TargetSlot) -> state::TargetLoad {
+        let state = self.states.get(slot.index());
+        state.map_or_else(state::TargetLoad::default, |state| *state.own())
+    }
+
+    /// Returns how many attempts are outstanding.
+    pub fn outstanding(&self) -> usize {
+        self.attempts.len()
+    }
+
+    /// Returns the slots of a service by region.
+    pub fn pool(
+        &self,
+        service: &ServiceName,
+    ) -> Option<&collections::BTreeMap<RegionName, Vec<slot::TargetSlot>>> {
+        self.pools.get(service)
+    }
+
+    /// Returns the settings.
+    pub fn settings(&self) -> &settings::RouteSettings {
+        &self.settings
+    }
+
+    /// Returns the detector of slow targets.
+    pub fn detector(&self) -> &slow::SlowDetector {
+        &self.detector
+    }
+
+    /// Brings the weights of a service's targets up to date; cheap when that was done a moment ago.
+    pub(crate) fn refresh(&mut self, service: &ServiceName, now: time::Instant) {
+        let Some(regions) = self.pools.get(service) else {
+            return;
+        };
+        let fresh = self.refreshed.get(service);
+        if fresh.is_some_and(|at| now.duration_since(*at) < REFRESH_EVERY) {
+            return;
+        }
+        let groups: Vec<Vec<slot::TargetSlot>> = regions.values().cloned().collect();
+        let weights = self.detector.weights(&groups, now);
+        for (slot, weight) in groups.iter().flatten().zip(weights.iter().flatten()) {
+            self.states[slot.index()].weight = *weight;
+        }
+        self.refreshed.insert(service.clone(), now);
+    }
+
+    /// Returns a slow target of the service whose probe is due.
+    pub(crate) fn take_probe(
+        &mut self,
+        service: &ServiceName,
+        now: time::Instant,
+    ) -> Option<slot::TargetSlot> {
+        let slots = self.detector.slow_slots();
+        let due = slots.into_iter().find(|slot| {
+            let state = &self.states[slot.index()];
+            state.takes_work() && state.info.service == *service
+        })?;
+        self.detector.take_probe(due, now).then_some(due)
+    }
+
+    pub(crate) fn state(&self, slot: slot::TargetSlot) -> Option<&state::TargetState> {
+        self.states.get(slot.index())
+    }
+
+    pub(crate) fn prefixes(&self) -> &prefix::PrefixMap {
+        &self.prefixes
+    }
+
+    fn state_mut_of(&mut self, name: &TargetName) -> Option<&mut state::TargetState> {
+        let slot = *self.slots.get(name)?;
+        self.states.get_mut(slot.index())
+    }
+
+    /// Returns whether a target failed repeatedly a moment ago.
+    pub(crate) fn is_failing(&self, slot: slot::TargetSlot, now: time::Instant) -> bool {
+        self.state(slot).is_some_and(|state| {
+            state.failures >= FAILURES_IN_ROW
+                && state
+                    .failed_at
+                    .is_some_and(|at| now.duration_since(at) < FAILURE_PAUSE)
+        })
+    }
+
+    /// Returns the prompt tokens that the target would have to prefill.
+    pub(crate) fn prefill_work(
+        &self,
+        request: &request::CallRequest,
+        slot: slot::TargetSlot,
+    ) -> f64 {
+        let hit = self.prefixes.hit_tokens(slot, &request.prefixes);
+        let prompt = request.prompt.get().saturating_add(request.delivered.get()) as f64;
+        (prompt - hit).max(1.0)
+    }
+
+    /// Returns the expected seconds from sending to the first token, without the link.
+    pub(crate) fn expect_first(
+        &self,
+        request: &request::CallRequest,
+        slot: slot::TargetSlot,
+    ) -> f64 {
+        let Some(state) = self.state(slot) else {
+            return f64::INFINITY;
+        };
+        let load = state.load();
+        let chunk = CHUNK_TOKENS.min(load.long_prefill);
+        let ahead = match request.class {
+            // Short work has the higher priority and waits only for the chunk that runs.
+            WorkClass::Short => load.short_prefill + chunk * 0.5,
+            WorkClass::Long => load.prefill(),
+        };
+        let work = ahead + self.prefill_work(request, slot);
+        let step = self.plain_step(&load);
+        (step + work / self.settings.prefill_rate) * state.prefill_pace
+    }
+
+    /// Returns the expected seconds for one more output token.
+    pub(crate) fn expect_token(&self, slot: slot::TargetSlot) -> f64 {
+        let Some(state) = self.state(slot) else {
+            return f64::INFINITY;
+        };
+        let load = state.load();
+        let chunk = CHUNK_TOKENS.min(load.prefill());
+        let step = self.plain_step(&load) + chunk / self.settings.prefill_rate;
+        step * state.decode_pace
+    }
+
+    fn plain_step(&self, load: &state::TargetLoad) -> f64 {
+        let batch = load.calls.min(f64::from(self.settings.batch_limit));
+        self.settings.token_time.as_secs_f64() * (1.0 + STEP_GROWTH * batch)
+    }
+}
