Add the reader of the fleet sheet: sheet usable

Cause: control and entry need the planners' sheet to check, compare and act on configurations. Change: FleetSheet reads CSV with line and column in each error and returns all errors at once; it refuses duplicate and contradictory rows, floors above the counts and roles that no engine of the region completes; it compares with an older sheet and writes a canonical text.

--- /dev/null
+++ b/crates/usher_config/src/sheet/count.rs
@@ -0,0 +1,77 @@
+//! How many targets a row asks for. Not for: the counts that are running.
+
+use std::{fmt, str};
+
+/// The largest count of a cell, well above the 760 engines of the target size.
+const MAX_COUNT: u32 = 10_000;
+
+/// Tells why a cell isn't a count.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("{0:?} is not a count: expected a whole number up to 10000, or a range such as 1..4")]
+pub struct ParseCountError(String);
+
+/// The least and the most targets of a role; both are equal when the planner fixed the number.
+///
+/// The range is written with two dots, because spreadsheets turn `1-4` into a date.
+///
+/// ```
+/// use usher_config::CountRange;
+/// let range: CountRange = "1..4".parse().unwrap();
+/// assert!(range.contains(4));
+/// ```
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq)]
+pub struct CountRange {
+    /// Least number of targets.
+    pub least: u32,
+    /// Most targets.
+    pub most: u32,
+}
+
+impl CountRange {
+    /// Makes the range that holds one number.
+    pub const fn fixed(count: u32) -> Self {
+        Self {
+            least: count,
+            most: count,
+        }
+    }
+
+    /// Returns whether a number is within the range.
+    pub const fn contains(self, count: u32) -> bool {
+        self.least <= count && count <= self.most
+    }
+}
+
+impl fmt::Display for CountRange {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.least == self.most {
+            write!(f, "{}", self.least)
+        } else {
+            write!(f, "{}..{}", self.least, self.most)
+        }
+    }
+}
+
+impl str::FromStr for CountRange {
+    type Err = ParseCountError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let range = match text.split_once("..") {
+            None => parse_count(text).map(Self::fixed),
+            Some((least, most)) => parse_count(least)
+                .zip(parse_count(most))
+                .map(|(least, most)| Self { least, most }),
+        };
+        range
+            .filter(|range| range.least <= range.most)
+            .ok_or_else(|| ParseCountError(text.chars().take(40).collect()))
+    }
+}
+
+/// Reads a whole number without sign; an empty cell is no number.
+pub(crate) fn parse_count(text: &str) -> Option<u32> {
+    let text = text.trim();
+    let digits = text.bytes().all(|byte| byte.is_ascii_digit());
+    let count = text.parse().ok().filter(|_| digits)?;
+    Some(count).filter(|count| *count <= MAX_COUNT)
+}
--- /dev/null
+++ b/crates/usher_config/src/sheet/difference.rs
@@ -0,0 +1,126 @@
+//! What changes between two sheets. Not for: the orders that follow from it.
+
+use std::fmt;
+
+use crate::sheet;
+
+usher_types::value_type! {
+    /// A cell that has another value.
+    pub struct CellChange {
+        /// Name of the column.
+        pub column: &'static str,
+        /// Value before.
+        pub old: String,
+        /// Value after.
+        pub new: String,
+    }
+}
+
+/// A row that differs.
+#[derive(Clone, Debug, PartialEq)]
+pub enum RowChange {
+    /// The row is new.
+    Added(sheet::SheetRow),
+    /// The row is gone.
+    Removed(sheet::SheetRow),
+    /// Cells of the row have other values.
+    Changed {
+        /// Row before.
+        old: Box<sheet::SheetRow>,
+        /// Row after.
+        new: Box<sheet::SheetRow>,
+    },
+}
+
+impl RowChange {
+    /// Returns the row that names the service and region.
+    pub fn row(&self) -> &sheet::SheetRow {
+        match self {
+            Self::Added(row) | Self::Removed(row) => row,
+            Self::Changed { new, .. } => new,
+        }
+    }
+
+    /// Returns the cells that have other values; empty for rows that are new or gone.
+    pub fn cells(&self) -> Vec<CellChange> {
+        let Self::Changed { old, new } = self else {
+            return Vec::new();
+        };
+        sheet::SHEET_COLUMNS
+            .into_iter()
+            .zip(old.cells().into_iter().zip(new.cells()))
+            .filter(|(_, (old, new))| old != new)
+            .map(|(column, (old, new))| CellChange { column, old, new })
+            .collect()
+    }
+}
+
+impl fmt::Display for RowChange {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let row = self.row();
+        let place = format!("{} in {}", row.service, row.region);
+        match self {
+            Self::Added(row) => write!(f, "+ {place}: {}", row.to_line().trim_end()),
+            Self::Removed(row) => write!(f, "- {place}: {}", row.to_line().trim_end()),
+            Self::Changed { .. } => {
+                write!(f, "~ {place}:")?;
+                for (index, cell) in self.cells().iter().enumerate() {
+                    let comma = if index == 0 { "" } else { "," };
+                    let CellChange { column, old, new } = cell;
+                    write!(f, "{comma} {column} {old:?} -> {new:?}")?;
+                }
+                Ok(())
+            }
+        }
+    }
+}
+
+usher_types::value_type! {
+    /// All rows that differ between two sheets, in the order of service and region.
+    #[derive(Default)]
+    pub struct SheetDifference {
+        /// Rows that differ.
+        pub changes: Vec<RowChange>,
+    }
+}
+
+impl SheetDifference {
+    /// Returns whether the sheets are equal.
+    pub fn is_empty(&self) -> bool {
+        self.changes.is_empty()
+    }
+}
+
+impl fmt::Display for SheetDifference {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.is_empty() {
+            return f.write_str("no difference\n");
+        }
+        for change in &self.changes {
+            writeln!(f, "{change}")?;
+        }
+        Ok(())
+    }
+}
+
+pub(crate) fn compare(old: &sheet::FleetSheet, new: &sheet::FleetSheet) -> SheetDifference {
+    let removed = old
+        .rows()
+        .iter()
+        .filter(|row| new.row(&row.service, &row.region).is_none())
+        .map(|row| RowChange::Removed(row.clone()));
+    let kept = new
+        .rows()
+        .iter()
+        .filter_map(|row| match old.row(&row.service, &row.region) {
+            None => Some(RowChange::Added(row.clone())),
+            Some(before) if before == row => None,
+            Some(before) => Some(RowChange::Changed {
+                old: Box::new(before.clone()),
+                new: Box::new(row.clone()),
+            }),
+        });
+    let mut changes: Vec<_> = removed.chain(kept).collect();
+    changes.sort_by(|a, b| a.row().key().cmp(&b.row().key()));
+    SheetDifference { changes }
+}
--- /dev/null
+++ b/crates/usher_config/src/sheet/rules.rs
@@ -0,0 +1,151 @@
+//! Rules of a row and between rows. Not for: reading cells.
+
+use std::collections;
+
+use crate::sheet::{error, reader};
+
+// Indices of `SHEET_COLUMNS`.
+pub(crate) const SERVICE: usize = 0;
+pub(crate) const KIND: usize = 1;
+pub(crate) const REGION: usize = 2;
+pub(crate) const MODEL: usize = 3;
+pub(crate) const VERSION: usize = 4;
+pub(crate) const ADAPTERS: usize = 5;
+pub(crate) const PREFILL: usize = 6;
+pub(crate) const DECODE: usize = 7;
+pub(crate) const MIXED: usize = 8;
+pub(crate) const FLOOR: usize = 9;
+
+/// Returns every rule that the rows break.
+pub(crate) fn check(
+    columns: &reader::ColumnMap,
+    rows: &[reader::PlacedRow],
+) -> Vec<error::SheetError> {
+    let mut errors = Vec::new();
+    for placed in rows {
+        let broken = match placed.row.kind {
+            usher_types::TargetKind::Engine => check_engine(placed),
+            usher_types::TargetKind::Plain => check_plain(placed),
+        };
+        let found = broken.into_iter().chain(check_row(placed));
+        errors.extend(found.map(|(column, text)| columns.error(placed.line, column, text)));
+    }
+    errors.extend(check_pairs(columns, rows));
+    errors
+}
+
+/// A column and what is wrong with it.
+type BrokenRule = (usize, String);
+
+fn check_row(placed: &reader::PlacedRow) -> Vec<BrokenRule> {
+    let row = &placed.row;
+    let mut broken = Vec::new();
+    if row.service.as_str().starts_with('#') {
+        broken.push((SERVICE, "a service name can't begin with #".to_owned()));
+    }
+    if row.most() == 0 {
+        let message = "the row asks for no targets: give a count, or remove the row";
+        broken.push((MIXED, message.to_owned()));
+    } else if row.floor > row.most() {
+        let message = format!(
+            "floor {} is above the {} targets that the row allows",
+            row.floor,
+            row.most()
+        );
+        broken.push((FLOOR, message));
+    }
+    broken
+}
+
+fn check_engine(placed: &reader::PlacedRow) -> Vec<BrokenRule> {
+    let row = &placed.row;
+    let mut broken = Vec::new();
+    if row.model.is_none() {
+        broken.push((MODEL, "an engine row needs a model".to_owned()));
+    }
+    if row.version.is_none() {
+        broken.push((VERSION, "an engine row needs a version".to_owned()));
+    }
+    // KV cache isn't moved between regions, so each region needs both parts of the work.
+    if row.prefill.most > 0 && row.decode.most + row.mixed.most == 0 {
+        let message = "prefill engines need decode or mixed engines in the same region";
+        broken.push((PREFILL, message.to_owned()));
+    }
+    if row.decode.most > 0 && row.prefill.most + row.mixed.most == 0 {
+        let message = "decode engines need prefill or mixed engines in the same region";
+        broken.push((DECODE, message.to_owned()));
+    }
+    broken
+}
+
+fn check_plain(placed: &reader::PlacedRow) -> Vec<BrokenRule> {
+    let row = &placed.row;
+    let empty = [
+        (MODEL, row.model.is_none(), "a plain service has no model"),
+        (
+            VERSION,
+            row.version.is_none(),
+            "a plain service has no version",
+        ),
+        (
+            ADAPTERS,
+            row.adapters.is_empty(),
+            "a plain service has no adapters",
+        ),
+        (
+            PREFILL,
+            row.prefill.most == 0,
+            "a plain service counts its targets under mixed",
+        ),
+        (
+            DECODE,
+            row.decode.most == 0,
+            "a plain service counts its targets under mixed",
+        ),
+    ];
+    empty
+        .into_iter()
+        .filter(|(_, kept, _)| !kept)
+        .map(|(column, _, message)| (column, message.to_owned()))
+        .collect()
+}
+
+/// Checks rows against the first row of their service, and of their service and region.
+fn check_pairs(columns: &reader::ColumnMap, rows: &[reader::PlacedRow]) -> Vec<error::SheetError> {
+    let mut by_key = collections::BTreeMap::new();
+    let mut by_service = collections::BTreeMap::new();
+    let mut errors = Vec::new();
+    for placed in rows {
+        let row = &placed.row;
+        let service = &row.service;
+        let first = *by_service.entry(service).or_insert(placed);
+        if first.row.kind != row.kind {
+            let message = format!(
+                "service {service} is of kind {} on line {}",
+                first.row.kind, first.line
+            );
+            errors.push(columns.error(placed.line, KIND, message));
+        } else if first.row.model != row.model && first.row.model.is_some() && row.model.is_some() {
+            let message = format!(
+                "service {service} has model {} on line {}: one service has one model",
+                first.row.model.as_ref().map_or("", |name| name.as_str()),
+                first.line
+            );
+            errors.push(columns.error(placed.line, MODEL, message));
+        }
+        let Some(before) = by_key.insert(row.key(), placed) else {
+            continue;
+        };
+        let how = if before.row == *row {
+            "repeats"
+        } else {
+            "contradicts"
+        };
+        let message = format!(
+            "the row {how} line {}: one row per service and region",
+            before.line
+        );
+        errors.push(columns.error(placed.line, REGION, message));
+    }
+    errors
+}
--- /dev/null
+++ b/crates/usher_config/tests/sheet.rs
@@ -0,0 +1,187 @@
+//! The sheet is read as a whole or refused with every error and its place.
+
+use usher_config::{CountRange, FleetSheet};
+
+const HEADER: &str = "service,kind,region,model,version,adapters,prefill,decode,mixed,floor\n";
+
+fn with_header(lines: &str) -> String {
+    format!("{HEADER}{lines}")
+}
+
+fn errors_of(text: &str) -> Vec<String> {
+    match FleetSheet::parse(text) {
+        Ok(sheet) => panic!("the sheet was accepted: {sheet:?}"),
+        Err(errors) => errors.errors().iter().map(ToString::to_string).collect(),
+    }
+}
+
+fn refuse(lines: &str, expected: &str) {
+    assert_eq!(errors_of(&with_header(lines)), [expected]);
+}
+
+usher_types::cases! { refuse:
+    /// Guards against a count that a spreadsheet turned into something else.
+    count_must_be_whole(
+        "a,engine,r,m,1,,0,0,2.5,1\n",
+        "line 2, column 9 (mixed): \"2.5\" is not a count: expected a whole number up to 10000, or a range such as 1..4",
+    );
+    /// Guards against a range that no number fits.
+    range_must_not_be_empty(
+        "a,engine,r,m,1,,4..1,1,0,1\n",
+        "line 2, column 7 (prefill): \"4..1\" is not a count: expected a whole number up to 10000, or a range such as 1..4",
+    );
+    /// Guards against a sum of counts that overflows.
+    count_has_a_limit(
+        "a,engine,r,m,1,,0,0,4294967295,1\n",
+        "line 2, column 9 (mixed): \"4294967295\" is not a count: expected a whole number up to 10000, or a range such as 1..4",
+    );
+    /// Guards against a floor that blocks every planned change.
+    floor_above_counts(
+        "a,engine,r,m,1,,0,0,2,3\n",
+        "line 2, column 10 (floor): floor 3 is above the 2 targets that the row allows",
+    );
+    /// Guards against a row that quietly takes a service away.
+    row_without_targets(
+        "a,engine,r,m,1,,0,0,0,0\n",
+        "line 2, column 9 (mixed): the row asks for no targets: give a count, or remove the row",
+    );
+    /// Guards against prefill whose KV cache no engine of the region takes.
+    prefill_without_decode(
+        "a,engine,r,m,1,,2,0,0,1\n",
+        "line 2, column 7 (prefill): prefill engines need decode or mixed engines in the same region",
+    );
+    decode_without_prefill(
+        "a,engine,r,m,1,,,2,,1\n",
+        "line 2, column 8 (decode): decode engines need prefill or mixed engines in the same region",
+    );
+    /// Guards against an order that loads no version in particular.
+    engine_without_version(
+        "a,engine,r,m,,,0,0,2,1\n",
+        "line 2, column 5 (version): an engine row needs a version",
+    );
+    plain_with_model(
+        "a,plain,r,m,,,0,0,2,1\n",
+        "line 2, column 4 (model): a plain service has no model",
+    );
+    adapter_twice(
+        "a,engine,r,m,1,x y x,0,0,2,1\n",
+        "line 2, column 6 (adapters): adapter x occurs twice",
+    );
+    unknown_kind(
+        "a,motor,r,m,1,,0,0,2,1\n",
+        "line 2, column 2 (kind): \"motor\" is not valid: expected one of engine, plain",
+    );
+    /// Guards against the second of two equal rows being counted.
+    same_row_twice(
+        "a,plain,r,,,,0,0,2,1\na,plain,r,,,,0,0,2,1\n",
+        "line 3, column 3 (region): the row repeats line 2: one row per service and region",
+    );
+    /// Guards against one of two different rows winning silently.
+    contradicting_rows(
+        "a,plain,r,,,,0,0,2,1\na,plain,r,,,,0,0,3,1\n",
+        "line 3, column 3 (region): the row contradicts line 2: one row per service and region",
+    );
+    service_of_two_kinds(
+        "a,plain,r,,,,0,0,2,1\na,engine,s,m,1,,0,0,3,1\n",
+        "line 3, column 2 (kind): service a is of kind plain on line 2",
+    );
+    service_of_two_models(
+        "a,engine,r,m,1,,0,0,3,1\na,engine,s,n,1,,0,0,3,1\n",
+        "line 3, column 4 (model): service a has model m on line 2: one service has one model",
+    );
+    /// Guards against cells that move into another column.
+    short_line("a,plain,r,,,,0,0,2\n", "line 2: the line has 9 cells: expected 10");
+    /// Guards against wrong lines after comments, blank lines and cells with line breaks.
+    place_after_skipped_lines(
+        "# a comment\n\n\n# more\na,plain,r,,,,0,0,two,1\n",
+        "line 6, column 9 (mixed): \"two\" is not a count: expected a whole number up to 10000, or a range such as 1..4",
+    );
+    /// Guards against a quoted name that the next reader takes for a comment.
+    name_like_a_comment(
+        "\"#a\",plain,r,,,,0,0,2,1\n",
+        "line 2, column 1 (service): a service name can't begin with #",
+    );
+}
+
+/// Guards against operators that mend one error per attempt.
+#[test]
+fn all_errors_come_at_once_in_order_of_place() {
+    let text =
+        with_header("a,engine,r,m,1,,0,0,2,9\nb,motor,,m,1,,x,0,2,1\nc,plain,r,,,,0,0,1,y\n");
+    let places: Vec<_> = errors_of(&text)
+        .iter()
+        .map(|error| error.split(':').next().unwrap_or_default().to_owned())
+        .collect();
+    assert_eq!(
+        places,
+        [
+            "line 2, column 10 (floor)",
+            "line 3, column 2 (kind)",
+            "line 3, column 3 (region)",
+            "line 3, column 7 (prefill)",
+            "line 4, column 10 (floor)",
+        ]
+    );
+}
+
+/// Guards against a sheet whose header is off by one name.
+#[test]
+fn header_must_have_each_column_once() {
+    let text = HEADER.replace("decode", "mixed");
+    assert_eq!(
+        errors_of(&text),
+        [
+            "line 1, column 9 (mixed): column \"mixed\" occurs twice",
+            "line 1: column \"decode\" is missing",
+        ]
+    );
+}
+
+/// Guards against exports that only some spreadsheets write.
+#[test]
+fn exports_of_spreadsheets_are_read() {
+    let plain = with_header("a,engine,r,m,1,x y,1..2,1,0,2\n");
+    let sheet = FleetSheet::parse(&plain).unwrap();
+    let marked = format!("\u{feff}{}", plain.replace('\n', "\r\n"));
+    assert_eq!(FleetSheet::parse(&marked).unwrap(), sheet);
+    assert_eq!(FleetSheet::parse(&plain.replace(',', ";")).unwrap(), sheet);
+    let padded = format!("{plain},,,,,,,,,\n");
+    assert_eq!(FleetSheet::parse(&padded).unwrap(), sheet);
+}
+
+/// Guards against equal sheets that are written differently and count as a change.
+#[test]
+fn canonical_text_does_not_depend_on_order() {
+    let first = with_header("b,plain,r,,,,0,0,1,0\na,engine,r,m,1,y x,0,0,1..3,1\n");
+    let second = "floor,mixed,decode,prefill,adapters,version,model,region,kind,service\n\
+                  1,1..3,0,0,x y,1,m,r,engine,a\n0,1,,,,,,r,plain,b\n";
+    let sheet = FleetSheet::parse(&first).unwrap();
+    assert_eq!(FleetSheet::parse(second).unwrap().to_csv(), sheet.to_csv());
+    assert_eq!(FleetSheet::parse(&sheet.to_csv()).unwrap(), sheet);
+}
+
+/// Guards against a dry run that hides a change.
+#[test]
+fn difference_names_each_cell() {
+    let old = with_header("a,engine,r,m,1,,0,0,2,1\nb,plain,r,,,,0,0,1,0\n");
+    let new = with_header("a,engine,r,m,2,x,0,0,1..2,1\nc,plain,r,,,,0,0,1,0\n");
+    let old = FleetSheet::parse(&old).unwrap();
+    let new = FleetSheet::parse(&new).unwrap();
+    assert_eq!(
+        new.difference(&old).to_string(),
+        "~ a in r: version \"1\" -> \"2\", adapters \"\" -> \"x\", mixed \"2\" -> \"1..2\"\n\
+         - b in r: b,plain,r,,,,0,0,1,0\n\
+         + c in r: c,plain,r,,,,0,0,1,0\n"
+    );
+    assert!(old.difference(&old).is_empty());
+}
+
+/// Guards against a first start that has no configuration yet.
+#[test]
+fn empty_text_is_the_empty_sheet() {
+    assert!(FleetSheet::parse("").unwrap().is_empty());
+    let sheet = FleetSheet::parse(&with_header("a,plain,r,,,,0,0,1,0\n")).unwrap();
+    let row = &sheet.rows()[0];
+    assert_eq!(row.mixed, CountRange::fixed(1));
+    assert_eq!(sheet.row(&row.service, &row.region), Some(row));
+}
