--- /dev/null
+++ b/crates/usher_entry/src/announce.rs
@@ -0,0 +1,140 @@
+//! Announcements of targets. Not for: what control makes of them.
+
+use std::net;
+
+use axum::{extract, response, response::IntoResponse as _, Json};
+
+use crate::{core, error, parts};
+
+/// How often targets announce themselves, in ms.
+const INTERVAL_MS: u64 = 1_000;
+
+/// The largest announcement, in bytes.
+pub(crate) const MAX_ANNOUNCEMENT: usize = 64 << 10;
+
+/// The load part of an announcement.
+#[derive(Clone, Copy, Debug, Default, PartialEq, serde::Deserialize, serde::Serialize)]
+#[serde(default)]
+pub struct AnnouncedLoad {
+    /// Wall time of the report, in ms since 1970.
+    pub at_ms: u64,
+    /// Streams that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Prompt tokens not yet processed.
+    pub prefill_tokens_waiting: u64,
+    /// Pieces of memory in use.
+    pub kv_pieces_used: u64,
+}
+
+/// The body of `POST /v1/targets/announce`.
+#[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct Announcement {
+    /// Name of the target.
+    pub name: usher_types::TargetName,
+    /// Life under that name.
+    pub incarnation: usher_types::IncarnationId,
+    /// Where it listens.
+    pub address: net::SocketAddr,
+    /// Engine or plain service.
+    pub kind: usher_types::TargetKind,
+    /// Service that it belongs to.
+    pub service: usher_types::ServiceName,
+    /// Model that an engine has loaded.
+    #[serde(default)]
+    pub model: Option<usher_types::ModelName>,
+    /// Adapters that an engine has loaded.
+    #[serde(default)]
+    pub adapters: Vec<usher_types::AdapterName>,
+    /// Version of the model.
+    #[serde(default)]
+    pub version: Option<usher_types::VersionName>,
+    /// Part of the work that an engine does.
+    #[serde(default)]
+    pub role: Option<usher_types::EngineRole>,
+    /// Region.
+    pub region: usher_types::RegionName,
+    /// Failure domain.
+    pub domain: usher_types::DomainName,
+    /// Memory of an engine.
+    #[serde(default)]
+    pub kv_pieces: u64,
+    /// Whether an engine checks fencing numbers; unknown counts as no.
+    #[serde(default)]
+    pub fenced: bool,
+    /// Whether it takes no new work.
+    #[serde(default)]
+    pub leaving: bool,
+    /// Its load.
+    #[serde(default)]
+    pub load: AnnouncedLoad,
+}
+
+/// The answer to an announcement.
+#[derive(Clone, Copy, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct AnnounceReply {
+    /// Whether it was understood.
+    pub accepted: bool,
+    /// When to announce again, in ms.
+    pub interval_ms: u64,
+}
+
+impl Announcement {
+    /// Checks what the types don't.
+    fn check(&self) -> Result<(), String> {
+        // Identifiers that arrive as JSON haven't been checked by `FromStr`.
+        check_id::<usher_types::TargetName>("name", self.name.as_str())?;
+        check_id::<usher_types::ServiceName>("service", self.service.as_str())?;
+        check_id::<usher_types::RegionName>("region", self.region.as_str())?;
+        check_id::<usher_types::DomainName>("domain", self.domain.as_str())?;
+        if let Some(model) = &self.model {
+            check_id::<usher_types::ModelName>("model", model.as_str())?;
+        }
+        for adapter in &self.adapters {
+            check_id::<usher_types::AdapterName>("adapters", adapter.as_str())?;
+        }
+        if self.kind == usher_types::TargetKind::Engine && self.model.is_none() {
+            return Err("model: an engine needs a model".to_owned());
+        }
+        Ok(())
+    }
+}
+
+fn check_id<T>(field: &str, text: &str) -> Result<(), String>
+where
+    T: std::str::FromStr<Err = usher_types::ParseIdError>,
+{
+    let parsed = text.parse::<T>();
+    parsed
+        .map(drop)
+        .map_err(|error| format!("{field}: {error}"))
+}
+
+/// Answers `POST /v1/targets/announce`.
+pub(crate) async fn announce<P>(
+    extract::State(core): core::CoreState<P>,
+    body: bytes::Bytes,
+) -> response::Response
+where
+    P: parts::EntryParts,
+{
+    let parsed: Result<Announcement, _> = serde_json::from_slice(&body);
+    let announcement = match parsed {
+        Ok(announcement) => announcement,
+        Err(error) => return refuse(error.to_string()),
+    };
+    if let Err(error) = announcement.check() {
+        return refuse(error);
+    }
+    core.take_announcement(announcement);
+    Json(AnnounceReply {
+        accepted: true,
+        interval_ms: INTERVAL_MS,
+    })
+    .into_response()
+}
+
+fn refuse(message: String) -> response::Response {
+    error::CallError::invalid(None, format!("announcement is not valid: {message}")).into_response()
+}
--- /dev/null
+++ b/crates/usher_entry/src/attempt.rs
@@ -0,0 +1,102 @@
+//! The accounting of one attempt on a target. Not for: its bytes.
+
+use std::{net, sync};
+
+use usher_policy::{AttemptId, CallRequest, FailureKind, TargetSlot};
+
+use crate::{core, parts, policy::DecisionPolicy as _};
+
+/// An attempt that is accounted to a target until it ends; dropping it cancels it.
+pub(crate) struct AttemptGuard<P>
+where
+    P: parts::EntryParts,
+{
+    core: sync::Arc<core::EntryCore<P>>,
+    id: AttemptId,
+    pub(crate) name: usher_types::TargetName,
+    pub(crate) region: usher_types::RegionName,
+    pub(crate) address: net::SocketAddr,
+    // Set for engines, which know the request by this id.
+    engine_id: Option<usher_types::RequestId>,
+    open: bool,
+}
+
+impl<P> AttemptGuard<P>
+where
+    P: parts::EntryParts,
+{
+    /// Accounts a request to a target; `None` when the target has just gone.
+    pub(crate) fn begin(
+        core: &sync::Arc<core::EntryCore<P>>,
+        request: &CallRequest,
+        slot: TargetSlot,
+        engine_id: Option<usher_types::RequestId>,
+    ) -> Option<Self> {
+        let now = core.now();
+        let mut board = core.board();
+        let (name, address) = board.target(slot)?;
+        let region = board.policy.target(slot)?.region.clone();
+        let id = board.policy.on_sent(request, slot, now);
+        drop(board);
+        Some(Self {
+            core: core.clone(),
+            id,
+            name,
+            region,
+            address,
+            engine_id,
+            open: true,
+        })
+    }
+
+    pub(crate) fn first_token(&self) {
+        let now = self.core.now();
+        self.core.board().policy.on_first_token(self.id, now);
+    }
+
+    pub(crate) fn progress(&self, total: u64) {
+        let now = self.core.now();
+        self.core.board().policy.on_progress(self.id, total, now);
+    }
+
+    /// Ends the attempt with its whole answer.
+    pub(crate) fn finish(mut self) {
+        self.open = false;
+        let now = self.core.now();
+        self.core.board().policy.on_finished(self.id, now);
+    }
+
+    /// Ends the attempt without its whole answer.
+    pub(crate) fn fail(mut self, kind: FailureKind) {
+        self.close(kind);
+    }
+
+    fn close(&mut self, kind: FailureKind) {
+        if !std::mem::take(&mut self.open) {
+            return;
+        }
+        let now = self.core.now();
+        self.core.board().fail(self.id, kind, now);
+        let sent = matches!(kind, FailureKind::Broken | FailureKind::Cancelled);
+        if !sent || self.core.options.removed.cancel {
+            return;
+        }
+        let Some(engine_id) = self.engine_id.take() else {
+            return;
+        };
+        let (client, address) = (self.core.client.clone(), self.address);
+        // Outside a runtime the process is ending, and its connections with it.
+        if let Ok(runtime) = tokio::runtime::Handle::try_current() {
+            runtime.spawn(async move { client.cancel(address, &engine_id).await });
+        }
+    }
+}
+
+impl<P> Drop for AttemptGuard<P>
+where
+    P: parts::EntryParts,
+{
+    fn drop(&mut self) {
+        self.close(FailureKind::Cancelled);
+    }
+}
--- /dev/null
+++ b/crates/usher_entry/src/board.rs
@@ -0,0 +1,389 @@
+//! Targets, decisions and demand behind one lock. Not for: I/O.
+
+use std::{collections, net, time};
+
+use usher_policy::{FailureKind, RegistryChange, TargetInfo, TargetSlot};
+use usher_types::{IncarnationId, TargetKind, TargetName};
+use usher_wire::message;
+
+use crate::{announce, options, policy};
+
+/// The oldest that a load report is taken to be; older stamps come from a clock that is wrong.
+const MAX_REPORT_AGE: time::Duration = time::Duration::from_secs(5);
+
+/// A target of the registry, as far as the policy doesn't know it.
+#[derive(Clone, Debug)]
+pub(crate) struct BoardTarget {
+    pub(crate) address: net::SocketAddr,
+    pub(crate) incarnation: IncarnationId,
+    pub(crate) record: message::TargetRecord,
+    seen: time::Instant,
+    standing: Standing,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Standing {
+    Live,
+    Suspect,
+    Gone,
+}
+
+/// What callers asked for since the last heartbeat.
+#[derive(Clone, Copy, Debug, Default)]
+struct DemandCount {
+    requests: u64,
+    prefill: u64,
+    output: u64,
+}
+
+/// State that a decision reads and an event changes.
+#[derive(Debug)]
+pub(crate) struct Board<D> {
+    pub(crate) policy: D,
+    targets: collections::BTreeMap<TargetName, BoardTarget>,
+    // What announced itself here and control doesn't have yet.
+    announced: collections::BTreeMap<TargetName, message::TargetRecord>,
+    loads: collections::BTreeMap<TargetName, (time::Instant, message::LoadReport)>,
+    demands: collections::BTreeMap<usher_types::ServiceName, DemandCount>,
+    registry_version: u64,
+    keep_leaving: bool,
+    suspect_after: time::Duration,
+    gone_after: time::Duration,
+}
+
+impl<D> Board<D>
+where
+    D: policy::DecisionPolicy,
+{
+    pub(crate) fn new(policy: D, options: &options::EntryOptions) -> Self {
+        Self {
+            policy,
+            targets: collections::BTreeMap::new(),
+            announced: collections::BTreeMap::new(),
+            loads: collections::BTreeMap::new(),
+            demands: collections::BTreeMap::new(),
+            registry_version: 0,
+            keep_leaving: !options.removed.leaving,
+            suspect_after: options.suspect_after,
+            gone_after: options.gone_after,
+        }
+    }
+
+    /// Takes an announcement that arrived at this entry.
+    pub(crate) fn take_announcement(
+        &mut self,
+        announcement: &announce::Announcement,
+        wall_ms: u64,
+        now: time::Instant,
+    ) {
+        let record = record_of(announcement);
+        let name = announcement.name.clone();
+        let age = wall_ms.saturating_sub(announcement.load.at_ms);
+        let age = time::Duration::from_millis(age).min(MAX_REPORT_AGE);
+        let load = load_of(announcement);
+        self.loads.insert(name.clone(), (now - age, load.clone()));
+        let mut is_new = true;
+        if let Some(target) = self.targets.get_mut(&name) {
+            is_new = target.record != record;
+            if target.incarnation == announcement.incarnation {
+                target.seen = now;
+                self.revive(&name);
+                self.report(&name, &load, now - age);
+                if announcement.leaving && self.keep_leaving {
+                    self.policy
+                        .on_registry(RegistryChange::Leaving(name.clone()));
+                }
+            } else {
+                // The life that is registered is over; the new one waits for control.
+                self.set_standing(&name, Standing::Suspect);
+            }
+        }
+        if is_new {
+            self.announced.insert(name, record);
+        }
+    }
+
+    /// Takes the registry of control as a whole.
+    pub(crate) fn take_registry(
+        &mut self,
+        version: u64,
+        records: Vec<message::TargetRecord>,
+        now: time::Instant,
+    ) {
+        self.registry_version = version;
+        let mut old = std::mem::take(&mut self.targets);
+        for record in records {
+            let Some((info, address)) = info_of(&record, self.keep_leaving) else {
+                tracing::warn!(
+                    target = record.name,
+                    "registry holds a target that is not valid"
+                );
+                continue;
+            };
+            let known = old.remove(&info.name);
+            let same = known
+                .as_ref()
+                .filter(|target| target.incarnation == info.incarnation);
+            let seen = same.map_or(now, |target| target.seen);
+            let standing = same.map_or(Standing::Live, |target| target.standing);
+            let changed = same.is_none_or(|target| target.record != record);
+            let target = BoardTarget {
+                address,
+                incarnation: info.incarnation,
+                record,
+                seen,
+                standing,
+            };
+            let name = info.name.clone();
+            if changed {
+                self.policy.on_registry(RegistryChange::Put(info));
+                if standing == Standing::Suspect {
+                    self.policy
+                        .on_registry(RegistryChange::Suspect(name.clone()));
+                }
+            }
+            self.announced
+                .retain(|announced, record| *announced != name || *record != target.record);
+            self.targets.insert(name, target);
+        }
+        for name in old.into_keys() {
+            self.policy.on_registry(RegistryChange::Gone(name));
+        }
+    }
+
+    /// Takes load reports that reached control through other entries.
+    pub(crate) fn take_loads(&mut self, loads: Vec<message::LoadReport>, now: time::Instant) {
+        for load in loads {
+            let name = TargetName::new(load.target.clone());
+            let age = time::Duration::from_millis(load.age_ms);
+            let Some(at) = now.checked_sub(age) else {
+                continue;
+            };
+            let Some(target) = self.targets.get_mut(&name) else {
+                continue;
+            };
+            if target.incarnation.get() != load.incarnation || at <= target.seen {
+                continue;
+            }
+            target.seen = at;
+            self.revive(&name);
+            self.report(&name, &load, at);
+        }
+    }
+
+    fn revive(&mut self, name: &TargetName) {
+        self.set_standing(name, Standing::Live);
+    }
+
+    fn report(&mut self, name: &TargetName, load: &message::LoadReport, taken_at: time::Instant) {
+        let report = usher_policy::LoadReport {
+            taken_at,
+            running: load.running,
+            waiting: load.waiting,
+            prefill_waiting: usher_types::TokenCount::new(load.prefill_tokens_waiting),
+            pieces_used: usher_types::PieceCount::new(load.kv_pieces_used),
+        };
+        self.policy.on_report(name, &report);
+    }
+
+    /// Marks targets that haven't been heard of for a while.
+    pub(crate) fn age(&mut self, now: time::Instant) {
+        let changes: Vec<_> = self
+            .targets
+            .iter()
+            .filter_map(|(name, target)| {
+                let silent = now.saturating_duration_since(target.seen);
+                if silent >= self.gone_after {
+                    Some((name.clone(), Standing::Gone))
+                } else if silent >= self.suspect_after {
+                    Some((name.clone(), Standing::Suspect))
+                } else {
+                    None
+                }
+            })
+            .collect();
+        for (name, standing) in changes {
+            self.set_standing(&name, standing);
+        }
+    }
+
+    fn set_standing(&mut self, name: &TargetName, standing: Standing) {
+        let Some(target) = self.targets.get_mut(name) else {
+            return;
+        };
+        if target.standing == standing {
+            return;
+        }
+        target.standing = standing;
+        let change = match standing {
+            Standing::Live => {
+                let info = info_of(&target.record, self.keep_leaving);
+                let Some((info, _)) = info else {
+                    return;
+                };
+                RegistryChange::Put(info)
+            }
+            Standing::Suspect => RegistryChange::Suspect(name.clone()),
+            Standing::Gone => RegistryChange::Gone(name.clone()),
+        };
+        tracing::info!(target = %name, ?standing, "target changed");
+        self.policy.on_registry(change);
+    }
+
+    /// Returns name, address and incarnation of a chosen target.
+    pub(crate) fn target(&self, slot: TargetSlot) -> Option<(TargetName, net::SocketAddr)> {
+        let info = self.policy.target(slot)?;
+        let target = self.targets.get(&info.name)?;
+        Some((info.name.clone(), target.address))
+    }
+
+    /// Returns the engines that are live, for reading their cache events.
+    pub(crate) fn live_engines(&self, region: &str) -> Vec<(TargetName, net::SocketAddr)> {
+        let engine = TargetKind::Engine.to_string();
+        self.targets
+            .iter()
+            .filter(|(_, target)| {
+                target.standing == Standing::Live
+                    && target.record.kind == engine
+                    && target.record.region == region
+            })
+            .map(|(name, target)| (name.clone(), target.address))
+            .collect()
+    }
+
+    /// Returns the records of all targets.
+    pub(crate) fn records(&self) -> impl Iterator<Item = &message::TargetRecord> {
+        self.targets.values().map(|target| &target.record)
+    }
+
+    /// Returns how many engines and plain targets of a service are live.
+    pub(crate) fn live_of(&self, service: &str) -> usize {
+        let targets = self.targets.values();
+        targets
+            .filter(|target| target.standing == Standing::Live && target.record.service == service)
+            .count()
+    }
+
+    pub(crate) fn registry_version(&self) -> u64 {
+        self.registry_version
+    }
+
+    /// Returns what control should hear of in the next heartbeat.
+    pub(crate) fn news(
+        &self,
+        now: time::Instant,
+    ) -> (Vec<message::TargetRecord>, Vec<message::LoadReport>) {
+        let loads = self.loads.values().map(|(at, load)| {
+            let age = now.saturating_duration_since(*at).as_millis();
+            message::LoadReport {
+                age_ms: u64::try_from(age).unwrap_or(u64::MAX),
+                ..load.clone()
+            }
+        });
+        (self.announced.values().cloned().collect(), loads.collect())
+    }
+
+    /// Forgets reports that control has taken.
+    pub(crate) fn reported(&mut self, up_to: time::Instant) {
+        self.loads.retain(|_, (at, _)| *at > up_to);
+    }
+
+    pub(crate) fn count_demand(&mut self, request: &usher_policy::CallRequest) {
+        let demand = match self.demands.get_mut(&request.service) {
+            Some(demand) => demand,
+            None => self.demands.entry(request.service.clone()).or_default(),
+        };
+        demand.requests += 1;
+        demand.prefill += request.prompt.get();
+        demand.output += request.output.get();
+    }
+
+    /// Returns the demand per second since the last call.
+    pub(crate) fn take_demands(&mut self, elapsed: time::Duration) -> Vec<message::ServiceDemand> {
+        let seconds = elapsed.as_secs_f64().max(0.001);
+        let demands = std::mem::take(&mut self.demands);
+        let demands = demands
+            .into_iter()
+            .map(|(service, count)| message::ServiceDemand {
+                service: service.to_string(),
+                requests: count.requests as f64 / seconds,
+                prefill_tokens: count.prefill as f64 / seconds,
+                output_tokens: count.output as f64 / seconds,
+            });
+        demands.collect()
+    }
+
+    pub(crate) fn fail(
+        &mut self,
+        attempt: usher_policy::AttemptId,
+        kind: FailureKind,
+        now: time::Instant,
+    ) {
+        self.policy.on_failed(attempt, kind, now);
+    }
+}
+
+fn record_of(announcement: &announce::Announcement) -> message::TargetRecord {
+    let text = |value: Option<String>| value.unwrap_or_default();
+    message::TargetRecord {
+        name: announcement.name.to_string(),
+        incarnation: announcement.incarnation.get(),
+        address: announcement.address.to_string(),
+        kind: announcement.kind.to_string(),
+        service: announcement.service.to_string(),
+        shape: Some(message::EngineShape {
+            model: text(announcement.model.as_ref().map(ToString::to_string)),
+            version: text(announcement.version.as_ref().map(ToString::to_string)),
+            adapters: announcement
+                .adapters
+                .iter()
+                .map(ToString::to_string)
+                .collect(),
+            role: text(announcement.role.map(|role| role.to_string())),
+        }),
+        region: announcement.region.to_string(),
+        domain: announcement.domain.to_string(),
+        kv_pieces: announcement.kv_pieces,
+        fenced: announcement.fenced,
+        leaving: announcement.leaving,
+    }
+}
+
+fn load_of(announcement: &announce::Announcement) -> message::LoadReport {
+    message::LoadReport {
+        target: announcement.name.to_string(),
+        incarnation: announcement.incarnation.get(),
+        age_ms: 0,
+        running: announcement.load.running,
+        waiting: announcement.load.waiting,
+        prefill_tokens_waiting: announcement.load.prefill_tokens_waiting,
+        kv_pieces_used: announcement.load.kv_pieces_used,
+    }
+}
+
+fn info_of(
+    record: &message::TargetRecord,
+    keep_leaving: bool,
+) -> Option<(TargetInfo, net::SocketAddr)> {
+    let address = record.address.parse().ok()?;
+    let shape = record.shape.clone().unwrap_or_default();
+    let info = TargetInfo {
+        name: record.name.parse().ok()?,
+        incarnation: IncarnationId::new(record.incarnation),
+        kind: record.kind.parse().ok()?,
+        service: record.service.parse().ok()?,
+        model: shape.model.parse().ok(),
+        version: shape.version.parse().ok(),
+        adapters: shape
+            .adapters
+            .into_iter()
+            .map(usher_types::AdapterName::new)
+            .collect(),
+        role: shape.role.parse().unwrap_or_default(),
+        region: record.region.parse().ok()?,
+        domain: record.domain.parse().ok()?,
+        pieces: usher_types::PieceCount::new(record.kv_pieces),
+        leaving: record.leaving && keep_leaving,
+    };
+    Some((info, address))
+}
--- /dev/null
+++ b/crates/usher_entry/src/builder.rs
@@ -0,0 +1,133 @@
+//! Puts an entry together. Not for: running it.
+
+use std::{io, sync};
+
+use usher_policy::{EntryPolicy, RouteSettings};
+use usher_types::SystemClock;
+
+use crate::{
+    board, client, config, core, explain, identity, link, metrics, node, options, outcome, parts,
+    policy, right,
+};
+
+/// Holds the parts of an entry until it starts.
+///
+/// ```
+/// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+/// use usher_entry::{EntryBuilder, EntryOptions, MemoryControl};
+/// use usher_kernel::StopSource;
+/// let control = MemoryControl::new();
+/// let (source, signal) = StopSource::new();
+/// let options = EntryOptions::new("entry-1", "south-a");
+/// let node = EntryBuilder::new(options, control.link()).start(signal).await.unwrap();
+/// assert_ne!(node.address().port(), 0);
+/// # drop(source);
+/// # });
+/// ```
+pub struct EntryBuilder<L, C = SystemClock, O = outcome::NullOutcomes, D = EntryPolicy> {
+    options: options::EntryOptions,
+    link: L,
+    clock: C,
+    outcomes: O,
+    policy: D,
+    metrics: metrics::EntryMetrics,
+}
+
+impl<L> EntryBuilder<L>
+where
+    L: link::ControlLink,
+{
+    /// Makes a builder with the system's clock and policies, without outcomes and metrics.
+    pub fn new(options: options::EntryOptions, link: L) -> Self {
+        let settings = RouteSettings::new(options.region.as_str())
+            // Entries that chose alike would send their calls to the same targets.
+            .with_seed(options.incarnation.get());
+        Self {
+            options,
+            link,
+            clock: SystemClock,
+            outcomes: outcome::NullOutcomes,
+            policy: EntryPolicy::new(settings),
+            metrics: metrics::EntryMetrics::none(),
+        }
+    }
+}
+
+impl<L, C, O, D> EntryBuilder<L, C, O, D>
+where
+    L: link::ControlLink,
+    C: usher_types::ClockSource,
+    O: outcome::OutcomeSink,
+    D: policy::DecisionPolicy,
+{
+    /// Sets the clock.
+    pub fn with_clock<T>(self, clock: T) -> EntryBuilder<L, T, O, D> {
+        EntryBuilder {
+            options: self.options,
+            link: self.link,
+            clock,
+            outcomes: self.outcomes,
+            policy: self.policy,
+            metrics: self.metrics,
+        }
+    }
+
+    /// Sets the receiver of outcomes.
+    pub fn with_outcomes<T>(self, outcomes: T) -> EntryBuilder<L, C, T, D> {
+        EntryBuilder {
+            options: self.options,
+            link: self.link,
+            clock: self.clock,
+            outcomes,
+            policy: self.policy,
+            metrics: self.metrics,
+        }
+    }
+
+    /// Sets the policies.
+    pub fn with_policy<T>(self, policy: T) -> EntryBuilder<L, C, O, T> {
+        EntryBuilder {
+            options: self.options,
+            link: self.link,
+            clock: self.clock,
+            outcomes: self.outcomes,
+            policy,
+            metrics: self.metrics,
+        }
+    }
+
+    /// Sets where metrics go.
+    #[must_use]
+    pub fn with_metrics(mut self, client: cadence::StatsdClient) -> Self {
+        self.metrics = metrics::EntryMetrics::new(client);
+        self
+    }
+
+    /// Starts the entry inside the current tokio runtime.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it can't listen.
+    pub async fn start(
+        self,
+        stop: usher_kernel::StopSignal,
+    ) -> io::Result<node::EntryNode<parts::PartSet<L, C, O, D>>> {
+        let core = core::EntryCore {
+            right: right::RoutingRight::new(self.clock.now()),
+            board: sync::Mutex::new(board::Board::new(self.policy, &self.options)),
+            config: config::ConfigKeeper::new(),
+            client: client::TargetClient::new(self.options.connect_timeout),
+            records: explain::RecordRing::new(),
+            ids: identity::IdSource::new(self.options.incarnation),
+            drained_at: sync::OnceLock::new(),
+            running: sync::atomic::AtomicUsize::new(0),
+            options: self.options,
+            clock: self.clock,
+            link: self.link,
+            outcomes: self.outcomes,
+            metrics: self.metrics,
+            stop,
+        };
+        node::EntryNode::start(core).await
+    }
+}
--- /dev/null
+++ b/crates/usher_entry/src/cache.rs
@@ -0,0 +1,90 @@
+//! Reads the cache events of engines. Not for: what they mean for routing.
+
+use std::{net, sync, time};
+
+use futures_util::StreamExt as _;
+use usher_policy::{CacheEvent, CacheEventKind};
+
+use crate::{core, parts, policy::DecisionPolicy as _};
+
+/// How long one reading may take; the next one gets what this one missed.
+const READ_TIMEOUT: time::Duration = time::Duration::from_millis(800);
+
+/// Engines that are read at the same time.
+const PARALLEL_READS: usize = 8;
+
+#[derive(serde::Deserialize)]
+struct EventPage {
+    next: u64,
+    events: Vec<EventView>,
+}
+
+#[derive(serde::Deserialize)]
+struct EventView {
+    seq: u64,
+    kind: String,
+    prefix: String,
+}
+
+/// Reads the events of the engines in the entry's region until the process stops.
+pub(crate) async fn run_readings<P>(core: sync::Arc<core::EntryCore<P>>)
+where
+    P: parts::EntryParts,
+{
+    let interval = core.options.cache_poll;
+    if interval.is_zero() {
+        return;
+    }
+    loop {
+        tokio::select! {
+            () = core.stop.stopped() => return,
+            () = tokio::time::sleep(interval) => {}
+        }
+        let engines = core.board().live_engines(core.options.region.as_str());
+        let core = &core;
+        futures_util::stream::iter(engines)
+            .for_each_concurrent(PARALLEL_READS, |(name, address)| async move {
+                read_engine(core, &name, address).await;
+            })
+            .await;
+    }
+}
+
+async fn read_engine<P>(
+    core: &core::EntryCore<P>,
+    name: &usher_types::TargetName,
+    address: net::SocketAddr,
+) where
+    P: parts::EntryParts,
+{
+    let since = core.board().policy.next_cache_event(name);
+    let uri = format!("http://{address}/v1/cache/events?since={since}");
+    let request = http::Request::get(uri).body(http_body_util::Full::default());
+    let Ok(request) = request else {
+        return;
+    };
+    let read = tokio::time::timeout(READ_TIMEOUT, core.client.exchange(request)).await;
+    let Ok(Ok((http::StatusCode::OK, body))) = read else {
+        return;
+    };
+    let Ok(page) = serde_json::from_slice::<EventPage>(&body) else {
+        tracing::debug!(target = %name, "cache events can't be read");
+        return;
+    };
+    let events: Vec<_> = page.events.iter().filter_map(to_event).collect();
+    let mut board = core.board();
+    board.policy.on_cache_events(name, &events, page.next);
+}
+
+fn to_event(view: &EventView) -> Option<CacheEvent> {
+    let kind = match view.kind.as_str() {
+        "add" => CacheEventKind::Add,
+        "evict" => CacheEventKind::Evict,
+        _ => return None,
+    };
+    Some(CacheEvent {
+        seq: view.seq,
+        kind,
+        hash: u64::from_str_radix(&view.prefix, 16).ok()?,
+    })
+}
--- /dev/null
+++ b/crates/usher_entry/src/core.rs
@@ -0,0 +1,138 @@
+//! What all parts of a running entry share. Not for: the request path itself.
+
+use std::{sync, sync::atomic, time};
+
+use axum::extract;
+use usher_types::ClockSource as _;
+
+use crate::{
+    announce, board, client, config, error, explain, identity, metrics, options, outcome, parts,
+    right,
+};
+
+/// The state that handlers get.
+pub(crate) type CoreState<P> = extract::State<sync::Arc<EntryCore<P>>>;
+
+/// Options, parts and state of one entry.
+pub(crate) struct EntryCore<P>
+where
+    P: parts::EntryParts,
+{
+    pub(crate) options: options::EntryOptions,
+    pub(crate) clock: P::Clock,
+    pub(crate) link: P::Link,
+    pub(crate) outcomes: P::Outcomes,
+    pub(crate) metrics: metrics::EntryMetrics,
+    pub(crate) board: sync::Mutex<board::Board<P::Policy>>,
+    pub(crate) right: right::RoutingRight,
+    pub(crate) config: config::ConfigKeeper,
+    pub(crate) client: client::TargetClient,
+    pub(crate) records: explain::RecordRing,
+    pub(crate) ids: identity::IdSource,
+    pub(crate) stop: usher_kernel::StopSignal,
+    pub(crate) drained_at: sync::OnceLock<time::Instant>,
+    pub(crate) running: atomic::AtomicUsize,
+}
+
+impl<P> EntryCore<P>
+where
+    P: parts::EntryParts,
+{
+    pub(crate) fn now(&self) -> time::Instant {
+        self.clock.now()
+    }
+
+    pub(crate) fn wall_ms(&self) -> u64 {
+        let since = self.clock.wall().duration_since(time::UNIX_EPOCH);
+        u64::try_from(since.unwrap_or_default().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    pub(crate) fn board(&self) -> sync::MutexGuard<'_, board::Board<P::Policy>> {
+        self.board
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    /// Returns whether new work may be sent to targets, also for resumes and retries.
+    pub(crate) fn has_right(&self) -> bool {
+        self.options.removed.right || self.right.holds(self.now())
+    }
+
+    /// Returns whether the load balancer should send callers here.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.stop.is_draining() && self.config.is_known() && self.has_right()
+    }
+
+    fn is_closed(&self) -> bool {
+        let notice = self.options.unready_notice;
+        let now = self.now();
+        self.stop.is_draining()
+            && self
+                .drained_at
+                .get()
+                .is_some_and(|at| now.saturating_duration_since(*at) >= notice)
+    }
+
+    /// Refuses new work where this entry may not or doesn't want to start any.
+    pub(crate) fn check_open(&self) -> Result<(), (error::CallError, outcome::OutcomeCause)> {
+        if self.is_closed() {
+            let error = error::CallError::unavailable("draining", "this entry is stopping");
+            return Err((error, outcome::OutcomeCause::Drain));
+        }
+        if !self.config.is_known() {
+            let message = "this entry doesn't know the newest configuration yet";
+            let error = error::CallError::unavailable("starting", message);
+            return Err((error, outcome::OutcomeCause::Region));
+        }
+        self.check_right()
+    }
+
+    pub(crate) fn check_right(&self) -> Result<(), (error::CallError, outcome::OutcomeCause)> {
+        if self.has_right() {
+            return Ok(());
+        }
+        let message = "this entry is cut off from control and may not start new work";
+        let error = error::CallError::unavailable("no_routing_right", message);
+        Err((error, outcome::OutcomeCause::Region))
+    }
+
+    pub(crate) fn take_announcement(&self, announcement: announce::Announcement) {
+        let (wall, now) = (self.wall_ms(), self.now());
+        self.board().take_announcement(&announcement, wall, now);
+    }
+
+    /// Returns this entry as control knows it.
+    pub(crate) fn node_identity(&self) -> usher_wire::message::NodeIdentity {
+        usher_wire::message::NodeIdentity {
+            name: self.options.name.to_string(),
+            incarnation: self.options.incarnation.get(),
+        }
+    }
+}
+
+/// Counts a running call until it is dropped.
+pub(crate) struct RunningGuard<P>
+where
+    P: parts::EntryParts,
+{
+    core: sync::Arc<EntryCore<P>>,
+}
+
+impl<P> RunningGuard<P>
+where
+    P: parts::EntryParts,
+{
+    pub(crate) fn new(core: sync::Arc<EntryCore<P>>) -> Self {
+        core.running.fetch_add(1, atomic::Ordering::SeqCst);
+        Self { core }
+    }
+}
+
+impl<P> Drop for RunningGuard<P>
+where
+    P: parts::EntryParts,
+{
+    fn drop(&mut self) {
+        self.core.running.fetch_sub(1, atomic::Ordering::SeqCst);
+    }
+}
--- a/crates/usher_entry/src/lib.rs
+++ b/crates/usher_entry/src/lib.rs
@@ -1,1 +1,43 @@
-//! Library of the entry daemon
+//! Library of the entry daemon: serves callers, routes to targets, resumes broken streams.
+//!
+//! For: everything between a caller's request and a target's answer, and the control connection.
+//! Not for: decisions, which belong to `usher_policy`, nor for reading settings.
+
+mod announce;
+mod attempt;
+mod board;
+mod body;
+mod builder;
+mod cache;
+mod client;
+mod config;
+mod core;
+mod error;
+mod explain;
+mod health;
+mod identity;
+mod link;
+mod metrics;
+mod model;
+mod node;
+mod options;
+mod outcome;
+mod parts;
+mod plain;
+mod policy;
+mod right;
+mod server;
+mod sync;
+
+pub use announce::{AnnounceReply, AnnouncedLoad, Announcement};
+pub use builder::EntryBuilder;
+pub use config::{ConfigKeeper, ConfigState};
+pub use explain::{DecisionRecord, RecordRing, MAX_RECORDS};
+pub use link::{ControlLink, LinkError, MemoryControl, MemoryLink, WireLink};
+pub use metrics::EntryMetrics;
+pub use node::{EntryNode, EntryStatus};
+pub use options::EntryOptions;
+pub use outcome::{NullOutcomes, OutcomeCause, OutcomeEvent, OutcomeSink};
+pub use parts::{EntryParts, PartSet};
+pub use policy::DecisionPolicy;
+pub use right::RoutingRight;
--- /dev/null
+++ b/crates/usher_entry/src/link/memory.rs
@@ -0,0 +1,322 @@
+//! Control inside the process, for tests and measurements. Not for: the product.
+
+use std::{collections, sync, time};
+
+use usher_wire::message;
+
+use crate::link;
+
+/// What the parts of a test see as control; cheap to clone, shared by all entries of a test.
+///
+/// ```
+/// use usher_entry::MemoryControl;
+/// let control = MemoryControl::new();
+/// let link = control.link();
+/// control.set_answering(false);
+/// # drop(link);
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct MemoryControl {
+    state: sync::Arc<sync::Mutex<ControlState>>,
+}
+
+/// The connection of one entry to a [`MemoryControl`].
+#[derive(Clone, Debug)]
+pub struct MemoryLink {
+    control: MemoryControl,
+}
+
+#[derive(Clone, Debug)]
+struct ClaimRecord {
+    fingerprint: Vec<u8>,
+    holder: (Option<message::NodeIdentity>, String),
+    state: message::ClaimState,
+    answer: Option<message::RecordedAnswer>,
+}
+
+#[derive(Debug)]
+struct ControlState {
+    answering: bool,
+    committing: bool,
+    losing_replies: bool,
+    right: time::Duration,
+    config_version: u64,
+    sheet: String,
+    registry_version: u64,
+    targets: collections::BTreeMap<String, message::TargetRecord>,
+    marked: collections::BTreeSet<String>,
+    loads: collections::BTreeMap<String, (time::Instant, message::LoadReport)>,
+    shares: Vec<message::CapacityShare>,
+    claims: collections::BTreeMap<String, ClaimRecord>,
+    demands: Vec<message::ServiceDemand>,
+    syncs: u64,
+    clock: Option<usher_types::ManualClock>,
+}
+
+impl Default for ControlState {
+    fn default() -> Self {
+        Self {
+            answering: true,
+            committing: true,
+            losing_replies: false,
+            right: time::Duration::from_secs(3),
+            config_version: 0,
+            sheet: String::new(),
+            registry_version: 1,
+            targets: collections::BTreeMap::new(),
+            marked: collections::BTreeSet::new(),
+            loads: collections::BTreeMap::new(),
+            shares: Vec::new(),
+            claims: collections::BTreeMap::new(),
+            demands: Vec::new(),
+            syncs: 0,
+            clock: None,
+        }
+    }
+}
+
+impl MemoryControl {
+    /// Makes control without configuration or targets.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Makes a connection.
+    pub fn link(&self) -> MemoryLink {
+        MemoryLink {
+            control: self.clone(),
+        }
+    }
+
+    /// Sets the clock that ages of load reports are measured on.
+    pub fn set_clock(&self, clock: usher_types::ManualClock) {
+        self.lock().clock = Some(clock);
+    }
+
+    /// Sets whether heartbeats are answered, as a partition would.
+    pub fn set_answering(&self, answering: bool) {
+        self.lock().answering = answering;
+    }
+
+    /// Sets whether claims and outcomes are committed, as a lost quorum would.
+    pub fn set_committing(&self, committing: bool) {
+        self.lock().committing = committing;
+    }
+
+    /// Sets whether the replies to commits are lost although the commits happen.
+    pub fn set_losing_replies(&self, losing_replies: bool) {
+        self.lock().losing_replies = losing_replies;
+    }
+
+    /// Sets how long routing rights last.
+    pub fn set_right(&self, right: time::Duration) {
+        self.lock().right = right;
+    }
+
+    /// Sets the configuration, with any version.
+    pub fn set_config(&self, version: u64, sheet: &str) {
+        let mut state = self.lock();
+        state.config_version = version;
+        state.sheet = sheet.to_owned();
+    }
+
+    /// Sets the shares of the capacity that every entry gets.
+    pub fn set_shares(&self, shares: Vec<message::CapacityShare>) {
+        self.lock().shares = shares;
+    }
+
+    /// Marks a target as leaving, as an operator does.
+    pub fn drain_target(&self, name: &str) {
+        let mut state = self.lock();
+        state.marked.insert(name.to_owned());
+        state.registry_version += 1;
+        if let Some(target) = state.targets.get_mut(name) {
+            target.leaving = true;
+        }
+    }
+
+    /// Returns whether a target is known to be leaving.
+    pub fn is_leaving(&self, name: &str) -> bool {
+        let state = self.lock();
+        state.targets.get(name).is_some_and(|target| target.leaving)
+    }
+
+    /// Returns the state of the claim of a key.
+    pub fn claim_state(&self, key: &str) -> Option<message::ClaimState> {
+        self.lock().claims.get(key).map(|claim| claim.state)
+    }
+
+    /// Returns the keys of all claims.
+    pub fn claim_keys(&self) -> Vec<String> {
+        self.lock().claims.keys().cloned().collect()
+    }
+
+    /// Returns the targets that have been announced.
+    pub fn target_names(&self) -> Vec<String> {
+        self.lock().targets.keys().cloned().collect()
+    }
+
+    /// Returns the demands of the last heartbeat that reported any.
+    pub fn demands(&self) -> Vec<message::ServiceDemand> {
+        self.lock().demands.clone()
+    }
+
+    /// Returns how many heartbeats arrived.
+    pub fn syncs(&self) -> u64 {
+        self.lock().syncs
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, ControlState> {
+        self.state
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
+
+impl ControlState {
+    fn now(&self) -> time::Instant {
+        use usher_types::ClockSource as _;
+        match &self.clock {
+            Some(clock) => clock.now(),
+            None => time::Instant::now(),
+        }
+    }
+
+    fn take_announced(&mut self, announced: Vec<message::TargetRecord>) {
+        for mut target in announced {
+            target.leaving |= self.marked.contains(&target.name);
+            if self.targets.get(&target.name) != Some(&target) {
+                self.registry_version += 1;
+                self.targets.insert(target.name.clone(), target);
+            }
+        }
+    }
+
+    fn take_loads(&mut self, loads: Vec<message::LoadReport>) {
+        let now = self.now();
+        for load in loads {
+            let at = now - time::Duration::from_millis(load.age_ms);
+            self.loads.insert(load.target.clone(), (at, load));
+        }
+    }
+
+    fn reply(&mut self, request: message::SyncRequest) -> message::SyncReply {
+        self.syncs += 1;
+        self.take_announced(request.announced);
+        self.take_loads(request.loads);
+        if !request.demands.is_empty() {
+            self.demands = request.demands;
+        }
+        let config_changed = request.config_version != self.config_version;
+        let registry_changed = request.registry_version != self.registry_version;
+        let now = self.now();
+        let loads = self.loads.values().map(|(at, load)| message::LoadReport {
+            age_ms: u64::try_from((now - *at).as_millis()).unwrap_or(u64::MAX),
+            ..load.clone()
+        });
+        message::SyncReply {
+            sequence: request.sequence,
+            config_version: self.config_version,
+            config_changed,
+            sheet: if config_changed {
+                self.sheet.clone()
+            } else {
+                String::new()
+            },
+            registry_version: self.registry_version,
+            registry_changed,
+            targets: if registry_changed {
+                self.targets.values().cloned().collect()
+            } else {
+                Vec::new()
+            },
+            loads: loads.collect(),
+            shares: self.shares.clone(),
+            right_ms: u64::try_from(self.right.as_millis()).unwrap_or(u64::MAX),
+        }
+    }
+
+    fn claim(&mut self, call: message::ClaimCall) -> message::ClaimReply {
+        let holder = (call.entry, call.request_id);
+        let reply = |state: message::ClaimState, answer| message::ClaimReply {
+            state: state.into(),
+            answer,
+        };
+        let Some(claim) = self.claims.get(&call.key) else {
+            let record = ClaimRecord {
+                fingerprint: call.fingerprint,
+                holder,
+                state: message::ClaimState::Running,
+                answer: None,
+            };
+            self.claims.insert(call.key, record);
+            return reply(message::ClaimState::Claimed, None);
+        };
+        if claim.fingerprint != call.fingerprint {
+            return reply(message::ClaimState::Mismatch, None);
+        }
+        // The same request asks again after a lost reply; it hasn't sent anything yet.
+        if claim.state == message::ClaimState::Running && claim.holder == holder {
+            return reply(message::ClaimState::Claimed, None);
+        }
+        reply(claim.state, claim.answer.clone())
+    }
+
+    fn finish(&mut self, finish: message::FinishClaim) {
+        let holder = (finish.entry.clone(), finish.request_id.clone());
+        let Some(claim) = self.claims.get_mut(&finish.key) else {
+            return;
+        };
+        if claim.holder != holder || claim.state != message::ClaimState::Running {
+            return;
+        }
+        match finish.kind() {
+            message::FinishKind::Answered => {
+                claim.state = message::ClaimState::Finished;
+                claim.answer = finish.answer;
+            }
+            message::FinishKind::Released => {
+                self.claims.remove(&finish.key);
+            }
+            _ => claim.state = message::ClaimState::Unknown,
+        }
+    }
+}
+
+impl MemoryLink {
+    fn commit<T>(&self, action: impl FnOnce(&mut ControlState) -> T) -> Result<T, link::LinkError> {
+        let mut state = self.control.lock();
+        if !state.committing {
+            return Err(link::LinkError::NotSent("quorum is lost".to_owned()));
+        }
+        let outcome = action(&mut state);
+        if state.losing_replies {
+            return Err(link::LinkError::Unknown("reply was lost".to_owned()));
+        }
+        Ok(outcome)
+    }
+}
+
+impl link::ControlLink for MemoryLink {
+    async fn sync(
+        &self,
+        request: message::SyncRequest,
+    ) -> Result<message::SyncReply, link::LinkError> {
+        let mut state = self.control.lock();
+        if !state.answering {
+            return Err(link::LinkError::NotSent("control is cut off".to_owned()));
+        }
+        Ok(state.reply(request))
+    }
+
+    async fn claim(
+        &self,
+        call: message::ClaimCall,
+    ) -> Result<message::ClaimReply, link::LinkError> {
+        self.commit(|state| state.claim(call))
+    }
+
+    async fn finish(&self, finish: message::FinishClaim) -> Result<(), link::LinkError> {
+        self.commit(|state| state.finish(finish))
+    }
+}
--- /dev/null
+++ b/crates/usher_entry/src/link/wire.rs
@@ -0,0 +1,141 @@
+//! The control connection over the wire protocol, with failover. Not for: retrying calls whose
+//! result is unknown.
+
+use std::{net, sync::atomic, time};
+
+use usher_wire::{message, message::envelope, CallClient, CallError};
+
+use crate::link;
+
+/// How long a heartbeat waits; one lost answer must not use up the routing right.
+const SYNC_TIMEOUT: time::Duration = time::Duration::from_millis(800);
+
+/// How long a commit waits; a new leader is elected within 3 s.
+const COMMIT_TIMEOUT: time::Duration = time::Duration::from_secs(4);
+
+/// A connection to one of several control nodes, the first that answers.
+#[derive(Debug)]
+pub struct WireLink {
+    clients: Vec<CallClient>,
+    // Number of the client that answered last.
+    current: atomic::AtomicUsize,
+}
+
+impl WireLink {
+    /// Makes a link to control nodes, the preferred ones first; must be called inside a tokio
+    /// runtime.
+    pub fn new(addresses: &[net::SocketAddr], identity: &usher_wire::WireIdentity) -> Self {
+        let clients = addresses.iter();
+        let clients = clients.map(|address| CallClient::new(*address, identity.clone()));
+        Self {
+            clients: clients.collect(),
+            current: atomic::AtomicUsize::new(0),
+        }
+    }
+
+    fn current(&self) -> Option<(usize, &CallClient)> {
+        let number = self.current.load(atomic::Ordering::SeqCst) % self.clients.len().max(1);
+        self.clients.get(number).map(|client| (number, client))
+    }
+
+    fn leave(&self, number: usize) {
+        let next = (number + 1) % self.clients.len().max(1);
+        // Another call may have moved on already.
+        let _ = self.current.compare_exchange(
+            number,
+            next,
+            atomic::Ordering::SeqCst,
+            atomic::Ordering::SeqCst,
+        );
+    }
+
+    /// Calls the current node, and the others in turn as long as nothing was sent.
+    async fn call(
+        &self,
+        body: envelope::Body,
+        timeout: time::Duration,
+    ) -> Result<envelope::Body, link::LinkError> {
+        let mut last = "no control address is configured".to_owned();
+        for _ in 0..self.clients.len() {
+            let Some((number, client)) = self.current() else {
+                break;
+            };
+            match client.call(body.clone(), timeout).await {
+                Ok(reply) => return Ok(reply),
+                Err(CallError::NotSent(error)) => {
+                    tracing::debug!(address = %client.address(), error, "control is unreachable");
+                    self.leave(number);
+                    last = error;
+                }
+                // A node that stops, or has lost its leader, did nothing.
+                Err(CallError::Refused(refusal)) if is_not_done(&refusal) => {
+                    self.leave(number);
+                    last = refusal.message;
+                }
+                Err(CallError::Refused(refusal)) => return Err(refused(refusal)),
+                Err(error) => {
+                    self.leave(number);
+                    return Err(link::LinkError::Unknown(error.to_string()));
+                }
+            }
+        }
+        Err(link::LinkError::NotSent(last))
+    }
+}
+
+fn is_not_done(refusal: &message::ErrorReply) -> bool {
+    matches!(
+        refusal.kind(),
+        message::ErrorKind::NotLeader | message::ErrorKind::NoQuorum | message::ErrorKind::Stopping
+    )
+}
+
+fn refused(refusal: message::ErrorReply) -> link::LinkError {
+    match refusal.kind() {
+        message::ErrorKind::BadRequest => link::LinkError::Refused(refusal.message),
+        _ => link::LinkError::Unknown(refusal.message),
+    }
+}
+
+fn unexpected() -> link::LinkError {
+    link::LinkError::Unknown("control answered with an unexpected message".to_owned())
+}
+
+impl link::ControlLink for WireLink {
+    async fn sync(
+        &self,
+        request: message::SyncRequest,
+    ) -> Result<message::SyncReply, link::LinkError> {
+        let body = envelope::Body::SyncRequest(request);
+        match self.call(body, SYNC_TIMEOUT).await? {
+            envelope::Body::SyncReply(reply) => Ok(reply),
+            _ => Err(unexpected()),
+        }
+    }
+
+    async fn claim(
+        &self,
+        call: message::ClaimCall,
+    ) -> Result<message::ClaimReply, link::LinkError> {
+        let body = envelope::Body::ClaimRequest(message::ClaimRequest { call: Some(call) });
+        match self.call(body, COMMIT_TIMEOUT).await? {
+            envelope::Body::ClaimReply(reply) => Ok(reply),
+            _ => Err(unexpected()),
+        }
+    }
+
+    async fn finish(&self, finish: message::FinishClaim) -> Result<(), link::LinkError> {
+        let finish = Some(finish);
+        let body = envelope::Body::FinishRequest(message::FinishRequest { finish });
+        match self.call(body, COMMIT_TIMEOUT).await? {
+            envelope::Body::Ack(_) => Ok(()),
+            _ => Err(unexpected()),
+        }
+    }
+
+    fn move_on(&self) {
+        if let Some((number, _)) = self.current() {
+            self.leave(number);
+        }
+    }
+}
--- /dev/null
+++ b/crates/usher_entry/src/model/chunk.rs
@@ -0,0 +1,118 @@
+//! What an event of an engine's stream says. Not for: splitting events.
+
+use std::borrow::Cow;
+
+use crate::model::sse::StreamFault;
+
+/// The data of the event that ends a stream.
+pub(crate) const DONE: &str = "[DONE]";
+
+/// The event that ends a stream.
+pub(crate) const DONE_EVENT: &str = "data: [DONE]\n\n";
+
+#[derive(serde::Deserialize)]
+struct ChunkView<'a> {
+    #[serde(default, borrow)]
+    choices: Option<Vec<ChoiceView<'a>>>,
+    #[serde(default)]
+    token_index: Option<u64>,
+    #[serde(default)]
+    usage: Option<UsageView>,
+    #[serde(default)]
+    error: Option<serde::de::IgnoredAny>,
+}
+
+#[derive(serde::Deserialize)]
+struct ChoiceView<'a> {
+    #[serde(default, borrow)]
+    delta: Option<DeltaView<'a>>,
+    #[serde(default, borrow)]
+    text: Option<Cow<'a, str>>,
+    #[serde(default, borrow)]
+    finish_reason: Option<Cow<'a, str>>,
+}
+
+#[derive(serde::Deserialize)]
+struct DeltaView<'a> {
+    #[serde(default, borrow)]
+    content: Option<Cow<'a, str>>,
+    #[serde(default, borrow)]
+    reasoning_content: Option<Cow<'a, str>>,
+    #[serde(default)]
+    tool_calls: Option<Vec<serde::de::IgnoredAny>>,
+}
+
+/// Tokens as the engine counted them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, serde::Deserialize)]
+#[serde(default)]
+pub(crate) struct UsageView {
+    pub(crate) prompt_tokens: u64,
+    pub(crate) completion_tokens: u64,
+}
+
+/// What matters of an event.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(crate) struct ChunkFacts {
+    /// It ends the stream.
+    pub(crate) done: bool,
+    /// It carries a token.
+    pub(crate) token: bool,
+    /// Index of its token, where the engine tells.
+    pub(crate) token_index: Option<u64>,
+    /// Its text.
+    pub(crate) text: String,
+    /// It carries parts of tool calls.
+    pub(crate) tools: bool,
+    /// Why the answer ends here.
+    pub(crate) finish: Option<String>,
+    /// Tokens of the whole answer.
+    pub(crate) usage: Option<UsageView>,
+}
+
+/// Reads the data of an event.
+pub(crate) fn read_chunk(data: &str) -> Result<ChunkFacts, StreamFault> {
+    if data == DONE {
+        return Ok(ChunkFacts {
+            done: true,
+            ..ChunkFacts::default()
+        });
+    }
+    let view: ChunkView<'_> =
+        serde_json::from_str(data).map_err(|_| StreamFault::Garbage("data is not a chunk"))?;
+    if view.error.is_some() {
+        return Err(StreamFault::Error);
+    }
+    let Some(choices) = view.choices else {
+        return Err(StreamFault::Garbage("chunk has no choices"));
+    };
+    let mut facts = ChunkFacts {
+        token_index: view.token_index,
+        usage: view.usage,
+        ..ChunkFacts::default()
+    };
+    let Some(choice) = choices.into_iter().next() else {
+        return Ok(facts);
+    };
+    facts.finish = choice.finish_reason.map(Cow::into_owned);
+    if let Some(delta) = choice.delta {
+        facts.tools = delta.tool_calls.is_some_and(|calls| !calls.is_empty());
+        let thought = delta.reasoning_content.is_some_and(|text| !text.is_empty());
+        facts.text = delta.content.map(Cow::into_owned).unwrap_or_default();
+        facts.token = facts.tools || thought;
+    } else if let Some(text) = choice.text {
+        facts.text = text.into_owned();
+    }
+    facts.token |= !facts.text.is_empty() || facts.token_index.is_some();
+    Ok(facts)
+}
+
+/// Gives an event of a resumed stream the id and time of the first part.
+pub(crate) fn rewrite_chunk(data: &str, first: &serde_json::Value) -> Option<String> {
+    let mut chunk: serde_json::Value = serde_json::from_str(data).ok()?;
+    for field in ["id", "created", "model"] {
+        if let Some(value) = first.get(field) {
+            *chunk.get_mut(field)? = value.clone();
+        }
+    }
+    Some(format!("data: {chunk}\n\n"))
+}
--- /dev/null
+++ b/crates/usher_entry/src/model/handler.rs
@@ -0,0 +1,187 @@
+//! The HTTP handlers of model calls. Not for: the relay.
+
+use axum::{extract, response, response::IntoResponse as _, Json};
+use usher_policy::CallRequest;
+use usher_types::{ClockSource as _, WorkClass};
+
+use crate::{
+    body, core, error,
+    error::CallError,
+    identity,
+    model::{call, list, relay, whole},
+    outcome, parts,
+};
+
+/// Answers `POST /v1/chat/completions`.
+pub(crate) async fn chat<P>(
+    state: core::CoreState<P>,
+    headers: http::HeaderMap,
+    body: axum::body::Body,
+) -> response::Response
+where
+    P: parts::EntryParts,
+{
+    handle(state, headers, body, true).await
+}
+
+/// Answers `POST /v1/completions`.
+pub(crate) async fn complete<P>(
+    state: core::CoreState<P>,
+    headers: http::HeaderMap,
+    body: axum::body::Body,
+) -> response::Response
+where
+    P: parts::EntryParts,
+{
+    handle(state, headers, body, false).await
+}
+
+async fn handle<P>(
+    extract::State(core): core::CoreState<P>,
+    headers: http::HeaderMap,
+    body: axum::body::Body,
+    chat: bool,
+) -> response::Response
+where
+    P: parts::EntryParts,
+{
+    let mut identity = identity::CallIdentity::anonymous(&core.ids, core.now(), core.clock.wall());
+    let answered = answer(&core, &mut identity, &headers, body, chat).await;
+    let mut response = answered.unwrap_or_else(error::CallError::into_response);
+    identity.mark(&mut response);
+    response
+}
+
+async fn answer<P>(
+    core: &std::sync::Arc<core::EntryCore<P>>,
+    identity: &mut identity::CallIdentity,
+    headers: &http::HeaderMap,
+    body: axum::body::Body,
+    chat: bool,
+) -> Result<response::Response, CallError>
+where
+    P: parts::EntryParts,
+{
+    identity.read(headers)?;
+    let body = body::read_body(body, &core.options).await?;
+    let mut call = call::ModelCall::read(&body, chat)?;
+    let place = core.find_model(&call.model);
+    if let Err((error, cause)) = core.check_open() {
+        let service = place.map(|place| place.service).unwrap_or_default();
+        core.refuse_call(identity, service, cause);
+        return Err(error);
+    }
+    let place = place.ok_or_else(|| CallError::unknown_model(&call.model))?;
+    let request = make_request(core, identity, &call, &place);
+    call.model = place.model.to_string();
+    let mut relay = relay::Relay::new(core.clone(), identity.clone(), request, &call);
+    relay.open().await?;
+    if call.stream {
+        Ok(stream_answer(relay))
+    } else {
+        whole_answer(relay, &call).await
+    }
+}
+
+fn make_request<P>(
+    core: &core::EntryCore<P>,
+    identity: &identity::CallIdentity,
+    call: &call::ModelCall,
+    place: &list::ModelPlace,
+) -> CallRequest
+where
+    P: parts::EntryParts,
+{
+    let output = call.max_tokens.map(usher_types::TokenCount::new);
+    let output = output.unwrap_or(core.options.usual_output);
+    CallRequest {
+        id: identity.engine_id.clone(),
+        service: place.service.clone(),
+        model: Some(place.model.clone()),
+        adapter: place.adapter.clone(),
+        team: identity.team.clone(),
+        firm: identity.firm.clone(),
+        class: WorkClass::of(call.prompt, output),
+        prompt: call.prompt,
+        prefixes: call.prefixes.clone(),
+        output,
+        arrived: identity.arrived,
+        deadline: identity.deadline,
+        idempotent: true,
+        delivered: usher_types::TokenCount::default(),
+        avoid: Vec::new(),
+        region: None,
+    }
+}
+
+/// Passes the stream on; the relay is read only as fast as the caller takes its bytes.
+fn stream_answer<P>(relay: relay::Relay<P>) -> response::Response
+where
+    P: parts::EntryParts,
+{
+    let events = futures_util::stream::unfold(Some(relay), |relay| async move {
+        let mut relay = relay?;
+        match relay.next().await {
+            Ok(Some(event)) => {
+                let bytes = Ok::<_, std::convert::Infallible>(event.raw);
+                Some((bytes, Some(relay)))
+            }
+            Ok(None) => None,
+            Err(error) => {
+                // The status is sent already; the missing last event tells of the failure too.
+                let text = format!("data: {}\n\n", error.to_json());
+                Some((Ok(bytes::Bytes::from(text)), None))
+            }
+        }
+    });
+    let headers = [
+        (http::header::CONTENT_TYPE, "text/event-stream"),
+        (http::header::CACHE_CONTROL, "no-cache"),
+    ];
+    (headers, axum::body::Body::from_stream(events)).into_response()
+}
+
+async fn whole_answer<P>(
+    mut relay: relay::Relay<P>,
+    call: &call::ModelCall,
+) -> Result<response::Response, CallError>
+where
+    P: parts::EntryParts,
+{
+    let mut answer = whole::WholeAnswer::default();
+    while let Some(event) = relay.next().await? {
+        answer.add(&event);
+    }
+    Ok(Json(answer.to_json(call.chat, &call.model)).into_response())
+}
+
+impl<P> core::EntryCore<P>
+where
+    P: parts::EntryParts,
+{
+    /// Records a call that was refused before a target was chosen.
+    pub(crate) fn refuse_call(
+        &self,
+        identity: &identity::CallIdentity,
+        service: usher_types::ServiceName,
+        cause: outcome::OutcomeCause,
+    ) {
+        let now = self.now();
+        self.finish_call(outcome::OutcomeEvent {
+            request: identity.id.clone(),
+            service,
+            team: identity.team.clone(),
+            firm: identity.firm.clone(),
+            class: WorkClass::Short,
+            cause,
+            at: identity.arrived_wall,
+            first_token: None,
+            total: now.saturating_duration_since(identity.arrived),
+            tokens: 0,
+            retries: 0,
+            hedged: false,
+            target: None,
+            region: None,
+        });
+    }
+}
--- /dev/null
+++ b/crates/usher_entry/src/model/mod.rs
@@ -0,0 +1,14 @@
+//! Calls of models: from the caller's body to the engine's stream and back. Not for: plain services.
+
+mod call;
+mod chunk;
+mod handler;
+mod list;
+mod prompt;
+mod relay;
+mod sse;
+mod stream;
+mod whole;
+
+pub(crate) use handler::{chat, complete};
+pub(crate) use list::list;
--- /dev/null
+++ b/crates/usher_entry/src/model/prompt.rs
@@ -0,0 +1,68 @@
+//! Prompts as tokens and prefixes, counted as engines do. Not for: checking a body.
+
+use usher_policy::PrefixMark;
+use usher_types::{TokenCount, TOKENS_PER_PIECE};
+
+/// How many bytes of text count as one token; engines count exactly, this is for planning.
+const BYTES_PER_TOKEN: u64 = 4;
+
+/// Bytes of text in one piece of engine memory.
+const BYTES_PER_PIECE: usize = (TOKENS_PER_PIECE * BYTES_PER_TOKEN) as usize;
+
+/// Pieces whose prefixes are hashed; longer shared prefixes are rare and hashing costs time.
+const MAX_MARKS: usize = 64;
+
+/// Collects the text of a prompt, role and content of each message in turn.
+pub(crate) fn prompt_text(body: &serde_json::Map<String, serde_json::Value>) -> String {
+    let mut text = String::new();
+    match body.get("messages").and_then(serde_json::Value::as_array) {
+        Some(messages) => {
+            for message in messages {
+                push_text(&mut text, message.get("role"));
+                text.push('\n');
+                push_text(&mut text, message.get("content"));
+                text.push('\n');
+            }
+        }
+        None => push_text(&mut text, body.get("prompt")),
+    }
+    text
+}
+
+fn push_text(text: &mut String, value: Option<&serde_json::Value>) {
+    match value {
+        Some(serde_json::Value::String(part)) => text.push_str(part),
+        Some(serde_json::Value::Array(parts)) => {
+            for part in parts {
+                push_text(text, part.get("text").or(Some(part)));
+            }
+        }
+        _ => {}
+    }
+}
+
+/// Counts the tokens of a text, at least 1.
+pub(crate) fn count_tokens(text: &str) -> TokenCount {
+    let bytes = text.len() as u64;
+    TokenCount::new(bytes.div_ceil(BYTES_PER_TOKEN).max(1))
+}
+
+/// Marks the whole pieces at the start of a prompt with the hashes that engines publish.
+pub(crate) fn prefix_marks(text: &str) -> Vec<PrefixMark> {
+    let mut hash: u64 = 0xCBF2_9CE4_8422_2325;
+    let pieces = text
+        .as_bytes()
+        .chunks_exact(BYTES_PER_PIECE)
+        .take(MAX_MARKS);
+    let marks = pieces.zip(1_u64..).map(|(piece, number)| {
+        // 64-bit FNV-1a over everything up to here.
+        for byte in piece {
+            hash = (hash ^ u64::from(*byte)).wrapping_mul(0x0000_0100_0000_01B3);
+        }
+        PrefixMark {
+            hash,
+            tokens: TokenCount::new(number * TOKENS_PER_PIECE),
+        }
+    });
+    marks.collect()
+}
--- /dev/null
+++ b/crates/usher_entry/src/model/sse.rs
@@ -0,0 +1,122 @@
+//! Splits an engine's response into SSE events. Not for: what an event means.
+
+use http_body_util::BodyExt as _;
+
+/// The longest event that is accepted, in bytes.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
+/// Tells why a stream can't be read on.
+#[derive(Clone, Debug, PartialEq, thiserror::Error)]
+pub(crate) enum StreamFault {
+    /// The connection broke.
+    #[error("connection broke: {0}")]
+    Broken(String),
+    /// The stream ended before its last event.
+    #[error("stream ended early")]
+    Cut,
+    /// The bytes aren't what an engine sends.
+    #[error("stream holds garbage: {0}")]
+    Garbage(&'static str),
+    /// Nothing arrived for too long.
+    #[error("stream stalled")]
+    Stalled,
+    /// The engine sent an error.
+    #[error("engine reported an error")]
+    Error,
+    /// This entry ends its streams.
+    #[error("entry is stopping")]
+    Stopping,
+}
+
+/// Reads events from a response body; keeps at most one event in memory.
+#[derive(Debug)]
+pub(crate) struct SseReader {
+    body: hyper::body::Incoming,
+    buffer: bytes::BytesMut,
+    // How far the buffer has been searched for the end of an event.
+    searched: usize,
+}
+
+impl SseReader {
+    pub(crate) fn new(body: hyper::body::Incoming) -> Self {
+        Self {
+            body,
+            buffer: bytes::BytesMut::new(),
+            searched: 0,
+        }
+    }
+
+    /// Returns the next event with the empty line that ends it, or `None` at the end of the body.
+    pub(crate) async fn next(&mut self) -> Result<Option<bytes::Bytes>, StreamFault> {
+        loop {
+            if let Some(event) = self.split() {
+                return Ok(Some(event));
+            }
+            if self.buffer.len() > MAX_EVENT_BYTES {
+                return Err(StreamFault::Garbage("event is too long"));
+            }
+            match self.body.frame().await {
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        self.buffer.extend_from_slice(&data);
+                    }
+                }
+                Some(Err(error)) => return Err(StreamFault::Broken(error.to_string())),
+                None if self.buffer.iter().all(u8::is_ascii_whitespace) => return Ok(None),
+                None => return Err(StreamFault::Cut),
+            }
+        }
+    }
+
+    fn split(&mut self) -> Option<bytes::Bytes> {
+        let start = self.searched.saturating_sub(3);
+        let found = find_end(self.buffer.get(start..)?);
+        match found {
+            Some(length) => {
+                self.searched = 0;
+                Some(self.buffer.split_to(start + length).freeze())
+            }
+            None => {
+                self.searched = self.buffer.len();
+                None
+            }
+        }
+    }
+}
+
+/// Returns the length up to and including the first empty line.
+fn find_end(bytes: &[u8]) -> Option<usize> {
+    let mut from = 0;
+    while let Some(at) = bytes.get(from..)?.iter().position(|byte| *byte == b'\n') {
+        let next = from + at + 1;
+        match bytes.get(next..)? {
+            [b'\n', ..] => return Some(next + 1),
+            [b'\r', b'\n', ..] => return Some(next + 2),
+            _ => from = next,
+        }
+    }
+    None
+}
+
+/// Returns the data of an event; `None` for an event without data, such as a comment.
+pub(crate) fn event_data(event: &[u8]) -> Result<Option<&str>, StreamFault> {
+    let text = std::str::from_utf8(event).map_err(|_| StreamFault::Garbage("not UTF-8"))?;
+    let mut data = None;
+    for line in text.lines() {
+        if let Some(value) = line.strip_prefix("data:") {
+            if data.replace(value.trim_start()).is_some() {
+                return Err(StreamFault::Garbage("event has several data lines"));
+            }
+            continue;
+        }
+        let known = line.is_empty()
+            || line.starts_with(':')
+            || ["event:", "id:", "retry:"]
+                .iter()
+                .any(|name| line.starts_with(name));
+        if !known {
+            return Err(StreamFault::Garbage("line is not SSE"));
+        }
+    }
+    Ok(data)
+}
--- /dev/null
+++ b/crates/usher_entry/src/model/whole.rs
@@ -0,0 +1,91 @@
+//! Collects a stream into one JSON answer. Not for: streams that are passed on.
+
+use serde_json::{json, Value};
+
+use crate::model::{chunk, relay, sse};
+
+/// The parts of an answer so far.
+#[derive(Debug, Default)]
+pub(crate) struct WholeAnswer {
+    head: Option<Value>,
+    text: String,
+    tool_calls: Vec<Value>,
+    finish: Option<String>,
+    usage: chunk::UsageView,
+    tokens: u64,
+}
+
+impl WholeAnswer {
+    /// Takes one event.
+    pub(crate) fn add(&mut self, event: &relay::RelayEvent) {
+        let facts = &event.facts;
+        if self.head.is_none() || facts.tools {
+            let data = sse::event_data(&event.raw).ok().flatten();
+            let chunk: Option<Value> = data.and_then(|data| serde_json::from_str(data).ok());
+            if let Some(chunk) = chunk {
+                self.add_tools(&chunk);
+                self.head.get_or_insert(chunk);
+            }
+        }
+        self.text.push_str(&facts.text);
+        self.tokens += u64::from(facts.token);
+        if let Some(finish) = &facts.finish {
+            self.finish = Some(finish.clone());
+        }
+        if let Some(usage) = facts.usage {
+            self.usage = usage;
+        }
+    }
+
+    /// Joins the parts of tool calls, which arrive split like text.
+    fn add_tools(&mut self, chunk: &Value) {
+        let Some(parts) = chunk["choices"][0]["delta"]["tool_calls"].as_array() else {
+            return;
+        };
+        for part in parts {
+            let index = part["index"].as_u64().unwrap_or(0);
+            let known = self
+                .tool_calls
+                .iter_mut()
+                .find(|call| call["index"] == index);
+            let Some(known) = known else {
+                self.tool_calls.push(part.clone());
+                continue;
+            };
+            let more = part["function"]["arguments"].as_str().unwrap_or("");
+            let arguments = known["function"]["arguments"].as_str().unwrap_or("");
+            let joined = format!("{arguments}{more}");
+            known["function"]["arguments"] = joined.into();
+        }
+    }
+
+    /// Writes the answer.
+    pub(crate) fn to_json(&self, chat: bool, model: &str) -> Value {
+        let head = self.head.as_ref().unwrap_or(&Value::Null);
+        let finish = self.finish.as_deref();
+        let (object, choice) = if chat {
+            let mut message = json!({ "role": "assistant", "content": self.text });
+            if !self.tool_calls.is_empty() {
+                message["tool_calls"] = self.tool_calls.clone().into();
+            }
+            let choice = json!({ "index": 0, "message": message, "finish_reason": finish });
+            ("chat.completion", choice)
+        } else {
+            let choice = json!({ "index": 0, "text": self.text, "finish_reason": finish });
+            ("text_completion", choice)
+        };
+        let completion_tokens = self.usage.completion_tokens.max(self.tokens);
+        json!({
+            "id": head["id"],
+            "object": object,
+            "created": head["created"],
+            "model": head.get("model").and_then(Value::as_str).unwrap_or(model),
+            "choices": [choice],
+            "usage": {
+                "prompt_tokens": self.usage.prompt_tokens,
+                "completion_tokens": completion_tokens,
+                "total_tokens": self.usage.prompt_tokens + completion_tokens,
+            },
+        })
+    }
+}
--- /dev/null
+++ b/crates/usher_entry/src/parts.rs
@@ -0,0 +1,36 @@
+//! The exchangeable parts of an entry, as types. Not for: their values.
+
+use std::marker;
+
+use crate::{link, outcome, policy};
+
+/// Names the types that an entry is put together from; all calls are static.
+pub trait EntryParts: Sized + 'static {
+    /// Connection to control.
+    type Link: link::ControlLink;
+    /// Clock.
+    type Clock: usher_types::ClockSource;
+    /// Receiver of outcomes.
+    type Outcomes: outcome::OutcomeSink;
+    /// Decisions.
+    type Policy: policy::DecisionPolicy;
+}
+
+/// Joins four types to the parts of an entry.
+pub struct PartSet<L, C, O, D>(marker::PhantomData<PartTypes<L, C, O, D>>);
+
+// A function type, so that the set is Send and Sync whatever the parts are.
+type PartTypes<L, C, O, D> = fn() -> (L, C, O, D);
+
+impl<L, C, O, D> EntryParts for PartSet<L, C, O, D>
+where
+    L: link::ControlLink,
+    C: usher_types::ClockSource,
+    O: outcome::OutcomeSink,
+    D: policy::DecisionPolicy,
+{
+    type Link = L;
+    type Clock = C;
+    type Outcomes = O;
+    type Policy = D;
+}
--- /dev/null
+++ b/crates/usher_entry/src/plain/answer.rs
@@ -0,0 +1,118 @@
+//! Reading the answer of a plain target and passing it on. Not for: choosing the target.
+
+use axum::response::{self, IntoResponse as _};
+use http_body_util::BodyExt as _;
+use usher_types::RunState;
+use usher_wire::message;
+
+use crate::{
+    client::SendError,
+    error::CallError,
+    plain::{call, claim},
+};
+
+/// An answer whose beginning has been read.
+pub(crate) struct PlainAnswer {
+    pub(crate) status: http::StatusCode,
+    headers: http::HeaderMap,
+    begin: bytes::Bytes,
+    // The rest of an answer that is longer than what control keeps.
+    rest: Option<hyper::body::Incoming>,
+}
+
+impl PlainAnswer {
+    /// Reads the beginning of an answer, or all of it when it is short.
+    pub(crate) async fn read(
+        response: http::Response<hyper::body::Incoming>,
+    ) -> Result<Self, SendError> {
+        let (parts, mut body) = response.into_parts();
+        let mut begin = bytes::BytesMut::new();
+        let mut rest = None;
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|error| SendError::Unknown(error.to_string()))?;
+            if let Ok(data) = frame.into_data() {
+                begin.extend_from_slice(&data);
+            }
+            if begin.len() > claim::MAX_KEPT_ANSWER {
+                rest = Some(body);
+                break;
+            }
+        }
+        Ok(Self {
+            status: parts.status,
+            headers: call::answer_headers(&parts.headers),
+            begin: begin.freeze(),
+            rest,
+        })
+    }
+
+    /// Returns the answer as control keeps it.
+    pub(crate) fn to_record(&self) -> message::RecordedAnswer {
+        let kind = self.headers.get(http::header::CONTENT_TYPE);
+        let truncated = self.rest.is_some();
+        message::RecordedAnswer {
+            status: self.status.as_u16().into(),
+            content_type: kind
+                .and_then(|kind| kind.to_str().ok())
+                .unwrap_or_default()
+                .to_owned(),
+            body: if truncated {
+                Vec::new()
+            } else {
+                self.begin.to_vec()
+            },
+            truncated,
+        }
+    }
+
+    /// Splits off the rest, which is still to be read from the target.
+    pub(crate) fn take_rest(&mut self) -> Option<hyper::body::Incoming> {
+        self.rest.take()
+    }
+
+    /// Makes the caller's response, followed by `rest` after what has been read.
+    pub(crate) fn into_response(self, rest: Option<axum::body::Body>) -> response::Response {
+        let body = match rest {
+            None => axum::body::Body::from(self.begin),
+            Some(rest) => {
+                use futures_util::StreamExt as _;
+                let begin = futures_util::stream::iter([Ok(self.begin)]);
+                axum::body::Body::from_stream(begin.chain(rest.into_data_stream()))
+            }
+        };
+        let mut response = body.into_response();
+        *response.status_mut() = self.status;
+        *response.headers_mut() = self.headers;
+        response
+    }
+}
+
+/// Gives a recorded answer again.
+pub(crate) fn replay(answer: message::RecordedAnswer) -> Result<response::Response, CallError> {
+    let status = u16::try_from(answer.status).unwrap_or_default();
+    let status = http::StatusCode::from_u16(status).unwrap_or(http::StatusCode::OK);
+    if answer.truncated {
+        let message =
+            format!("the call ran and was answered with {status}; the answer was too long to keep");
+        let conflict = http::StatusCode::CONFLICT;
+        return Err(CallError::key(
+            conflict,
+            "answer_not_kept",
+            message,
+            RunState::Unknown,
+        ));
+    }
+    let mut response = axum::body::Body::from(answer.body).into_response();
+    *response.status_mut() = status;
+    let headers = response.headers_mut();
+    if let Ok(kind) = http::HeaderValue::from_str(&answer.content_type) {
+        if !kind.is_empty() {
+            headers.insert(http::header::CONTENT_TYPE, kind);
+        }
+    }
+    headers.insert(
+        "idempotency-replayed",
+        http::HeaderValue::from_static("true"),
+    );
+    Ok(response)
+}
--- /dev/null
+++ b/crates/usher_entry/src/plain/claim.rs
@@ -0,0 +1,239 @@
+//! Claims of non-idempotent calls at control. Not for: sending the calls.
+
+use std::{sync, time};
+
+use usher_types::RunState;
+use usher_wire::message::{self, ClaimState, FinishKind};
+
+use crate::{
+    core,
+    error::CallError,
+    identity,
+    link::{ControlLink as _, LinkError},
+    parts,
+    plain::{call, key},
+};
+
+/// The longest answer that control keeps.
+pub(crate) const MAX_KEPT_ANSWER: usize = 64 << 10;
+
+/// How often a claim whose reply was lost is asked for again.
+const CLAIM_TRIES: u32 = 3;
+
+/// Time between two looks at a call that is running.
+const RUNNING_PAUSE: time::Duration = time::Duration::from_millis(50);
+
+/// First and longest pause between two tries to record an outcome.
+const FINISH_PAUSE: time::Duration = time::Duration::from_millis(100);
+const FINISH_PAUSE_MAX: time::Duration = time::Duration::from_secs(5);
+
+/// How long the recording of an outcome is tried; then control's view of this entry decides.
+const FINISH_TIME: time::Duration = time::Duration::from_secs(600);
+
+/// A claim that this call holds: it may be sent once.
+pub(crate) struct HeldClaim<P>
+where
+    P: parts::EntryParts,
+{
+    core: sync::Arc<core::EntryCore<P>>,
+    key: String,
+    request: usher_types::RequestId,
+    open: bool,
+}
+
+/// What control says of a claim.
+pub(crate) enum ClaimAnswer<P>
+where
+    P: parts::EntryParts,
+{
+    /// The call may be sent.
+    Held(HeldClaim<P>),
+    /// The call was answered before.
+    Recorded(message::RecordedAnswer),
+}
+
+impl<P> HeldClaim<P>
+where
+    P: parts::EntryParts,
+{
+    /// Claims a call, waiting for an earlier one under the same key to end.
+    pub(crate) async fn claim(
+        core: &sync::Arc<core::EntryCore<P>>,
+        identity: &identity::CallIdentity,
+        call: &call::PlainCall,
+        caller_key: &str,
+    ) -> Result<ClaimAnswer<P>, CallError> {
+        let request = message::ClaimCall {
+            key: key::scoped_key(caller_key, identity),
+            fingerprint: call.fingerprint(identity),
+            entry: Some(core.node_identity()),
+            request_id: identity.engine_id.to_string(),
+        };
+        let give_up = core.now() + core.options.running_wait;
+        loop {
+            let reply = ask(core, &request).await?;
+            core.metrics
+                .add_tagged("entry.claims", "state", state_name(reply.state()));
+            match reply.state() {
+                ClaimState::Claimed => {
+                    return Ok(ClaimAnswer::Held(Self {
+                        core: core.clone(),
+                        key: request.key,
+                        request: identity.engine_id.clone(),
+                        open: true,
+                    }));
+                }
+                ClaimState::Running if core.now() < give_up => {
+                    tokio::time::sleep(RUNNING_PAUSE).await;
+                }
+                ClaimState::Finished => {
+                    return Ok(ClaimAnswer::Recorded(reply.answer.unwrap_or_default()));
+                }
+                state => return Err(refusal(state)),
+            }
+        }
+    }
+
+    /// Gives the claim back; only right when no byte was written to a target.
+    pub(crate) fn release(mut self) {
+        self.end(FinishKind::Released, None);
+    }
+
+    /// Records that the call may have run.
+    pub(crate) fn lose(mut self) {
+        self.end(FinishKind::Unknown, None);
+    }
+
+    /// Records the answer; returns once it is committed, or after the time that options allow.
+    pub(crate) async fn answer(mut self, answer: message::RecordedAnswer) {
+        let wait = self.core.options.finish_wait;
+        if let Some(recording) = self.end(FinishKind::Answered, Some(answer)) {
+            let _ = tokio::time::timeout(wait, recording).await;
+        }
+    }
+
+    fn end(
+        &mut self,
+        kind: FinishKind,
+        answer: Option<message::RecordedAnswer>,
+    ) -> Option<tokio::task::JoinHandle<()>> {
+        if !std::mem::take(&mut self.open) {
+            return None;
+        }
+        let finish = message::FinishClaim {
+            key: self.key.clone(),
+            entry: Some(self.core.node_identity()),
+            request_id: self.request.to_string(),
+            kind: kind.into(),
+            answer,
+        };
+        let runtime = tokio::runtime::Handle::try_current().ok()?;
+        Some(runtime.spawn(record(self.core.clone(), finish)))
+    }
+}
+
+impl<P> Drop for HeldClaim<P>
+where
+    P: parts::EntryParts,
+{
+    fn drop(&mut self) {
+        // A call that was abandoned at an unknown point may have run.
+        self.end(FinishKind::Unknown, None);
+    }
+}
+
+/// Asks for a claim; a lost reply is asked for again, as the same request holds the same claim.
+async fn ask<P>(
+    core: &sync::Arc<core::EntryCore<P>>,
+    request: &message::ClaimCall,
+) -> Result<message::ClaimReply, CallError>
+where
+    P: parts::EntryParts,
+{
+    let mut last = String::new();
+    let mut lost = false;
+    for _ in 0..CLAIM_TRIES {
+        match core.link.claim(request.clone()).await {
+            Ok(reply) => return Ok(reply),
+            Err(LinkError::Refused(message)) => return Err(CallError::invalid(None, message)),
+            Err(error) => {
+                lost |= matches!(error, LinkError::Unknown(_));
+                last = error.to_string();
+            }
+        }
+    }
+    if lost {
+        // The claim may be held although this call isn't sent; give it back in the background.
+        let finish = message::FinishClaim {
+            key: request.key.clone(),
+            entry: request.entry.clone(),
+            request_id: request.request_id.clone(),
+            kind: FinishKind::Released.into(),
+            answer: None,
+        };
+        tokio::spawn(record(core.clone(), finish));
+    }
+    let message = format!("the call can't be claimed: {last}");
+    Err(CallError::unavailable("no_claim", message))
+}
+
+/// Records an outcome, trying until control has it.
+async fn record<P>(core: sync::Arc<core::EntryCore<P>>, finish: message::FinishClaim)
+where
+    P: parts::EntryParts,
+{
+    let give_up = core.now() + FINISH_TIME;
+    let mut pause = FINISH_PAUSE;
+    while core.now() < give_up {
+        match core.link.finish(finish.clone()).await {
+            Ok(()) => return,
+            Err(LinkError::Refused(message)) => {
+                tracing::warn!(key = finish.key, message, "outcome was refused");
+                return;
+            }
+            Err(error) => {
+                core.metrics.add("entry.claims.unrecorded");
+                tracing::debug!(key = finish.key, %error, "outcome isn't recorded yet");
+            }
+        }
+        tokio::time::sleep(pause).await;
+        pause = pause.saturating_mul(2).min(FINISH_PAUSE_MAX);
+    }
+    tracing::error!(key = finish.key, "outcome could not be recorded");
+}
+
+fn state_name(state: ClaimState) -> &'static str {
+    match state {
+        ClaimState::Claimed => "claimed",
+        ClaimState::Running => "running",
+        ClaimState::Finished => "finished",
+        ClaimState::Unknown => "unknown",
+        ClaimState::Mismatch => "mismatch",
+        ClaimState::Expired => "expired",
+        ClaimState::Unspecified => "unspecified",
+    }
+}
+
+fn refusal(state: ClaimState) -> CallError {
+    let conflict = http::StatusCode::CONFLICT;
+    let unprocessable = http::StatusCode::UNPROCESSABLE_ENTITY;
+    match state {
+        ClaimState::Running => {
+            let message = "a call under this key is running";
+            let error = CallError::key(conflict, "key_running", message, RunState::Unknown);
+            error.with_retry_after(time::Duration::from_secs(1))
+        }
+        ClaimState::Mismatch => {
+            let message = "this key was used for a different call";
+            CallError::key(unprocessable, "key_mismatch", message, RunState::NotRun)
+        }
+        ClaimState::Expired => {
+            let message = "this key is too old: whether its call ran is no longer known";
+            CallError::key(unprocessable, "key_expired", message, RunState::Unknown)
+        }
+        _ => {
+            let message = "the call under this key may have run and will not be run again";
+            CallError::key(conflict, "outcome_unknown", message, RunState::Unknown)
+        }
+    }
+}
--- /dev/null
+++ b/crates/usher_entry/src/plain/handler.rs
@@ -0,0 +1,88 @@
+//! The HTTP handler of plain calls. Not for: running them.
+
+use std::sync;
+
+use axum::{extract, response, response::IntoResponse as _};
+use usher_types::ClockSource as _;
+
+use crate::{
+    body, core,
+    error::CallError,
+    identity, parts,
+    plain::{answer, call, claim, key, run},
+};
+
+/// Answers all methods under `/svc/{service}`.
+pub(crate) async fn handle<P>(
+    extract::State(core): core::CoreState<P>,
+    request: extract::Request,
+) -> response::Response
+where
+    P: parts::EntryParts,
+{
+    let mut identity = identity::CallIdentity::anonymous(&core.ids, core.now(), core.clock.wall());
+    let answered = answer_call(&core, &mut identity, request).await;
+    let mut response = answered.unwrap_or_else(CallError::into_response);
+    identity.mark(&mut response);
+    response
+}
+
+async fn answer_call<P>(
+    core: &sync::Arc<core::EntryCore<P>>,
+    identity: &mut identity::CallIdentity,
+    request: extract::Request,
+) -> Result<response::Response, CallError>
+where
+    P: parts::EntryParts,
+{
+    let (parts, body) = request.into_parts();
+    identity.read(&parts.headers)?;
+    let body = body::read_body(body, &core.options).await?;
+    let path = parts.uri.path().strip_prefix("/svc/").unwrap_or_default();
+    let service = path.split('/').next().unwrap_or_default().to_owned();
+    let mut call = call::PlainCall::read(&service, &parts, body)?;
+    if let Err((error, cause)) = core.check_open() {
+        core.refuse_call(identity, call.service, cause);
+        return Err(error);
+    }
+    if !call.idempotent && call.key.is_none() {
+        let wall = core.clock.wall();
+        call.key = Some(key::make_key(wall, &identity.engine_id));
+    }
+    let mut run = run::PlainRun::new(core.clone(), identity.clone(), call.clone());
+    run.admit()?;
+    if call.idempotent || core.options.removed.claims {
+        return run.run().await;
+    }
+    // Its own task: the outcome is recorded also when the caller goes away.
+    let task = tokio::spawn(run_claimed(core.clone(), identity.clone(), call, run));
+    let answered = match identity.deadline {
+        Some(deadline) => {
+            let left = deadline.saturating_duration_since(core.now());
+            let waited = tokio::time::timeout(left, task).await;
+            waited.map_err(|_| CallError::deadline())?
+        }
+        None => task.await,
+    };
+    answered.unwrap_or_else(|error| {
+        tracing::error!(%error, "task of a call ended without an answer");
+        let run = usher_types::RunState::Unknown;
+        Err(CallError::target("internal", "the call was lost", run))
+    })
+}
+
+async fn run_claimed<P>(
+    core: sync::Arc<core::EntryCore<P>>,
+    identity: identity::CallIdentity,
+    call: call::PlainCall,
+    run: run::PlainRun<P>,
+) -> Result<response::Response, CallError>
+where
+    P: parts::EntryParts,
+{
+    let caller_key = call.key.as_deref().unwrap_or_default();
+    match claim::HeldClaim::claim(&core, &identity, &call, caller_key).await? {
+        claim::ClaimAnswer::Held(held) => run.run_claimed(held).await,
+        claim::ClaimAnswer::Recorded(recorded) => answer::replay(recorded),
+    }
+}
--- /dev/null
+++ b/crates/usher_entry/src/plain/run.rs
@@ -0,0 +1,378 @@
+//! Runs one plain call: attempts, retries, and the record of a claimed one. Not for: claiming.
+
+use std::{sync, time};
+
+use axum::response;
+use http_body_util::BodyExt as _;
+use usher_policy::{CallRequest, FailureKind, RetryDecision, RouteDecision};
+use usher_types::RunState;
+
+use crate::{
+    attempt::AttemptGuard,
+    client::SendError,
+    core,
+    error::CallError,
+    identity,
+    outcome::{self, OutcomeCause},
+    parts,
+    plain::{answer::PlainAnswer, call::PlainCall, claim::HeldClaim},
+    policy::DecisionPolicy as _,
+};
+
+/// Parts of a long answer that wait for the caller.
+const REST_QUEUE: usize = 16;
+
+/// A plain call on its way.
+pub(crate) struct PlainRun<P>
+where
+    P: parts::EntryParts,
+{
+    core: sync::Arc<core::EntryCore<P>>,
+    _running: core::RunningGuard<P>,
+    identity: identity::CallIdentity,
+    call: PlainCall,
+    request: CallRequest,
+    attempts: u32,
+    recorded: bool,
+    target: Option<(usher_types::TargetName, usher_types::RegionName)>,
+}
+
+/// Why an attempt gave no answer.
+struct Failure {
+    kind: FailureKind,
+    target: usher_types::TargetName,
+    message: String,
+    // A busy target's own answer, passed on when there is no retry.
+    answer: Option<PlainAnswer>,
+}
+
+impl<P> PlainRun<P>
+where
+    P: parts::EntryParts,
+{
+    pub(crate) fn new(
+        core: sync::Arc<core::EntryCore<P>>,
+        identity: identity::CallIdentity,
+        call: PlainCall,
+    ) -> Self {
+        let id = identity.engine_id.as_str();
+        let mut request = CallRequest::new(id, call.service.as_str(), identity.arrived);
+        request.team = identity.team.clone();
+        request.firm = identity.firm.clone();
+        request.deadline = identity.deadline;
+        request.idempotent = call.idempotent;
+        Self {
+            _running: core::RunningGuard::new(core.clone()),
+            core,
+            identity,
+            call,
+            request,
+            attempts: 0,
+            recorded: false,
+            target: None,
+        }
+    }
+
+    /// Decides whether the call is accepted.
+    pub(crate) fn admit(&mut self) -> Result<(), CallError> {
+        let now = self.core.now();
+        let (decision, verdict) = {
+            let mut board = self.core.board();
+            board.count_demand(&self.request);
+            let decision = board.policy.choose(&self.request, now);
+            let verdict = board.policy.admit(&self.request, &decision, now);
+            (decision, verdict)
+        };
+        let Some(reason) = verdict.refused else {
+            return Ok(());
+        };
+        let unknown = decision.target == Err(usher_policy::NoRoute::UnknownService);
+        let message = format!("call is refused: {reason:?}");
+        self.core
+            .explain(&self.identity, "refuse", &decision, message.clone());
+        self.record(OutcomeCause::Refused);
+        if unknown && !self.core.knows_service(&self.call.service) {
+            let message = format!("service {} does not exist", self.call.service);
+            return Err(CallError::not_found(message));
+        }
+        let error = match reason {
+            usher_policy::RefuseReason::NoTarget => CallError::unavailable("no_target", message),
+            _ => CallError::limited("refused", message),
+        };
+        Err(error.with_retry_after(verdict.retry_after))
+    }
+
+    /// Runs an idempotent call, with retries.
+    pub(crate) async fn run(mut self) -> Result<response::Response, CallError> {
+        let (answer, guard) = self.attempts().await?;
+        self.pass_on(answer, guard, None).await
+    }
+
+    /// Runs a claimed call; it is sent once at most, whatever becomes of its caller.
+    pub(crate) async fn run_claimed(
+        mut self,
+        claim: HeldClaim<P>,
+    ) -> Result<response::Response, CallError> {
+        match self.attempts().await {
+            Ok((answer, guard)) => self.pass_on(answer, guard, Some(claim)).await,
+            Err(error) => {
+                match error.run {
+                    RunState::NotRun => claim.release(),
+                    RunState::Unknown => claim.lose(),
+                }
+                Err(error)
+            }
+        }
+    }
+
+    async fn attempts(&mut self) -> Result<(PlainAnswer, AttemptGuard<P>), CallError> {
+        loop {
+            // The claim may have taken longer than the right lasted.
+            if let Err((error, cause)) = self.core.check_right() {
+                self.record(cause);
+                return Err(error);
+            }
+            let now = self.core.now();
+            let decision = self.core.board().policy.choose(&self.request, now);
+            self.core
+                .explain(&self.identity, "route", &decision, String::new());
+            let failure = match self.attempt(&decision).await {
+                Ok(answered) => return Ok(answered),
+                Err(failure) => failure,
+            };
+            if let Some(answered) = self.after_failure(failure)? {
+                return Ok(answered);
+            }
+        }
+    }
+
+    async fn attempt(
+        &mut self,
+        decision: &RouteDecision,
+    ) -> Result<(PlainAnswer, AttemptGuard<P>), Failure> {
+        let not_sent = |target, message: &str| Failure {
+            kind: FailureKind::NotSent,
+            target,
+            message: message.to_owned(),
+            answer: None,
+        };
+        let nobody = usher_types::TargetName::default();
+        let Ok(slot) = decision.target else {
+            return Err(not_sent(nobody, "no target is available at the moment"));
+        };
+        self.attempts += 1;
+        let guard = AttemptGuard::begin(&self.core, &self.request, slot, None);
+        let Some(guard) = guard else {
+            return Err(not_sent(nobody, "target is gone"));
+        };
+        self.target = Some((guard.name.clone(), guard.region.clone()));
+        let request = self.call.to_http(guard.address, &self.identity.id);
+        let request = match request {
+            Ok(request) => request,
+            Err(error) => return Err(not_sent(guard.name.clone(), &error.to_string())),
+        };
+        let exchange = async {
+            let response = self.core.client.send(request).await?;
+            PlainAnswer::read(response).await
+        };
+        let result = tokio::time::timeout(self.time_left(), exchange).await;
+        let result = result.unwrap_or_else(|_| Err(SendError::Unknown("no answer in time".into())));
+        let target = guard.name.clone();
+        match result {
+            Ok(answer) if is_busy(answer.status) && self.call.idempotent => {
+                guard.fail(FailureKind::Refused);
+                Err(Failure {
+                    kind: FailureKind::Refused,
+                    target,
+                    message: format!("target answered {}", answer.status),
+                    answer: Some(answer),
+                })
+            }
+            Ok(answer) => {
+                guard.first_token();
+                Ok((answer, guard))
+            }
+            Err(SendError::NotSent(message)) => {
+                guard.fail(FailureKind::NotSent);
+                Err(not_sent(target, &message))
+            }
+            Err(SendError::Unknown(message)) => {
+                guard.fail(FailureKind::Broken);
+                Err(Failure {
+                    kind: FailureKind::Broken,
+                    target,
+                    message,
+                    answer: None,
+                })
+            }
+        }
+    }
+
+    fn time_left(&self) -> time::Duration {
+        let limit = self.core.options.plain_timeout;
+        let now = self.core.now();
+        match self.request.deadline {
+            Some(deadline) => deadline.saturating_duration_since(now).min(limit),
+            None => limit,
+        }
+    }
+
+    /// Decides on another attempt; `None` asks for one.
+    fn after_failure(
+        &mut self,
+        failure: Failure,
+    ) -> Result<Option<(PlainAnswer, AttemptGuard<P>)>, CallError> {
+        tracing::info!(
+            request = %self.identity.id, target = %failure.target, reason = failure.message,
+            "attempt failed"
+        );
+        let now = self.core.now();
+        let retry = {
+            let mut board = self.core.board();
+            let attempts = self.attempts.max(1);
+            board
+                .policy
+                .after_failure(&self.request, failure.kind, attempts, now)
+        };
+        let run = match retry {
+            RetryDecision::Retry | RetryDecision::Resume => {
+                self.request.avoid.push(failure.target);
+                self.core.metrics.add("entry.retries");
+                return Ok(None);
+            }
+            RetryDecision::FailNotRun => RunState::NotRun,
+            RetryDecision::FailUnknown => RunState::Unknown,
+        };
+        self.record(OutcomeCause::Failed);
+        match failure.answer {
+            Some(answer) => Err(CallError::target(
+                "target_busy",
+                format!("target answered {}", answer.status),
+                run,
+            )),
+            None => Err(CallError::target("target_failed", failure.message, run)),
+        }
+    }
+
+    /// Gives the answer to the caller, after the record of a claimed call is committed.
+    async fn pass_on(
+        mut self,
+        mut answer: PlainAnswer,
+        guard: AttemptGuard<P>,
+        claim: Option<HeldClaim<P>>,
+    ) -> Result<response::Response, CallError> {
+        let record = answer.to_record();
+        let Some(rest) = answer.take_rest() else {
+            guard.finish();
+            if let Some(claim) = claim {
+                claim.answer(record).await;
+            }
+            self.complete();
+            return Ok(answer.into_response(None));
+        };
+        let (sender, receiver) = tokio::sync::mpsc::channel(REST_QUEUE);
+        tokio::spawn(async move {
+            let whole = forward(rest, sender).await;
+            match (whole, claim) {
+                (true, Some(claim)) => claim.answer(record).await,
+                (false, Some(claim)) => claim.lose(),
+                (_, None) => {}
+            }
+            if whole {
+                guard.finish();
+                self.complete();
+            } else {
+                guard.fail(FailureKind::Broken);
+                self.record(OutcomeCause::Failed);
+            }
+        });
+        let rest = tokio_stream::wrappers::ReceiverStream::new(receiver);
+        Ok(answer.into_response(Some(axum::body::Body::from_stream(rest))))
+    }
+
+    fn complete(&mut self) {
+        let now = self.core.now();
+        let late = self.request.deadline.is_some_and(|deadline| now > deadline);
+        self.record(if late {
+            OutcomeCause::Late
+        } else {
+            OutcomeCause::Ok
+        });
+    }
+
+    fn record(&mut self, cause: OutcomeCause) {
+        if std::mem::replace(&mut self.recorded, true) {
+            return;
+        }
+        let now = self.core.now();
+        let total = now.saturating_duration_since(self.identity.arrived);
+        let (target, region) = self.target.clone().unzip();
+        self.core.finish_call(outcome::OutcomeEvent {
+            request: self.identity.id.clone(),
+            service: self.request.service.clone(),
+            team: self.identity.team.clone(),
+            firm: self.identity.firm.clone(),
+            class: self.request.class,
+            cause,
+            at: self.identity.arrived_wall,
+            first_token: None,
+            total,
+            tokens: 0,
+            retries: self.attempts.saturating_sub(1),
+            hedged: false,
+            target,
+            region,
+        });
+    }
+}
+
+impl<P> Drop for PlainRun<P>
+where
+    P: parts::EntryParts,
+{
+    fn drop(&mut self) {
+        self.record(OutcomeCause::Cancelled);
+    }
+}
+
+impl<P> core::EntryCore<P>
+where
+    P: parts::EntryParts,
+{
+    /// Returns whether the sheet or the registry names a service.
+    fn knows_service(&self, service: &usher_types::ServiceName) -> bool {
+        let config = self.config.current();
+        let in_sheet = config.sheet.service_rows(service).next().is_some();
+        let board = self.board();
+        let announced = board
+            .records()
+            .any(|record| record.service == service.as_str());
+        in_sheet || announced
+    }
+}
+
+fn is_busy(status: http::StatusCode) -> bool {
+    status == http::StatusCode::SERVICE_UNAVAILABLE
+}
+
+/// Passes the rest of an answer on; returns whether all of it was read from the target.
+async fn forward(
+    mut rest: hyper::body::Incoming,
+    sender: tokio::sync::mpsc::Sender<Result<bytes::Bytes, String>>,
+) -> bool {
+    while let Some(frame) = rest.frame().await {
+        match frame {
+            Ok(frame) => {
+                if let Ok(data) = frame.into_data() {
+                    // The answer is read to its end also when its caller is gone.
+                    let _ = sender.send(Ok(data)).await;
+                }
+            }
+            Err(error) => {
+                let _ = sender.send(Err(error.to_string())).await;
+                return false;
+            }
+        }
+    }
+    true
+}
--- /dev/null
+++ b/crates/usher_entry/src/server.rs
@@ -0,0 +1,154 @@
+//! Accepts the connections of callers and targets. Not for: what is answered.
+
+use std::{future, io, pin, sync, task, time};
+
+use tokio::{io as tokio_io, net as tokio_net};
+
+/// How long the head of a request may take.
+const HEAD_TIMEOUT: time::Duration = time::Duration::from_secs(30);
+
+/// How long to wait after a failed accept, for instance without file handles.
+const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(50);
+
+/// Limits of a connection.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ServerLimits {
+    /// Largest request head.
+    pub(crate) max_head: usize,
+    /// How long a caller may accept no bytes; none waits for ever.
+    pub(crate) write_timeout: Option<time::Duration>,
+}
+
+/// A connection whose peer must accept bytes in time.
+struct TimedSocket {
+    inner: tokio_net::TcpStream,
+    limit: Option<time::Duration>,
+    blocked: Option<pin::Pin<Box<tokio::time::Sleep>>>,
+}
+
+impl TimedSocket {
+    /// Turns a write that has been pending for too long into an error.
+    fn watch<T>(
+        &mut self,
+        context: &mut task::Context<'_>,
+        written: task::Poll<io::Result<T>>,
+    ) -> task::Poll<io::Result<T>> {
+        if written.is_ready() {
+            self.blocked = None;
+            return written;
+        }
+        let Some(limit) = self.limit else {
+            return written;
+        };
+        let blocked = self
+            .blocked
+            .get_or_insert_with(|| Box::pin(tokio::time::sleep(limit)));
+        match future::Future::poll(blocked.as_mut(), context) {
+            task::Poll::Ready(()) => task::Poll::Ready(Err(io::ErrorKind::TimedOut.into())),
+            task::Poll::Pending => task::Poll::Pending,
+        }
+    }
+}
+
+impl tokio_io::AsyncRead for TimedSocket {
+    fn poll_read(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+        buffer: &mut tokio_io::ReadBuf<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        pin::Pin::new(&mut self.inner).poll_read(context, buffer)
+    }
+}
+
+impl tokio_io::AsyncWrite for TimedSocket {
+    fn poll_write(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+        bytes: &[u8],
+    ) -> task::Poll<io::Result<usize>> {
+        let written = pin::Pin::new(&mut self.inner).poll_write(context, bytes);
+        self.watch(context, written)
+    }
+
+    fn poll_write_vectored(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+        parts: &[io::IoSlice<'_>],
+    ) -> task::Poll<io::Result<usize>> {
+        let written = pin::Pin::new(&mut self.inner).poll_write_vectored(context, parts);
+        self.watch(context, written)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_flush(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        pin::Pin::new(&mut self.inner).poll_flush(context)
+    }
+
+    fn poll_shutdown(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        pin::Pin::new(&mut self.inner).poll_shutdown(context)
+    }
+}
+
+/// Serves until the process is stopped; open connections then finish their request.
+pub(crate) async fn serve(
+    listener: tokio_net::TcpListener,
+    router: axum::Router,
+    limits: ServerLimits,
+    stop: usher_kernel::StopSignal,
+) {
+    let graceful = hyper_util::server::graceful::GracefulShutdown::new();
+    let watcher = sync::Arc::new(graceful);
+    let stopped = stop.stopped();
+    tokio::pin!(stopped);
+    loop {
+        tokio::select! {
+            () = &mut stopped => break,
+            accepted = listener.accept() => match accepted {
+                Ok((socket, _)) => serve_socket(socket, router.clone(), limits, &watcher),
+                Err(error) => {
+                    tracing::warn!(%error, "accepting a connection failed");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            },
+        }
+    }
+    drop(listener);
+    if let Ok(graceful) = sync::Arc::try_unwrap(watcher) {
+        graceful.shutdown().await;
+    }
+}
+
+fn serve_socket(
+    socket: tokio_net::TcpStream,
+    router: axum::Router,
+    limits: ServerLimits,
+    watcher: &hyper_util::server::graceful::GracefulShutdown,
+) {
+    let _ = socket.set_nodelay(true);
+    let socket = TimedSocket {
+        inner: socket,
+        limit: limits.write_timeout,
+        blocked: None,
+    };
+    let service = hyper_util::service::TowerToHyperService::new(router);
+    let connection = hyper::server::conn::http1::Builder::new()
+        .timer(hyper_util::rt::TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .max_buf_size(limits.max_head)
+        .serve_connection(hyper_util::rt::TokioIo::new(socket), service);
+    let connection = watcher.watch(connection);
+    tokio::spawn(async move {
+        if let Err(error) = connection.await {
+            tracing::debug!(%error, "connection of a caller ended with an error");
+        }
+    });
+}
--- /dev/null
+++ b/crates/usher_entry/src/sync.rs
@@ -0,0 +1,171 @@
+//! Heartbeats to control and what their answers change. Not for: the connection.
+
+use std::{sync, time};
+
+use usher_policy::ShareGrant;
+use usher_types::ConfigVersion;
+use usher_wire::message;
+
+use crate::{config, core, link::ControlLink as _, parts, policy::DecisionPolicy as _};
+
+/// Sends heartbeats until the process stops.
+pub(crate) async fn run_heartbeats<P>(core: sync::Arc<core::EntryCore<P>>)
+where
+    P: parts::EntryParts,
+{
+    let mut ticks = tokio::time::interval(core.options.heartbeat);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut sequence = 0;
+    let mut demand_at = core.now();
+    loop {
+        tokio::select! {
+            () = core.stop.stopped() => break,
+            _ = ticks.tick() => {}
+        }
+        sequence += 1;
+        beat(&core, sequence, &mut demand_at).await;
+        let now = core.now();
+        core.board().age(now);
+        send_gauges(&core);
+    }
+}
+
+/// Sends one heartbeat and takes its answer.
+async fn beat<P>(core: &sync::Arc<core::EntryCore<P>>, sequence: u64, demand_at: &mut time::Instant)
+where
+    P: parts::EntryParts,
+{
+    let sent_at = core.now();
+    let request = make_request(core, sequence, sent_at, *demand_at);
+    *demand_at = sent_at;
+    let had_right = core.has_right();
+    match core.link.sync(request).await {
+        Ok(reply) if reply.sequence == sequence => take_reply(core, reply, sent_at),
+        Ok(reply) => tracing::warn!(
+            sequence,
+            answered = reply.sequence,
+            "stray heartbeat answer"
+        ),
+        Err(error) => {
+            core.metrics.add("entry.heartbeat.lost");
+            tracing::debug!(%error, "heartbeat was not answered");
+        }
+    }
+    if had_right && !core.has_right() {
+        core.metrics.add("entry.right.lost");
+        tracing::warn!("routing right expired: no new work until control answers");
+    }
+}
+
+fn make_request<P>(
+    core: &core::EntryCore<P>,
+    sequence: u64,
+    now: time::Instant,
+    demand_at: time::Instant,
+) -> message::SyncRequest
+where
+    P: parts::EntryParts,
+{
+    let mut board = core.board();
+    let (announced, loads) = board.news(now);
+    message::SyncRequest {
+        entry: Some(core.node_identity()),
+        region: core.options.region.to_string(),
+        domain: core.options.domain.to_string(),
+        config_version: core.config.current().version.get(),
+        registry_version: board.registry_version(),
+        announced,
+        loads,
+        demands: board.take_demands(now.saturating_duration_since(demand_at)),
+        sequence,
+        stopping: core.stop.is_draining(),
+    }
+}
+
+/// Takes an answer; the right is renewed last, when everything that came with it is in force.
+fn take_reply<P>(core: &core::EntryCore<P>, reply: message::SyncReply, sent_at: time::Instant)
+where
+    P: parts::EntryParts,
+{
+    if !take_config(core, &reply) {
+        core.link.move_on();
+        return;
+    }
+    let now = core.now();
+    let right = time::Duration::from_millis(reply.right_ms);
+    let mut board = core.board();
+    board.reported(sent_at);
+    if reply.registry_changed {
+        board.take_registry(reply.registry_version, reply.targets, now);
+    }
+    board.take_loads(reply.loads, now);
+    if !reply.shares.is_empty() {
+        // The lease counts work in engine-seconds per second, so one engine is worth 1.
+        let rates = reply.shares.iter();
+        let rate = rates.map(|share| share.share * board.live_of(&share.service) as f64);
+        let grant = ShareGrant {
+            rate: rate.sum(),
+            until: sent_at + right,
+        };
+        board.policy.on_grant(grant, now);
+    }
+    drop(board);
+    core.right.renew(sent_at, right);
+}
+
+/// Acts on a newer configuration; returns false when the answer comes from a node that is behind.
+fn take_config<P>(core: &core::EntryCore<P>, reply: &message::SyncReply) -> bool
+where
+    P: parts::EntryParts,
+{
+    let ours = core.config.current().version;
+    let theirs = ConfigVersion::new(reply.config_version);
+    if theirs < ours && !core.options.removed.versions {
+        tracing::warn!(%ours, %theirs, "control node is behind: its answer is not used");
+        return false;
+    }
+    if reply.config_changed && theirs != ours {
+        let sheet = match usher_config::FleetSheet::parse(&reply.sheet) {
+            Ok(sheet) => sheet,
+            Err(errors) => {
+                tracing::error!(version = %theirs, %errors, "configuration can't be read");
+                return false;
+            }
+        };
+        let state = config::ConfigState {
+            version: theirs,
+            sheet,
+        };
+        if core.options.removed.versions {
+            core.config.act_unchecked(state);
+        } else {
+            core.config.act(state);
+        }
+        tracing::info!(version = %theirs, "configuration is in force");
+    }
+    if core.config.current().version == theirs {
+        core.config.confirm();
+        return true;
+    }
+    false
+}
+
+fn send_gauges<P>(core: &core::EntryCore<P>)
+where
+    P: parts::EntryParts,
+{
+    let running = core.running.load(sync::atomic::Ordering::SeqCst) as u64;
+    core.metrics.gauge("entry.running", running);
+    let version = core.config.current().version.get();
+    core.metrics.gauge("entry.config.version", version);
+    core.metrics
+        .gauge("entry.ready", u64::from(core.is_ready()));
+    let board = core.board();
+    let outstanding = board.policy.outstanding() as u64;
+    let extra = board.policy.extra_share();
+    let targets = board.records().count() as u64;
+    drop(board);
+    core.metrics.gauge("entry.outstanding", outstanding);
+    core.metrics.gauge("entry.targets", targets);
+    core.metrics.gauge_share("entry.extra_share", extra);
+}
--- /dev/null
+++ b/crates/usher_entry/tests/entry/lifecycle.rs
@@ -0,0 +1,290 @@
+//! Routing right, configuration versions, drain, and targets that leave.
+
+use std::time;
+
+use crate::support::{chat_body, instant, options, steady, wait_for, Fleet, Reply};
+use usher_entry::{EntryOptions, OutcomeCause};
+
+/// Longer than any routing right.
+const PAST_THE_RIGHT: time::Duration = time::Duration::from_secs(4);
+
+/// Cuts the entry off from control and lets its right run out.
+async fn cut_off(fleet: &Fleet) {
+    fleet.control.set_answering(false);
+    let syncs = fleet.control.syncs();
+    // No heartbeat that was sent before the cut is answered after it.
+    tokio::time::sleep(time::Duration::from_millis(20)).await;
+    assert_eq!(fleet.control.syncs(), syncs);
+    fleet.clock.advance(PAST_THE_RIGHT);
+}
+
+/// Guards against new work from an entry that control no longer reaches.
+#[tokio::test]
+async fn entry_without_right_refuses_new_work() {
+    // The engine is heard of at its next announcement only, which isn't what this is about.
+    let patient = options().with_suspect_after(PAST_THE_RIGHT * 2);
+    let fleet = Fleet::start(patient).await;
+    let engine = fleet.engine(instant("engine-1")).await;
+    cut_off(&fleet).await;
+    let reply = fleet.stream(3).await;
+    assert_eq!((reply.status, reply.run()), (503, Some("not-run")));
+    assert_eq!(reply.code(), "no_routing_right");
+    assert_eq!(fleet.get("/readyz").await.status, 503);
+    assert_eq!(fleet.get("/healthz").await.status, 200);
+    assert!(engine.requests().is_empty());
+    assert_eq!(fleet.outcomes.causes(), [OutcomeCause::Region]);
+    fleet.control.set_answering(true);
+    wait_for("the right is back", || fleet.node.status().right).await;
+    fleet.stream(3).await.assert_whole(3);
+}
+
+/// Shows that an entry that was cut off goes on when the right isn't looked at.
+#[tokio::test]
+async fn cut_off_entry_goes_on_without_right() {
+    let fleet = Fleet::start(options().without_right()).await;
+    let engine = fleet.engine(instant("engine-1")).await;
+    cut_off(&fleet).await;
+    fleet.stream(3).await.assert_whole(3);
+    assert_eq!(engine.requests().len(), 1);
+}
+
+/// Guards against a running stream that is cut short because the right ran out.
+#[tokio::test]
+async fn running_stream_outlives_the_right() {
+    let fleet = Fleet::start(options()).await;
+    let engine = fleet.engine(steady("engine-1")).await;
+    let cut = async {
+        wait_for("the stream runs", || engine.generated_tokens() > 2).await;
+        cut_off(&fleet).await;
+    };
+    let (reply, ()) = tokio::join!(fleet.stream(60), cut);
+    reply.assert_whole(60);
+}
+
+/// Guards against a resume without a right, and against giving up before it is back.
+#[tokio::test]
+async fn resume_waits_for_the_right() {
+    let fleet = Fleet::start(options()).await;
+    let engine = fleet.engine(steady("engine-1")).await;
+    let other = fleet.engine(steady("engine-2")).await;
+    for engine in [&engine, &other] {
+        engine.faults().cut_after(30);
+    }
+    let cut = async {
+        let running = || engine.open_streams() + other.open_streams() > 0;
+        wait_for("the stream runs", running).await;
+        cut_off(&fleet).await;
+        let ended = || engine.open_streams() + other.open_streams() == 0;
+        wait_for("the stream is cut", ended).await;
+        for engine in [&engine, &other] {
+            engine.faults().clear();
+        }
+        tokio::time::sleep(time::Duration::from_millis(100)).await;
+        let resumed = engine.requests().len() + other.requests().len();
+        assert_eq!(resumed, 1, "resumed without a right");
+        fleet.control.set_answering(true);
+    };
+    let (reply, ()) = tokio::join!(fleet.stream(60), cut);
+    reply.assert_whole(60);
+}
+
+/// Guards against an entry that is ready before it knows what is in force.
+#[tokio::test]
+async fn entry_is_unready_before_it_knows_the_configuration() {
+    let control = usher_entry::MemoryControl::new();
+    control.set_answering(false);
+    let (_stop, signal) = usher_kernel::StopSource::new();
+    let node = usher_entry::EntryBuilder::new(options(), control.link())
+        .start(signal)
+        .await
+        .unwrap();
+    assert!(!node.status().ready);
+    control.set_answering(true);
+    wait_for("the entry is ready", || node.status().ready).await;
+}
+
+async fn older_version(options: EntryOptions) -> (Fleet, u64) {
+    let fleet = Fleet::start(options).await;
+    fleet.control.set_config(5, "");
+    wait_for("version 5 is in force", || {
+        fleet.node.status().config.get() == 5
+    })
+    .await;
+    fleet.control.set_config(4, "");
+    let syncs = fleet.control.syncs();
+    wait_for("control was heard of again", || {
+        fleet.control.syncs() > syncs + 2
+    })
+    .await;
+    let version = fleet.node.status().config.get();
+    (fleet, version)
+}
+
+/// Guards against going back to an older configuration because a control node is behind.
+#[tokio::test]
+async fn older_configuration_is_not_acted_on() {
+    let (fleet, version) = older_version(options()).await;
+    assert_eq!(version, 5);
+    // Such a node gives no right either.
+    fleet.clock.advance(PAST_THE_RIGHT);
+    assert!(!fleet.node.status().ready);
+}
+
+/// Shows that the version would go back without the comparison.
+#[tokio::test]
+async fn older_configuration_wins_without_versions() {
+    let (_fleet, version) = older_version(options().without_versions()).await;
+    assert_eq!(version, 4);
+}
+
+/// Guards against a drain that cuts off a straggler or lets new work in.
+#[tokio::test]
+async fn drain_finishes_the_straggler() {
+    let fleet = Fleet::start(options()).await;
+    let engine = fleet.engine(steady("engine-1")).await;
+    let drain = async {
+        wait_for("the straggler runs", || engine.generated_tokens() > 2).await;
+        fleet.stop.drain();
+        wait_for("the entry is unready", || !fleet.node.status().ready).await;
+        let refused = fleet.stream(1).await;
+        assert_eq!((refused.status, refused.run()), (503, Some("not-run")));
+        assert_eq!(refused.code(), "draining");
+        assert_eq!(fleet.get("/readyz").await.status, 503);
+    };
+    let (straggler, ()) = tokio::join!(fleet.stream(80), drain);
+    straggler.assert_whole(80);
+    fleet.node.finished().await;
+    fleet.stop.stop();
+    let causes = fleet.outcomes.causes();
+    assert_eq!(causes, [OutcomeCause::Drain, OutcomeCause::Ok]);
+}
+
+/// Shows that the straggler would be cut when a drain ended streams.
+#[tokio::test]
+async fn drain_cuts_the_straggler_without_waiting() {
+    let fleet = Fleet::start(options().without_drain()).await;
+    let engine = fleet.engine(steady("engine-1")).await;
+    let drain = async {
+        wait_for("the straggler runs", || engine.generated_tokens() > 2).await;
+        fleet.stop.drain();
+    };
+    let (straggler, ()) = tokio::join!(fleet.stream(80), drain);
+    assert!(!straggler.chunks().1, "the straggler was finished");
+}
+
+/// Guards against a load balancer that sends callers to an entry that already refuses them.
+#[tokio::test]
+async fn drain_is_announced_before_work_is_refused() {
+    let notice = time::Duration::from_secs(1);
+    let fleet = Fleet::start(options().with_unready_notice(notice)).await;
+    let _engine = fleet.engine(instant("engine-1")).await;
+    fleet.stop.drain();
+    assert_eq!(fleet.get("/readyz").await.status, 503);
+    fleet.stream(2).await.assert_whole(2);
+    fleet.clock.advance(notice);
+    assert_eq!(fleet.stream(2).await.code(), "draining");
+}
+
+#[derive(Clone, Copy)]
+enum Leave {
+    Announced,
+    Ordered,
+}
+
+async fn call_after_leaving(options: EntryOptions, leave: Leave) -> (Reply, usize) {
+    let fleet = Fleet::start(options).await;
+    let leaving = fleet.engine(instant("engine-1")).await;
+    match leave {
+        Leave::Announced => leaving.begin_leaving(),
+        Leave::Ordered => fleet.control.drain_target("engine-1"),
+    }
+    wait_for("control knows of it", || {
+        fleet.control.is_leaving("engine-1")
+    })
+    .await;
+    let syncs = fleet.control.syncs();
+    wait_for("control was heard of again", || {
+        fleet.control.syncs() > syncs + 2
+    })
+    .await;
+    let reply = fleet.stream(1).await;
+    (reply, leaving.requests().len())
+}
+
+fn no_work_after_leaving(leave: Leave) {
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    runtime.block_on(async {
+        let (reply, calls) = call_after_leaving(options(), leave).await;
+        assert_eq!((reply.status, reply.run()), (503, Some("not-run")));
+        assert_eq!((reply.code().as_str(), calls), ("no_target", 0));
+    });
+}
+
+usher_types::cases! { no_work_after_leaving:
+    /// Guards against new work for a target that announced that it is leaving.
+    leaving_target_gets_no_new_work(Leave::Announced);
+    /// Guards against new work for a target that an operator drains.
+    drained_target_gets_no_new_work(Leave::Ordered);
+}
+
+/// Shows that it would get work if the mark were ignored.
+#[tokio::test]
+async fn leaving_target_gets_work_without_the_mark() {
+    let options = options().without_leaving();
+    let (reply, calls) = call_after_leaving(options, Leave::Announced).await;
+    reply.assert_whole(1);
+    assert_eq!(calls, 1);
+}
+
+/// Guards against a stream that is cut because its engine is leaving.
+#[tokio::test]
+async fn stream_on_a_leaving_engine_finishes() {
+    let fleet = Fleet::start(options()).await;
+    let engine = fleet.engine(steady("engine-1")).await;
+    let leave = async {
+        wait_for("the stream runs", || engine.generated_tokens() > 2).await;
+        engine.leave().await;
+    };
+    let (reply, ()) = tokio::join!(fleet.stream(60), leave);
+    reply.assert_whole(60);
+    assert_eq!(engine.requests().len(), 1, "the stream was moved");
+}
+
+/// Guards against work for a target that has been silent, and for one that is gone.
+#[tokio::test]
+async fn silent_target_gets_no_new_work() {
+    let fleet = Fleet::start(options()).await;
+    let silent = fleet.engine(instant("engine-1")).await;
+    silent.crash();
+    tokio::time::sleep(time::Duration::from_millis(50)).await;
+    fleet.clock.advance(time::Duration::from_millis(3_100));
+    wait_for("the right is renewed", || fleet.node.status().ready).await;
+    let syncs = fleet.control.syncs();
+    wait_for("targets were looked at", || {
+        fleet.control.syncs() > syncs + 1
+    })
+    .await;
+    let reply = fleet.chat(&chat_body(1, false)).await;
+    assert_eq!((reply.status, reply.run()), (503, Some("not-run")));
+    assert_eq!(reply.code(), "no_target");
+}
+
+/// Guards against a deadline that can't be met and is accepted all the same.
+#[tokio::test]
+async fn impossible_deadline_is_refused() {
+    let fleet = Fleet::start(options()).await;
+    let engine = fleet.engine(instant("engine-1")).await;
+    let request = fleet
+        .request("POST", "/v1/chat/completions")
+        .header("x-deadline-ms", "5");
+    let reply = fleet.send(request, chat_body(500, true).to_string()).await;
+    assert_eq!(
+        (reply.status, reply.run()),
+        (429, Some("not-run")),
+        "{}",
+        reply.text
+    );
+    assert!(reply.headers.contains_key("retry-after"));
+    assert!(engine.requests().is_empty());
+    assert_eq!(fleet.outcomes.causes(), [OutcomeCause::Refused]);
+}
--- /dev/null
+++ b/crates/usher_entry/tests/entry/main.rs
@@ -0,0 +1,11 @@
+//! The entry over real HTTP on loopback, against fake targets that fail.
+//!
+//! The clock of the entry stands still unless a test moves it, so that no routing right runs out
+//! because the machine is busy. Each mechanism is also removed once, and the failure shown.
+
+mod basics;
+mod callers;
+mod lifecycle;
+mod plain;
+mod streams;
+mod support;
--- /dev/null
+++ b/crates/usher_entry/tests/entry/plain.rs
@@ -0,0 +1,342 @@
+//! Plain calls whose target dies, and callers who send them again.
+
+use std::time;
+
+use crate::support::{options, wait_for, Fleet, Reply};
+use usher_entry::EntryOptions;
+use usher_fake::{FakeService, ServiceBehaviour, ServiceOptions};
+use usher_wire::message::ClaimState;
+
+const PATH: &str = "/svc/rounds/call-out?crew=4";
+const SCOPED: &str = "key-1@anonymous/anonymous";
+
+async fn call(fleet: &Fleet, key: Option<&str>) -> Reply {
+    call_with(fleet, key, "two crews").await
+}
+
+async fn call_with(fleet: &Fleet, key: Option<&str>, body: &'static str) -> Reply {
+    let mut request = fleet.request("POST", PATH);
+    if let Some(key) = key {
+        request = request.header("idempotency-key", key);
+    }
+    fleet.send(request, body).await
+}
+
+async fn start(options: EntryOptions, behaviour: ServiceBehaviour) -> (Fleet, FakeService) {
+    let fleet = Fleet::start(options).await;
+    let service = ServiceOptions::new("service-1").with_behaviour(behaviour);
+    let service = fleet.service(service).await;
+    (fleet, service)
+}
+
+fn dying(before: bool) -> ServiceBehaviour {
+    ServiceBehaviour {
+        die_before: before,
+        die_after: !before,
+        ..ServiceBehaviour::default()
+    }
+}
+
+/// Guards against a call that is changed on its way.
+#[tokio::test]
+async fn call_reaches_the_service_as_it_is() {
+    let (fleet, service) = start(options(), ServiceBehaviour::default()).await;
+    let reply = call(&fleet, None).await;
+    let json = reply.json();
+    assert_eq!(
+        (json["path"].as_str(), json["body"].as_str()),
+        (Some("/call-out"), Some("two crews"))
+    );
+    assert_eq!(service.calls().values().sum::<u64>(), 1);
+    let keys = fleet.control.claim_keys();
+    assert_eq!(keys.len(), 1, "a call without key has no claim");
+    assert!(
+        keys[0].as_bytes()[8] == b'T',
+        "the key has no time: {}",
+        keys[0]
+    );
+}
+
+/// Guards against a resend that runs the call again instead of giving its answer.
+#[tokio::test]
+async fn resend_after_the_run_gets_the_recorded_answer() {
+    let (fleet, service) = start(options(), ServiceBehaviour::default()).await;
+    let first = call(&fleet, Some("key-1")).await;
+    let second = call(&fleet, Some("key-1")).await;
+    assert_eq!((first.status, second.status), (200, 200));
+    assert_eq!(first.text, second.text);
+    assert_eq!(second.headers["idempotency-replayed"], "true");
+    assert_eq!(service.calls()["key-1"], 1);
+}
+
+/// Shows that it would run twice without claims.
+#[tokio::test]
+async fn resend_runs_again_without_claims() {
+    let (fleet, service) = start(options().without_claims(), ServiceBehaviour::default()).await;
+    call(&fleet, Some("key-1")).await;
+    call(&fleet, Some("key-1")).await;
+    assert_eq!(service.calls()["key-1"], 2);
+}
+
+/// Guards against a resend that overtakes the call that is running.
+#[tokio::test]
+async fn resend_during_the_run_waits_for_its_answer() {
+    let slow = ServiceBehaviour {
+        delay_ms: 200,
+        answer_delay_ms: 200,
+        ..ServiceBehaviour::default()
+    };
+    let (fleet, service) = start(options(), slow).await;
+    let calls = (0..5).map(|_| call(&fleet, Some("key-1")));
+    let replies = futures_util::future::join_all(calls).await;
+    for reply in &replies {
+        assert_eq!((reply.status, &reply.text), (200, &replies[0].text));
+    }
+    assert_eq!(service.calls()["key-1"], 1);
+}
+
+/// Guards against "not run" for a call that is running.
+#[tokio::test]
+async fn resend_that_can_not_wait_is_told_so() {
+    let slow = ServiceBehaviour {
+        answer_delay_ms: 60_000,
+        ..ServiceBehaviour::default()
+    };
+    let (fleet, service) = start(options().with_running_wait(time::Duration::ZERO), slow).await;
+    let first = call(&fleet, Some("key-1"));
+    let second = async {
+        wait_for("the call has run", || service.calls().contains_key("key-1")).await;
+        call(&fleet, Some("key-1")).await
+    };
+    tokio::select! {
+        _ = first => panic!("the first call ended"),
+        second = second => {
+            assert_eq!((second.status, second.run()), (409, Some("unknown")));
+            assert_eq!(second.code(), "key_running");
+        }
+    }
+    assert_eq!(service.calls()["key-1"], 1);
+}
+
+/// Guards against one key for two different calls.
+#[tokio::test]
+async fn key_of_another_call_is_refused() {
+    let (fleet, service) = start(options(), ServiceBehaviour::default()).await;
+    call(&fleet, Some("key-1")).await;
+    let other = call_with(&fleet, Some("key-1"), "three crews").await;
+    assert_eq!((other.status, other.run()), (422, Some("not-run")));
+    assert_eq!(other.code(), "key_mismatch");
+    assert_eq!(service.calls()["key-1"], 1);
+}
+
+fn unknown_after_death(before: bool, effects: Option<u64>) {
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    runtime.block_on(async {
+        let (fleet, service) = start(options(), dying(before)).await;
+        let second = ServiceOptions::new("service-2").with_behaviour(ServiceBehaviour::default());
+        let reply = call(&fleet, Some("key-1")).await;
+        assert_eq!(
+            (reply.status, reply.run()),
+            (502, Some("unknown")),
+            "{}",
+            reply.text
+        );
+        assert_eq!(service.calls().get("key-1").copied(), effects);
+        let state = || fleet.control.claim_state(SCOPED);
+        wait_for("the outcome is recorded", || {
+            state() == Some(ClaimState::Unknown)
+        })
+        .await;
+        // Another target doesn't change what is known of the call.
+        let other = fleet.service(second).await;
+        let again = call(&fleet, Some("key-1")).await;
+        assert_eq!((again.status, again.run()), (409, Some("unknown")));
+        assert_eq!(again.code(), "outcome_unknown");
+        assert!(other.calls().is_empty(), "the call was run again");
+    });
+}
+
+usher_types::cases! { unknown_after_death:
+    /// Guards against a second run after the target died with the request in hand.
+    target_dies_before_the_effect(true, None);
+    target_dies_after_the_effect(false, Some(1));
+}
+
+/// Guards against a non-idempotent call that is sent to a second target after the first died.
+#[tokio::test]
+async fn second_target_is_not_tried_after_the_first_byte() {
+    let (fleet, first) = start(options(), dying(false)).await;
+    for _ in 0..40 {
+        fleet.get("/svc/rounds/warm-up").await;
+    }
+    let fleet = fleet;
+    let second = fleet.service(ServiceOptions::new("service-2")).await;
+    let _ = call(&fleet, Some("key-1")).await;
+    let effects =
+        [&first, &second].map(|service| service.calls().get("key-1").copied().unwrap_or(0));
+    assert!(effects.iter().sum::<u64>() <= 1, "{effects:?}");
+}
+
+/// Guards against "unknown" for a call of which no byte was written, and against a key that is
+/// lost by it.
+#[tokio::test]
+async fn unreachable_target_is_not_run_and_frees_the_key() {
+    let (fleet, service) = start(options(), ServiceBehaviour::default()).await;
+    service.crash();
+    wait_for("nothing listens", || {
+        std::net::TcpStream::connect(service.address()).is_err()
+    })
+    .await;
+    let reply = call(&fleet, Some("key-1")).await;
+    assert_eq!(
+        (reply.status, reply.run()),
+        (502, Some("not-run")),
+        "{}",
+        reply.text
+    );
+    wait_for("the key is free", || {
+        fleet.control.claim_state(SCOPED).is_none()
+    })
+    .await;
+    let other = fleet.service(ServiceOptions::new("service-2")).await;
+    wait_for("the call runs", || {
+        let effects = other.calls();
+        !effects.is_empty() || fleet.node.status().running == 0
+    })
+    .await;
+    let again = call(&fleet, Some("key-1")).await;
+    if again.status == 200 {
+        assert_eq!(other.calls()["key-1"], 1);
+    } else {
+        assert_eq!(again.run(), Some("not-run"));
+    }
+}
+
+/// Guards against a call that is sent although its claim isn't committed.
+#[tokio::test]
+async fn call_without_commit_is_not_sent() {
+    let (fleet, service) = start(options(), ServiceBehaviour::default()).await;
+    fleet.control.set_committing(false);
+    let reply = call(&fleet, Some("key-1")).await;
+    assert_eq!((reply.status, reply.run()), (503, Some("not-run")));
+    assert_eq!(reply.code(), "no_claim");
+    assert!(service.calls().is_empty());
+    fleet.control.set_committing(true);
+    assert_eq!(call(&fleet, Some("key-1")).await.status, 200);
+}
+
+/// Guards against a key that stays claimed for ever because the reply to its claim was lost.
+#[tokio::test]
+async fn claim_whose_reply_was_lost_is_given_back() {
+    let (fleet, service) = start(options(), ServiceBehaviour::default()).await;
+    fleet.control.set_losing_replies(true);
+    let reply = call(&fleet, Some("key-1")).await;
+    assert_eq!((reply.status, reply.run()), (503, Some("not-run")));
+    assert!(service.calls().is_empty());
+    fleet.control.set_losing_replies(false);
+    wait_for("the key is free", || {
+        fleet.control.claim_state(SCOPED).is_none()
+    })
+    .await;
+    assert_eq!(call(&fleet, Some("key-1")).await.status, 200);
+    assert_eq!(service.calls()["key-1"], 1);
+}
+
+/// Guards against a call that is sent after the routing right ran out during its claim.
+#[tokio::test]
+async fn right_is_checked_again_after_the_claim() {
+    let (fleet, service) = start(options(), ServiceBehaviour::default()).await;
+    fleet.control.set_right(time::Duration::ZERO);
+    fleet.clock.advance(time::Duration::from_secs(4));
+    let reply = call(&fleet, Some("key-1")).await;
+    assert_eq!((reply.status, reply.run()), (503, Some("not-run")));
+    assert!(service.calls().is_empty());
+}
+
+/// Guards against an outcome that is lost with its caller.
+#[tokio::test]
+async fn outcome_is_recorded_when_the_caller_vanishes() {
+    let slow = ServiceBehaviour {
+        answer_delay_ms: 300,
+        ..ServiceBehaviour::default()
+    };
+    let (fleet, service) = start(options(), slow).await;
+    tokio::select! {
+        _ = call(&fleet, Some("key-1")) => panic!("the call ended"),
+        () = wait_for("the call has run", || service.calls().contains_key("key-1")) => {}
+    }
+    wait_for("the outcome is recorded", || {
+        fleet.control.claim_state(SCOPED) == Some(ClaimState::Finished)
+    })
+    .await;
+    let again = call(&fleet, Some("key-1")).await;
+    assert_eq!(
+        (again.status, again.json()["count"].as_u64()),
+        (200, Some(1))
+    );
+}
+
+/// Guards against answers that are cut because they are longer than what control keeps.
+#[tokio::test]
+async fn long_answer_arrives_whole_and_is_not_replayed_cut() {
+    let long = ServiceBehaviour {
+        padding: 3_000_000,
+        ..ServiceBehaviour::default()
+    };
+    let (fleet, service) = start(options(), long).await;
+    let first = call(&fleet, Some("key-1")).await;
+    assert!(first.complete && first.text.len() > 3_000_000);
+    wait_for("the outcome is recorded", || {
+        fleet.control.claim_state(SCOPED) == Some(ClaimState::Finished)
+    })
+    .await;
+    let again = call(&fleet, Some("key-1")).await;
+    assert_eq!(
+        (again.status, again.code().as_str()),
+        (409, "answer_not_kept")
+    );
+    assert_eq!(service.calls()["key-1"], 1);
+}
+
+/// Guards against idempotent calls that aren't retried, and against claims that they don't need.
+#[tokio::test]
+async fn idempotent_call_is_retried_on_another_target() {
+    let fleet = Fleet::start(options()).await;
+    let first = fleet.service(ServiceOptions::new("service-1")).await;
+    for _ in 0..40 {
+        assert_eq!(fleet.get("/svc/rounds/plan").await.status, 200);
+    }
+    let second = fleet.service(ServiceOptions::new("service-2")).await;
+    first.behave(dying(true));
+    for _ in 0..10 {
+        assert_eq!(fleet.get("/svc/rounds/plan").await.status, 200);
+    }
+    assert!(second.calls()["GET /plan"] > 0);
+    assert!(fleet.control.claim_keys().is_empty());
+}
+
+/// Guards against a header that makes a POST safe to retry and is ignored, or the other way round.
+#[tokio::test]
+async fn header_decides_on_idempotency() {
+    let (fleet, _service) = start(options(), ServiceBehaviour::default()).await;
+    let request = fleet.request("POST", PATH).header("x-idempotent", "true");
+    assert_eq!(fleet.send(request, "").await.status, 200);
+    assert!(fleet.control.claim_keys().is_empty());
+    let request = fleet.request("GET", PATH).header("x-idempotent", "false");
+    assert_eq!(fleet.send(request, "").await.status, 200);
+    assert_eq!(fleet.control.claim_keys().len(), 1);
+}
+
+/// Guards against two teams whose equal keys get each other's answers.
+#[tokio::test]
+async fn equal_keys_of_two_teams_are_told_apart() {
+    let (fleet, service) = start(options(), ServiceBehaviour::default()).await;
+    for team in ["night", "day"] {
+        let request = fleet.request("POST", PATH).header("x-team", team);
+        let request = request.header("idempotency-key", "key-1");
+        let reply = fleet.send(request, "two crews").await;
+        assert_eq!(reply.status, 200);
+        assert!(!reply.headers.contains_key("idempotency-replayed"));
+    }
+    assert_eq!(service.calls()["key-1"], 2);
+}
