Add the replicated state machine

Cause: configuration, claims, orders and targets need one deterministic state that every control node applies in log order. Its invariants are asserted inside; a test-only option removes one mechanism at a time.

--- /dev/null
+++ b/crates/usher_state/src/fleet_state.rs
@@ -0,0 +1,347 @@
+//! The replicated state machine. Not for: proposing commands.
+
+use prost::Message as _;
+use usher_wire::message::{self, state_command, state_outcome};
+
+use crate::{
+    audit, claim_table, config_book, history, mechanism, order_book, snapshot, target_table,
+};
+
+/// Configuration, claims, orders and targets, changed only by committed commands.
+///
+/// ```
+/// use usher_replica::StateMachine as _;
+/// let mut state = usher_state::FleetState::new();
+/// let copy = state.snapshot();
+/// state.restore(&copy).unwrap();
+/// assert_eq!(state.config().version(), 0);
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct FleetState {
+    now_ms: u64,
+    index: u64,
+    config: config_book::ConfigBook,
+    claims: claim_table::ClaimTable,
+    orders: order_book::OrderBook,
+    targets: target_table::TargetTable,
+    history: history::HistoryRing,
+    claim_history: history::HistoryRing,
+    audit: audit::AuditLog,
+    removed: Option<mechanism::StateMechanism>,
+}
+
+impl FleetState {
+    /// Makes the empty state.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Makes a state without one of its mechanisms, for tests of the invariants.
+    #[doc(hidden)]
+    pub fn without(mechanism: mechanism::StateMechanism) -> Self {
+        Self {
+            removed: Some(mechanism),
+            ..Self::default()
+        }
+    }
+
+    /// Returns the time of the state, in ms since 1970.
+    pub fn now_ms(&self) -> u64 {
+        self.now_ms
+    }
+
+    /// Returns the index of the newest applied command.
+    pub fn index(&self) -> usher_types::LogIndex {
+        usher_types::LogIndex::new(self.index)
+    }
+
+    /// Returns the configuration.
+    pub fn config(&self) -> &config_book::ConfigBook {
+        &self.config
+    }
+
+    /// Returns the claims.
+    pub fn claims(&self) -> &claim_table::ClaimTable {
+        &self.claims
+    }
+
+    /// Returns the orders.
+    pub fn orders(&self) -> &order_book::OrderBook {
+        &self.orders
+    }
+
+    /// Returns the targets.
+    pub fn targets(&self) -> &target_table::TargetTable {
+        &self.targets
+    }
+
+    /// Returns what is known of a request, target or engine, oldest first.
+    pub fn explain(&self, subject: &str) -> Vec<history::HistoryRecord> {
+        let mut records: Vec<_> = self
+            .history
+            .iter()
+            .chain(self.claim_history.iter())
+            .filter(|record| record.subject == subject)
+            .cloned()
+            .collect();
+        records.sort_by_key(|record| record.index);
+        records
+    }
+
+    /// Returns the names of the invariants that this state machine saw violated.
+    pub fn violations(&self) -> Vec<&'static str> {
+        let parts = [
+            &self.audit,
+            &self.config.audit,
+            &self.claims.audit,
+            &self.orders.audit,
+            &self.targets.audit,
+        ];
+        parts
+            .into_iter()
+            .flat_map(|audit| audit.names().iter().copied())
+            .collect()
+    }
+
+    /// Applies a decoded command.
+    pub fn apply_command(
+        &mut self,
+        index: usher_types::LogIndex,
+        command: message::StateCommand,
+    ) -> message::StateOutcome {
+        self.index = index.get();
+        self.advance_time(command.at_ms);
+        let kind = match command.kind {
+            Some(kind) => self.apply_kind(kind),
+            None => refused("the command has no kind"),
+        };
+        message::StateOutcome { kind: Some(kind) }
+    }
+
+    fn advance_time(&mut self, at_ms: u64) {
+        let clamp = mechanism::in_place(self.removed, mechanism::StateMechanism::StateTime);
+        let next = if clamp { at_ms.max(self.now_ms) } else { at_ms };
+        audit::check!(
+            self.audit,
+            "state.time_goes_forward",
+            next >= self.now_ms,
+            "time went from {} back to {next}",
+            self.now_ms
+        );
+        self.now_ms = next;
+    }
+
+    fn apply_kind(&mut self, kind: state_command::Kind) -> state_outcome::Kind {
+        match kind {
+            state_command::Kind::ConfigChange(change) => self.change_config(change),
+            state_command::Kind::ClaimCall(call) => self.claim(&call),
+            state_command::Kind::FinishClaim(finish) => self.finish_claim(finish),
+            state_command::Kind::OrderIntent(intent) => self.start_order(intent),
+            state_command::Kind::OrderResult(result) => self.finish_order(result),
+            state_command::Kind::AnnounceTarget(record) => self.announce(record),
+            state_command::Kind::MarkTarget(mark) => self.mark(&mark),
+            state_command::Kind::ExpireClaims(expire) => self.expire(&expire),
+        }
+    }
+
+    fn change_config(&mut self, change: message::ConfigChange) -> state_outcome::Kind {
+        let operator = change.operator.clone();
+        let request_id = change.request_id.clone();
+        match self.config.change(change, self.removed) {
+            Ok(outcome) => {
+                let verdict = match (outcome.accepted, outcome.repeated) {
+                    (true, false) => "accepted as",
+                    (false, false) => "conflicts with",
+                    (_, true) => "was answered already; first answer named",
+                };
+                let text = format!("change of {operator} {verdict} version {}", outcome.version);
+                if outcome.accepted && !outcome.repeated {
+                    self.note("config", text.clone());
+                }
+                self.note(&request_id, text);
+                state_outcome::Kind::Config(outcome)
+            }
+            Err(reason) => refused(&reason),
+        }
+    }
+
+    fn claim(&mut self, call: &message::ClaimCall) -> state_outcome::Kind {
+        match self.claims.claim(call, self.now_ms, self.removed) {
+            Ok(reply) => {
+                let text = format!("claim answered {}", reply.state().as_str_name());
+                self.note_claim(&call.request_id, text);
+                state_outcome::Kind::Claim(reply)
+            }
+            Err(reason) => refused(&reason),
+        }
+    }
+
+    fn finish_claim(&mut self, finish: message::FinishClaim) -> state_outcome::Kind {
+        let request_id = finish.request_id.clone();
+        let kind = finish.kind();
+        match self.claims.finish(finish, self.now_ms, self.removed) {
+            Ok(()) => {
+                self.note_claim(&request_id, format!("claim ended {}", kind.as_str_name()));
+                done()
+            }
+            Err(reason) => refused(&reason),
+        }
+    }
+
+    fn expire(&mut self, expire: &message::ExpireClaims) -> state_outcome::Kind {
+        let count = self.claims.expire(&expire.gone, self.now_ms, self.removed);
+        for entry in &expire.gone {
+            let text = format!("incarnation {} is gone", entry.incarnation);
+            self.note(&entry.name, text);
+        }
+        if count > 0 {
+            tracing::info!(count, "claims of entries that are gone became unknown");
+        }
+        done()
+    }
+
+    fn start_order(&mut self, intent: message::OrderIntent) -> state_outcome::Kind {
+        let engine = intent.engine.clone();
+        let text = format!(
+            "order {} for incarnation {}: {}",
+            intent.kind().as_str_name(),
+            intent.incarnation,
+            intent.reason
+        );
+        let outcome =
+            self.orders
+                .start(self.index, self.now_ms, intent, &self.targets, self.removed);
+        if outcome.accepted {
+            self.note(&engine, format!("{text} (fence {})", outcome.fence));
+        }
+        state_outcome::Kind::Order(outcome)
+    }
+
+    fn finish_order(&mut self, result: message::OrderResult) -> state_outcome::Kind {
+        let engine = result.engine.clone();
+        let verdict = if result.succeeded { "done" } else { "failed" };
+        let text = format!("order {} {verdict}: {}", result.fence, result.detail);
+        match self.orders.finish(self.now_ms, result, self.removed) {
+            Ok(()) => {
+                self.note(&engine, text);
+                done()
+            }
+            Err(reason) => refused(&reason),
+        }
+    }
+
+    fn announce(&mut self, record: message::TargetRecord) -> state_outcome::Kind {
+        let name = record.name.clone();
+        let text = format!(
+            "announced incarnation {} at {}{}",
+            record.incarnation,
+            record.address,
+            if record.leaving { ", leaving" } else { "" }
+        );
+        match self.targets.announce(record, self.removed) {
+            Ok(true) => {
+                self.note(&name, text);
+                done()
+            }
+            Ok(false) => done(),
+            Err(reason) => refused(&reason),
+        }
+    }
+
+    fn mark(&mut self, mark: &message::TargetMark) -> state_outcome::Kind {
+        match self.targets.mark(mark) {
+            Ok(true) => {
+                let state = if mark.gone { "gone" } else { "leaving" };
+                self.note(&mark.name, format!("marked {state} by {:?}", mark.operator));
+                done()
+            }
+            Ok(false) => done(),
+            Err(reason) => refused(&reason),
+        }
+    }
+
+    fn note(&mut self, subject: &str, text: String) {
+        let record = self.record(subject, text);
+        self.history.push(record);
+    }
+
+    // Claims come hundreds of times more often, so they have a ring of their own.
+    fn note_claim(&mut self, subject: &str, text: String) {
+        let record = self.record(subject, text);
+        self.claim_history.push(record);
+    }
+
+    fn record(&self, subject: &str, text: String) -> history::HistoryRecord {
+        history::HistoryRecord {
+            index: self.index,
+            at_ms: self.now_ms,
+            subject: subject.to_owned(),
+            text,
+        }
+    }
+
+    fn load(part: snapshot::StatePart) -> Result<Self, String> {
+        let targets = part.targets.ok_or("it has no targets")?;
+        let config = part.config.ok_or("it has no configuration")?;
+        let claims = part.claims.ok_or("it has no claims")?;
+        let orders = part.orders.ok_or("it has no orders")?;
+        Ok(Self {
+            now_ms: part.now_ms,
+            index: part.index,
+            config: config_book::ConfigBook::load(config)?,
+            claims: claim_table::ClaimTable::load(claims)?,
+            orders: order_book::OrderBook::load(orders)?,
+            targets: target_table::TargetTable::load(targets)?,
+            history: part.history.into_iter().collect(),
+            claim_history: part.claim_history.into_iter().collect(),
+            ..Self::default()
+        })
+    }
+}
+
+impl usher_replica::StateMachine for FleetState {
+    fn apply(&mut self, index: usher_types::LogIndex, command: &[u8]) -> Vec<u8> {
+        let outcome = match message::StateCommand::decode(command) {
+            Ok(command) => self.apply_command(index, command),
+            Err(error) => message::StateOutcome {
+                kind: Some(refused(&format!("not a state command: {error}"))),
+            },
+        };
+        outcome.encode_to_vec()
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        snapshot::encode(&snapshot::StatePart {
+            now_ms: self.now_ms,
+            index: self.index,
+            config: Some(self.config.save()),
+            claims: Some(self.claims.save()),
+            orders: Some(self.orders.save()),
+            targets: Some(self.targets.save()),
+            history: self.history.iter().cloned().collect(),
+            claim_history: self.claim_history.iter().cloned().collect(),
+        })
+    }
+
+    fn restore(&mut self, bytes: &[u8]) -> Result<(), usher_replica::RestoreError> {
+        let part = snapshot::decode(bytes).map_err(usher_replica::RestoreError)?;
+        let mut state = Self::load(part).map_err(usher_replica::RestoreError)?;
+        state.removed = self.removed;
+        // Violations are of this process, so that a restore doesn't hide them.
+        state.audit = self.audit.clone();
+        state.config.audit = self.config.audit.clone();
+        state.claims.audit = self.claims.audit.clone();
+        state.orders.audit = self.orders.audit.clone();
+        state.targets.audit = self.targets.audit.clone();
+        *self = state;
+        Ok(())
+    }
+}
+
+fn refused(reason: &str) -> state_outcome::Kind {
+    state_outcome::Kind::Refused(reason.to_owned())
+}
+
+fn done() -> state_outcome::Kind {
+    state_outcome::Kind::Done(message::Ack {})
+}
--- /dev/null
+++ b/crates/usher_state/src/order_book.rs
@@ -0,0 +1,237 @@
+//! Orders to engines and their fencing numbers. Not for: sending them.
+
+use std::collections;
+
+use prost::Message;
+use usher_wire::message;
+
+use crate::{audit, mechanism, snapshot, target_table};
+
+/// How many ended orders are kept for status and explanations.
+pub const MAX_ENDED_ORDERS: usize = 1_024;
+
+/// An order whose intent is committed.
+#[derive(Clone, PartialEq, Message)]
+pub struct OrderRecord {
+    /// Log index of the intent; the engine refuses lower ones.
+    #[prost(uint64, tag = "1")]
+    pub fence: u64,
+    /// What was asked for.
+    #[prost(message, optional, tag = "2")]
+    pub intent: Option<message::OrderIntent>,
+    /// Time of the intent, in ms since 1970.
+    #[prost(uint64, tag = "3")]
+    pub at_ms: u64,
+}
+
+/// An order whose result is committed.
+#[derive(Clone, PartialEq, Message)]
+pub struct OrderEnd {
+    /// The order.
+    #[prost(message, optional, tag = "1")]
+    pub order: Option<OrderRecord>,
+    /// Its result.
+    #[prost(message, optional, tag = "2")]
+    pub result: Option<message::OrderResult>,
+    /// Time of the result, in ms since 1970.
+    #[prost(uint64, tag = "3")]
+    pub at_ms: u64,
+}
+
+/// Orders in flight, at most one per engine, and the newest ended ones.
+///
+/// An order stays in flight when its engine restarts, until its sender has read the engine's
+/// state back and committed a result: a second order could otherwise overtake the first.
+#[derive(Clone, Debug, Default)]
+pub struct OrderBook {
+    in_flight: collections::BTreeMap<String, OrderRecord>,
+    ended: collections::VecDeque<OrderEnd>,
+    last_fences: collections::BTreeMap<String, u64>,
+    pub(crate) audit: audit::AuditLog,
+}
+
+impl OrderBook {
+    /// Returns the order in flight of an engine.
+    pub fn in_flight_of(&self, engine: &str) -> Option<&OrderRecord> {
+        self.in_flight.get(engine)
+    }
+
+    /// Returns the orders in flight.
+    pub fn in_flight(&self) -> impl Iterator<Item = &OrderRecord> {
+        self.in_flight.values()
+    }
+
+    /// Returns the newest ended orders, oldest first.
+    pub fn ended(&self) -> impl Iterator<Item = &OrderEnd> {
+        self.ended.iter()
+    }
+
+    /// Returns the newest fencing number of an engine; 0 before its first order.
+    pub fn last_fence(&self, engine: &str) -> u64 {
+        self.last_fences.get(engine).copied().unwrap_or(0)
+    }
+
+    /// Decides about an intent; an accepted one is in flight under its log index.
+    pub(crate) fn start(
+        &mut self,
+        index: u64,
+        at_ms: u64,
+        intent: message::OrderIntent,
+        targets: &target_table::TargetTable,
+        removed: Option<mechanism::StateMechanism>,
+    ) -> message::OrderOutcome {
+        let refusal = self.refusal(&intent, targets, removed);
+        if let Some(reason) = refusal {
+            return message::OrderOutcome {
+                accepted: false,
+                fence: self.last_fence(&intent.engine),
+                reason,
+            };
+        }
+        audit::check!(
+            self.audit,
+            "order.one_in_flight",
+            !self.in_flight.contains_key(&intent.engine),
+            "engine {} got a second order in flight",
+            intent.engine
+        );
+        audit::check!(
+            self.audit,
+            "order.fence_goes_up",
+            index > self.last_fence(&intent.engine),
+            "fence {index} of engine {} is not new",
+            intent.engine
+        );
+        let registered = targets
+            .find(&intent.engine)
+            .is_some_and(|slot| slot.record.incarnation == intent.incarnation);
+        audit::check!(
+            self.audit,
+            "order.incarnation_is_registered",
+            registered,
+            "engine {} isn't registered as {}",
+            intent.engine,
+            intent.incarnation
+        );
+        let engine = intent.engine.clone();
+        let record = OrderRecord {
+            fence: index,
+            intent: Some(intent),
+            at_ms,
+        };
+        self.last_fences.insert(engine.clone(), index);
+        self.in_flight.insert(engine, record);
+        message::OrderOutcome {
+            accepted: true,
+            fence: index,
+            reason: String::new(),
+        }
+    }
+
+    fn refusal(
+        &self,
+        intent: &message::OrderIntent,
+        targets: &target_table::TargetTable,
+        removed: Option<mechanism::StateMechanism>,
+    ) -> Option<String> {
+        let in_place = |mechanism| mechanism::in_place(removed, mechanism);
+        if intent.kind() == message::OrderKind::Unspecified {
+            return Some("the order has no kind".to_owned());
+        }
+        let Some(slot) = targets.find(&intent.engine) else {
+            return Some(format!("engine {:?} is not registered", intent.engine));
+        };
+        if slot.record.kind != usher_types::TargetKind::Engine.to_string() {
+            return Some(format!("target {} is not an engine", intent.engine));
+        }
+        let current = !slot.gone && slot.record.incarnation == intent.incarnation;
+        if !current && in_place(mechanism::StateMechanism::OrderIncarnation) {
+            return Some(format!(
+                "engine {} is gone or has another incarnation",
+                intent.engine
+            ));
+        }
+        let busy = self.in_flight.get(&intent.engine)?;
+        in_place(mechanism::StateMechanism::OrderInFlight)
+            .then(|| format!("order {} is in flight", busy.fence))
+    }
+
+    /// Takes the result of the order in flight.
+    pub(crate) fn finish(
+        &mut self,
+        at_ms: u64,
+        result: message::OrderResult,
+        removed: Option<mechanism::StateMechanism>,
+    ) -> Result<(), String> {
+        let repeated = self.ended.iter().any(|end| {
+            end.result
+                .as_ref()
+                .is_some_and(|kept| kept.engine == result.engine && kept.fence == result.fence)
+        });
+        let Some(order) = self.in_flight.get(&result.engine) else {
+            return if repeated {
+                Ok(())
+            } else {
+                Err(format!("engine {} has no order in flight", result.engine))
+            };
+        };
+        let current = order.fence == result.fence;
+        if !current && mechanism::in_place(removed, mechanism::StateMechanism::OrderFence) {
+            return Err(format!(
+                "order {} is in flight, the result is for {}",
+                order.fence, result.fence
+            ));
+        }
+        audit::check!(
+            self.audit,
+            "order.result_of_current",
+            current,
+            "result {} ended another order of engine {}",
+            result.fence,
+            result.engine
+        );
+        let order = self.in_flight.remove(&result.engine);
+        self.keep(OrderEnd {
+            order,
+            result: Some(result),
+            at_ms,
+        });
+        Ok(())
+    }
+
+    fn keep(&mut self, end: OrderEnd) {
+        if self.ended.len() == MAX_ENDED_ORDERS {
+            self.ended.pop_front();
+        }
+        self.ended.push_back(end);
+    }
+
+    /// Returns the book as part of a snapshot.
+    pub(crate) fn save(&self) -> snapshot::OrderPart {
+        let fences = self
+            .last_fences
+            .iter()
+            .map(|(engine, fence)| snapshot::FencePart {
+                engine: engine.clone(),
+                fence: *fence,
+            });
+        snapshot::OrderPart {
+            in_flight: self.in_flight.values().cloned().collect(),
+            ended: self.ended.iter().cloned().collect(),
+            last_fences: fences.collect(),
+        }
+    }
+
+    /// Reads the book from its part of a snapshot.
+    pub(crate) fn load(part: snapshot::OrderPart) -> Result<Self, String> {
+        let mut book = Self::default();
+        for order in part.in_flight {
+            let intent = order.intent.as_ref().ok_or("an order has no intent")?;
+            book.in_flight.insert(intent.engine.clone(), order);
+        }
+        part.ended.into_iter().for_each(|end| book.keep(end));
+        let fences = part.last_fences.into_iter();
+        book.last_fences = fences.map(|part| (part.engine, part.fence)).collect();
+        Ok(book)
+    }
+}
--- /dev/null
+++ b/crates/usher_state/src/target_table.rs
@@ -0,0 +1,186 @@
+//! The registry of targets. Not for: their load, which stays in memory of the daemons.
+
+use std::collections;
+
+use usher_wire::message;
+
+use crate::{audit, mechanism, snapshot};
+
+/// How many targets the registry holds; announcements beyond are refused.
+pub const MAX_TARGETS: usize = 10_000;
+
+/// How many replaced incarnations are remembered per target.
+const MAX_RETIRED: usize = 64;
+
+/// One target by name.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TargetSlot {
+    /// Newest record; `leaving` in it is never cleared for the same incarnation.
+    pub record: message::TargetRecord,
+    /// Set when nobody has seen the target for a while.
+    pub gone: bool,
+    /// Incarnations that this one replaced, oldest first.
+    pub retired: Vec<u64>,
+}
+
+/// All targets, with a version that goes up at each change.
+#[derive(Clone, Debug, Default)]
+pub struct TargetTable {
+    version: u64,
+    slots: collections::BTreeMap<String, TargetSlot>,
+    pub(crate) audit: audit::AuditLog,
+}
+
+impl TargetTable {
+    /// Returns the version of the registry.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Returns a target by name, also when it is gone.
+    pub fn find(&self, name: &str) -> Option<&TargetSlot> {
+        self.slots.get(name)
+    }
+
+    /// Returns the targets that are not gone.
+    pub fn present(&self) -> impl Iterator<Item = &message::TargetRecord> {
+        self.slots
+            .values()
+            .filter(|slot| !slot.gone)
+            .map(|slot| &slot.record)
+    }
+
+    /// Returns all targets, also those that are gone.
+    pub fn iter(&self) -> impl Iterator<Item = &TargetSlot> {
+        self.slots.values()
+    }
+
+    /// Takes an announcement and returns whether it changed the registry.
+    pub(crate) fn announce(
+        &mut self,
+        mut record: message::TargetRecord,
+        removed: Option<mechanism::StateMechanism>,
+    ) -> Result<bool, String> {
+        record
+            .kind
+            .parse::<usher_types::TargetKind>()
+            .map_err(|error| error.to_string())?;
+        record
+            .name
+            .parse::<usher_types::TargetName>()
+            .map_err(|error| error.to_string())?;
+        if record.incarnation == 0 {
+            return Err("an announcement needs an incarnation".to_owned());
+        }
+        let Some(slot) = self.slots.get_mut(&record.name) else {
+            return self.insert(record);
+        };
+        if slot.record.incarnation == record.incarnation {
+            let kept = mechanism::in_place(removed, mechanism::StateMechanism::TargetLeaving);
+            let was_leaving = slot.record.leaving;
+            record.leaving |= kept && was_leaving;
+            audit::check!(
+                self.audit,
+                "target.leaving_kept",
+                record.leaving || !was_leaving,
+                "target {} stopped leaving under one incarnation",
+                record.name
+            );
+            let changed = slot.gone || slot.record != record;
+            slot.record = record;
+            slot.gone = false;
+            self.version += u64::from(changed);
+            return Ok(changed);
+        }
+        let retired = slot.retired.contains(&record.incarnation);
+        if retired && mechanism::in_place(removed, mechanism::StateMechanism::TargetIncarnation) {
+            return Err(format!(
+                "target {} has a newer incarnation than {}",
+                record.name, record.incarnation
+            ));
+        }
+        audit::check!(
+            self.audit,
+            "target.incarnation_not_taken_back",
+            !retired,
+            "target {} went back to incarnation {}",
+            record.name,
+            record.incarnation
+        );
+        if slot.retired.len() == MAX_RETIRED {
+            slot.retired.remove(0);
+        }
+        slot.retired.push(slot.record.incarnation);
+        slot.record = record;
+        slot.gone = false;
+        self.version += 1;
+        Ok(true)
+    }
+
+    fn insert(&mut self, record: message::TargetRecord) -> Result<bool, String> {
+        if self.slots.len() >= MAX_TARGETS {
+            return Err(format!("the registry holds {MAX_TARGETS} targets already"));
+        }
+        let slot = TargetSlot {
+            record,
+            gone: false,
+            retired: Vec::new(),
+        };
+        self.slots.insert(slot.record.name.clone(), slot);
+        self.version += 1;
+        Ok(true)
+    }
+
+    /// Marks a target as leaving or gone and returns whether that changed the registry.
+    pub(crate) fn mark(&mut self, mark: &message::TargetMark) -> Result<bool, String> {
+        let slot = self
+            .slots
+            .get_mut(&mark.name)
+            .ok_or_else(|| format!("target {:?} is not registered", mark.name))?;
+        if mark.incarnation != 0 && mark.incarnation != slot.record.incarnation {
+            return Err(format!(
+                "target {} has incarnation {}, the mark is for {}",
+                mark.name, slot.record.incarnation, mark.incarnation
+            ));
+        }
+        let leaving = slot.record.leaving || mark.leaving;
+        let gone = slot.gone || mark.gone;
+        let changed = leaving != slot.record.leaving || gone != slot.gone;
+        slot.record.leaving = leaving;
+        slot.gone = gone;
+        self.version += u64::from(changed);
+        Ok(changed)
+    }
+
+    /// Returns the table as part of a snapshot.
+    pub(crate) fn save(&self) -> snapshot::TargetPart {
+        let slots = self.slots.values().map(|slot| snapshot::SlotPart {
+            record: Some(slot.record.clone()),
+            gone: slot.gone,
+            retired: slot.retired.clone(),
+        });
+        snapshot::TargetPart {
+            version: self.version,
+            slots: slots.collect(),
+        }
+    }
+
+    /// Reads the table from its part of a snapshot.
+    pub(crate) fn load(part: snapshot::TargetPart) -> Result<Self, String> {
+        let mut table = Self {
+            version: part.version,
+            ..Self::default()
+        };
+        for slot in part.slots {
+            let record = slot.record.ok_or("a target has no record")?;
+            let name = record.name.clone();
+            let slot = TargetSlot {
+                record,
+                gone: slot.gone,
+                retired: slot.retired,
+            };
+            table.slots.insert(name, slot);
+        }
+        Ok(table)
+    }
+}
