--- a/crates/usher_state/src/snapshot.rs
+++ b/crates/usher_state/src/snapshot.rs
@@ -134,6 +134,8 @@
     pub(crate) gone: bool,
     #[prost(uint64, repeated, tag = "3")]
     pub(crate) retired: Vec<u64>,
+    #[prost(string, tag = "4")]
+    pub(crate) leaving_by: String,
 }
 
 /// Writes a snapshot: magic, version, body.
--- a/crates/usher_state/src/target_table.rs
+++ b/crates/usher_state/src/target_table.rs
@@ -19,6 +19,8 @@
     pub record: message::TargetRecord,
     /// Set when nobody has seen the target for a while.
     pub gone: bool,
+    /// Operator that marked this incarnation as leaving; empty when it left by itself.
+    pub leaving_by: String,
     /// Incarnations that this one replaced, oldest first.
     pub retired: Vec<u64>,
 }
@@ -113,6 +115,7 @@
         slot.retired.push(slot.record.incarnation);
         slot.record = record;
         slot.gone = false;
+        slot.leaving_by.clear();
         self.version += 1;
         Ok(true)
     }
@@ -124,6 +127,7 @@
         let slot = TargetSlot {
             record,
             gone: false,
+            leaving_by: String::new(),
             retired: Vec::new(),
         };
         self.slots.insert(slot.record.name.clone(), slot);
@@ -146,6 +150,9 @@
         let leaving = slot.record.leaving || mark.leaving;
         let gone = slot.gone || mark.gone;
         let changed = leaving != slot.record.leaving || gone != slot.gone;
+        if mark.leaving && slot.leaving_by.is_empty() {
+            slot.leaving_by = mark.operator.clone();
+        }
         slot.record.leaving = leaving;
         slot.gone = gone;
         self.version += u64::from(changed);
@@ -157,6 +164,7 @@
         let slots = self.slots.values().map(|slot| snapshot::SlotPart {
             record: Some(slot.record.clone()),
             gone: slot.gone,
+            leaving_by: slot.leaving_by.clone(),
             retired: slot.retired.clone(),
         });
         snapshot::TargetPart {
@@ -177,6 +185,7 @@
             let slot = TargetSlot {
                 record,
                 gone: slot.gone,
+                leaving_by: slot.leaving_by,
                 retired: slot.retired,
             };
             table.slots.insert(name, slot);
