Add the decisions of the control daemon

Cause: grants, orders and the reconciler must be testable without I/O. Conclusion: the I/O around them can be thin.

--- /dev/null
+++ b/crates/usher_control/src/plan/fleet_plan.rs
@@ -0,0 +1,257 @@
+//! Compares the sheet with the registry and plans the fewest orders. Not for: sending them.
+
+use std::collections;
+
+use usher_types::EngineRole;
+use usher_wire::message;
+
+/// The roles in the order in which shortages are filled.
+const ROLES: [EngineRole; 3] = [EngineRole::Mixed, EngineRole::Prefill, EngineRole::Decode];
+
+/// Limits of a plan.
+#[derive(Clone, Copy, Debug)]
+pub struct PlanRules {
+    /// How many engines of one service may be under order at once.
+    pub per_service: usize,
+}
+
+impl Default for PlanRules {
+    fn default() -> Self {
+        Self { per_service: 1 }
+    }
+}
+
+/// What a plan is made from.
+#[derive(Clone, Copy, Debug)]
+pub struct FleetView<'a> {
+    /// The planners' sheet.
+    pub sheet: &'a usher_config::FleetSheet,
+    /// Targets that are present.
+    pub targets: &'a [message::TargetRecord],
+    /// Engines with an order in flight.
+    pub busy: &'a collections::BTreeSet<String>,
+    /// Engines that aren't ordered now, for example because their last order just failed.
+    pub held_back: &'a collections::BTreeSet<String>,
+}
+
+usher_types::value_type! {
+    /// An order that brings the fleet closer to the sheet.
+    pub struct PlannedOrder {
+        /// Service of the engine.
+        pub service: usher_types::ServiceName,
+        /// The order.
+        pub intent: message::OrderIntent,
+    }
+}
+
+/// Plans the next orders: never below the floor of a row, and one engine per service at a time
+/// unless the rules allow more.
+///
+/// Loads come before roles, because an engine without the model serves nobody.
+pub fn plan_fleet(view: FleetView<'_>, rules: PlanRules) -> Vec<PlannedOrder> {
+    let mut plan = Vec::new();
+    for service in view.sheet.services() {
+        let ordered = view
+            .targets
+            .iter()
+            .filter(|target| target.service == service.as_str() && view.busy.contains(&target.name))
+            .count();
+        let mut room = rules.per_service.saturating_sub(ordered);
+        let rows = view.sheet.service_rows(service);
+        for row in rows.filter(|row| row.kind == usher_types::TargetKind::Engine) {
+            let mut fleet = RowFleet::new(row, view);
+            while room > 0 {
+                let Some(intent) = fleet.next_order() else {
+                    break;
+                };
+                room -= 1;
+                fleet.take(&intent);
+                plan.push(PlannedOrder {
+                    service: service.clone(),
+                    intent,
+                });
+            }
+        }
+    }
+    plan
+}
+
+/// The engines of one row while orders are planned for them.
+struct RowFleet<'a> {
+    row: &'a usher_config::SheetRow,
+    engines: Vec<&'a message::TargetRecord>,
+    taken: collections::BTreeSet<String>,
+    held_back: &'a collections::BTreeSet<String>,
+    roles: collections::BTreeMap<EngineRole, u32>,
+}
+
+impl<'a> RowFleet<'a> {
+    fn new(row: &'a usher_config::SheetRow, view: FleetView<'a>) -> Self {
+        let engines: Vec<_> = view
+            .targets
+            .iter()
+            .filter(|target| {
+                target.kind == row.kind.to_string()
+                    && target.service == row.service.as_str()
+                    && target.region == row.region.as_str()
+                    && !target.leaving
+            })
+            .collect();
+        let mut roles = collections::BTreeMap::new();
+        for engine in &engines {
+            *roles.entry(role_of(engine)).or_insert(0) += 1;
+        }
+        Self {
+            row,
+            engines,
+            taken: view.busy.clone(),
+            held_back: view.held_back,
+            roles,
+        }
+    }
+
+    fn count(&self, role: EngineRole) -> u32 {
+        self.roles.get(&role).copied().unwrap_or(0)
+    }
+
+    fn is_free(&self, engine: &message::TargetRecord) -> bool {
+        !self.taken.contains(&engine.name) && !self.held_back.contains(&engine.name)
+    }
+
+    /// Returns whether the engine serves callers now.
+    fn serves(&self, engine: &message::TargetRecord) -> bool {
+        let model = engine.shape.as_ref().map(|shape| shape.model.as_str());
+        !self.taken.contains(&engine.name) && model.is_some_and(|model| !model.is_empty())
+    }
+
+    /// Returns whether the floor holds while the engine is under order.
+    fn keeps_floor(&self, engine: &message::TargetRecord) -> bool {
+        let serving = self.engines.iter().filter(|other| self.serves(other));
+        let serving = serving.count() as u32;
+        !self.serves(engine) || serving > self.row.floor
+    }
+
+    fn take(&mut self, intent: &message::OrderIntent) {
+        self.taken.insert(intent.engine.clone());
+        if intent.kind() != message::OrderKind::Role {
+            return;
+        }
+        let engine = self.engines.iter().find(|one| one.name == intent.engine);
+        let role = intent
+            .shape
+            .as_ref()
+            .and_then(|shape| shape.role.parse().ok());
+        if let (Some(engine), Some(role)) = (engine, role) {
+            let from = self.roles.entry(role_of(engine)).or_insert(0);
+            *from = from.saturating_sub(1);
+            *self.roles.entry(role).or_insert(0) += 1;
+        }
+    }
+
+    fn next_order(&self) -> Option<message::OrderIntent> {
+        self.next_load().or_else(|| self.next_role())
+    }
+
+    fn next_load(&self) -> Option<message::OrderIntent> {
+        let free = self.engines.iter().filter(|engine| self.is_free(engine));
+        let mut orders: Vec<_> = free
+            .filter(|engine| self.keeps_floor(engine))
+            .filter_map(|engine| Some((self.serves(engine), self.load_order(engine)?)))
+            .collect();
+        // Engines that serve nobody go first.
+        orders.sort_by_key(|(serves, _)| *serves);
+        orders.into_iter().map(|(_, intent)| intent).next()
+    }
+
+    /// Returns the load order that an engine needs; adapters are loaded one by one.
+    fn load_order(&self, engine: &message::TargetRecord) -> Option<message::OrderIntent> {
+        let shape = engine.shape.clone().unwrap_or_default();
+        let model = self.row.model.as_ref()?.to_string();
+        let version = self.row.version.as_ref()?.to_string();
+        let same = shape.model == model && shape.version == version;
+        let missing = self
+            .row
+            .adapters
+            .iter()
+            .find(|adapter| !shape.adapters.iter().any(|one| one == adapter.as_str()));
+        let (adapters, reason) = match (same, missing) {
+            (false, _) => (Vec::new(), format!("the sheet wants {model} {version}")),
+            (true, Some(adapter)) => (
+                vec![adapter.to_string()],
+                format!("the sheet wants adapter {adapter}"),
+            ),
+            (true, None) => return None,
+        };
+        let shape = message::EngineShape {
+            model,
+            version,
+            adapters,
+            role: shape.role,
+        };
+        Some(intent(engine, message::OrderKind::Load, shape, reason))
+    }
+
+    fn next_role(&self) -> Option<message::OrderIntent> {
+        let short = ROLES
+            .into_iter()
+            .find(|role| self.count(*role) < self.row.range(*role).least);
+        if let Some(role) = short {
+            return self.donate(role, |count, range| count > range.least);
+        }
+        // No role is short: only a role that is over its most still moves, to one with room.
+        ROLES
+            .into_iter()
+            .filter(|role| self.count(*role) < self.row.range(*role).most)
+            .find_map(|role| self.donate(role, |count, range| count > range.most))
+    }
+
+    /// Moves an engine to `role` from the role with the largest excess that `may_give` allows.
+    fn donate(
+        &self,
+        role: EngineRole,
+        may_give: impl Fn(u32, usher_config::CountRange) -> bool,
+    ) -> Option<message::OrderIntent> {
+        let mut donors: Vec<_> = ROLES
+            .into_iter()
+            .filter(|other| *other != role)
+            .filter(|other| may_give(self.count(*other), self.row.range(*other)))
+            .collect();
+        donors.sort_by_key(|other| {
+            let excess = i64::from(self.count(*other)) - i64::from(self.row.range(*other).most);
+            std::cmp::Reverse(excess)
+        });
+        donors.into_iter().find_map(|donor| {
+            let engine = self.engines.iter().find(|engine| {
+                role_of(engine) == donor && self.is_free(engine) && self.keeps_floor(engine)
+            })?;
+            let shape = message::EngineShape {
+                role: role.to_string(),
+                ..engine.shape.clone().unwrap_or_default()
+            };
+            let reason = format!("the sheet wants {} {role}", self.row.range(role));
+            Some(intent(engine, message::OrderKind::Role, shape, reason))
+        })
+    }
+}
+
+fn role_of(engine: &message::TargetRecord) -> EngineRole {
+    let shape = engine.shape.as_ref();
+    shape
+        .and_then(|shape| shape.role.parse().ok())
+        .unwrap_or_default()
+}
+
+fn intent(
+    engine: &message::TargetRecord,
+    kind: message::OrderKind,
+    shape: message::EngineShape,
+    reason: String,
+) -> message::OrderIntent {
+    message::OrderIntent {
+        engine: engine.name.clone(),
+        incarnation: engine.incarnation,
+        kind: kind.into(),
+        shape: Some(shape),
+        reason,
+    }
+}
--- /dev/null
+++ b/crates/usher_control/src/plan/load_board.rs
@@ -0,0 +1,160 @@
+//! The newest load of each target, and which loads an entry gets. Not for: decisions on load.
+
+use std::{collections, time};
+
+use prost::Message as _;
+use usher_wire::message;
+
+/// How many bytes of loads an entry gets per report interval of 1 s. A larger fleet is relayed
+/// as a subset per entry: with 760 targets all loads would take about 38 KB/s per entry, the
+/// budget is 2 KB/s for everything.
+pub const SUBSET_BYTES: usize = 1_200;
+
+/// Loads older than this are dropped.
+const KEEP: time::Duration = time::Duration::from_secs(10);
+
+/// Part of the subset that is taken from the entry's own region, where most of its work goes.
+const OWN_REGION_PART: f64 = 0.75;
+
+#[derive(Clone, Debug)]
+struct BoardLoad {
+    report: message::LoadReport,
+    made_at: time::Instant,
+    number: u64,
+    region: String,
+    bytes: usize,
+}
+
+/// Keeps the newest load report of each target with a number that goes up.
+#[derive(Clone, Debug, Default)]
+pub struct LoadBoard {
+    loads: collections::BTreeMap<String, BoardLoad>,
+    number: u64,
+    total_bytes: usize,
+}
+
+impl LoadBoard {
+    /// Makes an empty board.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns the number of the newest report.
+    pub fn number(&self) -> u64 {
+        self.number
+    }
+
+    /// Takes a report; an older one than the known one of the same incarnation is dropped.
+    pub fn take(&mut self, report: message::LoadReport, region: &str, now: time::Instant) {
+        let age = time::Duration::from_millis(report.age_ms);
+        let made_at = now.checked_sub(age).unwrap_or(now);
+        let known = self.loads.get(&report.target);
+        let newer = known.is_none_or(|known| {
+            known.report.incarnation != report.incarnation && made_at > known.made_at
+                || made_at > known.made_at + time::Duration::from_millis(50)
+        });
+        if !newer || age >= KEEP {
+            return;
+        }
+        self.number += 1;
+        let load = BoardLoad {
+            // Two bytes for the key and length of the field.
+            bytes: report.encoded_len() + 2,
+            made_at,
+            number: self.number,
+            region: region.to_owned(),
+            report,
+        };
+        self.total_bytes += load.bytes;
+        let target = load.report.target.clone();
+        if let Some(before) = self.loads.insert(target, load) {
+            self.total_bytes -= before.bytes;
+        }
+    }
+
+    /// Drops reports that are too old to be of use.
+    pub fn forget_old(&mut self, now: time::Instant) {
+        self.loads
+            .retain(|_, load| now.saturating_duration_since(load.made_at) < KEEP);
+        self.total_bytes = self.loads.values().map(|load| load.bytes).sum();
+    }
+
+    /// Returns all reports that are newer than `seen`, with their age now.
+    pub fn since(&self, seen: u64, now: time::Instant) -> Vec<message::LoadReport> {
+        let newer = self.loads.values().filter(|load| load.number > seen);
+        newer.map(|load| load.aged(now)).collect()
+    }
+
+    /// Returns the reports for one entry that are newer than `seen`.
+    ///
+    /// When all loads fit the budget the entry gets all; otherwise it gets those of a subset of
+    /// targets that stays the same while the fleet does, mostly of its region, and that differs
+    /// from the subsets of other entries.
+    pub fn for_entry(
+        &self,
+        entry: &str,
+        region: &str,
+        seen: u64,
+        now: time::Instant,
+    ) -> Vec<message::LoadReport> {
+        if self.total_bytes <= SUBSET_BYTES {
+            return self.since(seen, now);
+        }
+        let subset = self.subset(entry, region);
+        let newer = subset.into_iter().filter(|load| load.number > seen);
+        newer.map(|load| load.aged(now)).collect()
+    }
+
+    /// Returns the names of the targets whose loads an entry gets.
+    pub fn subset_names(&self, entry: &str, region: &str) -> Vec<&str> {
+        let subset = self.subset(entry, region).into_iter();
+        subset.map(|load| load.report.target.as_str()).collect()
+    }
+
+    fn subset(&self, entry: &str, region: &str) -> Vec<&BoardLoad> {
+        let mut ranked: Vec<_> = self
+            .loads
+            .values()
+            .map(|load| {
+                (
+                    load.region != region,
+                    rank(entry, &load.report.target),
+                    load,
+                )
+            })
+            .collect();
+        ranked.sort_by_key(|(other, rank, _)| (*other, *rank));
+        let own_budget = (SUBSET_BYTES as f64 * OWN_REGION_PART) as usize;
+        let mut bytes = 0;
+        let mut chosen = Vec::new();
+        for (other, _, load) in &ranked {
+            let budget = if *other { SUBSET_BYTES } else { own_budget };
+            if bytes + load.bytes <= budget {
+                bytes += load.bytes;
+                chosen.push(*load);
+            }
+        }
+        chosen
+    }
+}
+
+impl BoardLoad {
+    fn aged(&self, now: time::Instant) -> message::LoadReport {
+        let age = now.saturating_duration_since(self.made_at);
+        message::LoadReport {
+            age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+            ..self.report.clone()
+        }
+    }
+}
+
+/// Ranks a target for an entry by rendezvous hashing: FNV-1a with a final mix.
+fn rank(entry: &str, target: &str) -> u64 {
+    let bytes = entry.bytes().chain([0]).chain(target.bytes());
+    let mut hash = bytes.fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
+    });
+    hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    hash ^ (hash >> 31)
+}
--- /dev/null
+++ b/crates/usher_control/src/plan/load_bucket.rs
@@ -0,0 +1,52 @@
+//! Paces orders that read from the weight store. Not for: requests.
+
+use std::time;
+
+/// A token bucket with one token per load order.
+///
+/// ```
+/// use std::time::{Duration, Instant};
+/// use usher_control::plan::LoadBucket;
+/// let start = Instant::now();
+/// let mut bucket = LoadBucket::new(0.5, 1, start);
+/// assert!(bucket.take(start));
+/// assert!(!bucket.take(start + Duration::from_secs(1)));
+/// assert!(bucket.take(start + Duration::from_secs(2)));
+/// ```
+#[derive(Clone, Debug)]
+pub struct LoadBucket {
+    per_second: f64,
+    burst: f64,
+    tokens: f64,
+    filled_at: time::Instant,
+}
+
+impl LoadBucket {
+    /// Makes a full bucket.
+    pub fn new(per_second: f64, burst: u32, now: time::Instant) -> Self {
+        Self {
+            per_second,
+            burst: f64::from(burst),
+            tokens: f64::from(burst),
+            filled_at: now,
+        }
+    }
+
+    /// Empties the bucket: the loads that an earlier leader started are not known.
+    pub fn empty(&mut self, now: time::Instant) {
+        self.tokens = 0.0;
+        self.filled_at = now;
+    }
+
+    /// Takes a token, or returns false when there is none.
+    pub fn take(&mut self, now: time::Instant) -> bool {
+        let elapsed = now.saturating_duration_since(self.filled_at).as_secs_f64();
+        self.filled_at = self.filled_at.max(now);
+        self.tokens = (self.tokens + elapsed * self.per_second).min(self.burst);
+        let has_token = self.tokens >= 1.0;
+        if has_token {
+            self.tokens -= 1.0;
+        }
+        has_token
+    }
+}
