Add the consensus core and the repair policy

Cause: the control daemon needs an ordered, durable decision log that survives the loss of nodes and disks (design, section 9).

JoinNotice is new in the protocol: a node without a leader makes its identity known, because an incarnation can't be written in settings.

--- /dev/null
+++ b/crates/usher_consensus/src/core/change.rs
@@ -0,0 +1,83 @@
+//! Membership changes, one at a time. Not for: when a change is due.
+
+use std::time;
+
+use usher_wire::message;
+
+use super::{ConsensusCore, CoreRole};
+use crate::{error, membership, repair};
+
+impl ConsensusCore {
+    /// Appends one membership change, in force at once; returns its index.
+    ///
+    /// # Errors
+    ///
+    /// Fails when this node doesn't lead, an earlier change isn't committed, the change doesn't
+    /// fit the members, or a learner to promote hasn't durably acknowledged what is committed.
+    pub fn change_members(
+        &mut self,
+        change: &membership::MembershipChange,
+    ) -> Result<u64, error::ChangeError> {
+        if self.role != CoreRole::Leader {
+            return Err(error::ChangeError::NotLeader);
+        }
+        // Changes of an earlier leader may conflict until an entry of this term is committed.
+        if self.commit < self.lead.term_start || self.members_index() > self.commit {
+            return Err(error::ChangeError::Pending);
+        }
+        let table = self.members().changed(change)?;
+        if let membership::MembershipChange::Promote(node) = change {
+            let acknowledged = self.lead.progress.get(node).map_or(0, |peer| peer.matched);
+            if acknowledged < self.commit && !self.settings.faults.promote_behind {
+                return Err(error::ChangeError::Behind {
+                    node: node.clone(),
+                    acknowledged,
+                    expected: self.commit,
+                });
+            }
+        }
+        let index = self.append_own(message::EntryKind::Membership, table.encode());
+        self.track_members();
+        Ok(index)
+    }
+
+    /// Returns what a repair decision needs, if this node leads and a change is possible.
+    pub fn repair_view(&self, now: time::Instant) -> Option<repair::RepairView> {
+        let settled = self.commit >= self.lead.term_start && self.members_index() <= self.commit;
+        if self.role != CoreRole::Leader || !settled {
+            return None;
+        }
+        let since = self.lead.since.unwrap_or(now);
+        let members = self.members().iter().map(|(node, member)| {
+            let peer = self.lead.progress.get(node);
+            let contact = peer.and_then(|peer| peer.contact).unwrap_or(since);
+            let own = *node == self.id;
+            repair::RepairMember {
+                node: node.clone(),
+                member: member.clone(),
+                silent: if own {
+                    time::Duration::ZERO
+                } else {
+                    now.saturating_duration_since(contact)
+                },
+                caught_up: peer.is_some_and(|peer| peer.matched >= self.commit),
+            }
+        });
+        let spares = self
+            .spares
+            .iter()
+            .map(|(node, spare)| repair::RepairMember {
+                node: node.clone(),
+                member: spare.member.clone(),
+                silent: now.saturating_duration_since(spare.seen),
+                caught_up: false,
+            });
+        Some(repair::RepairView {
+            leader: self.id.clone(),
+            members: members.collect(),
+            spares: spares
+                .filter(|spare| self.members().get(&spare.node).is_none())
+                .collect(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/usher_consensus/src/core/follow.rs
@@ -0,0 +1,134 @@
+//! What a follower does with a leader's entries. Not for: snapshots.
+
+use std::time;
+
+use usher_wire::message;
+
+use super::{ConsensusCore, CoreRole};
+use crate::identity;
+
+impl ConsensusCore {
+    /// Accepts a leader's message; returns whether it is of the current term.
+    pub(super) fn accept_leader(
+        &mut self,
+        now: time::Instant,
+        from: &identity::NodeId,
+        term: u64,
+    ) -> bool {
+        if term < self.hard.term {
+            return false;
+        }
+        self.enter_term(term);
+        if !usher_types::invariant!(
+            "consensus.one_leader_per_term",
+            self.role != CoreRole::Leader && self.leader.as_ref().is_none_or(|known| known == from),
+            "{from} leads term {term} as well as {:?}",
+            self.leader
+        ) {
+            return false;
+        }
+        if self.role != CoreRole::Follower {
+            self.follow(now);
+        }
+        self.leader = Some(from.clone());
+        self.leader_seen = Some(now);
+        self.reset_election(now);
+        true
+    }
+
+    pub(super) fn on_append(
+        &mut self,
+        now: time::Instant,
+        from: &identity::NodeId,
+        term: u64,
+        request: message::AppendRequest,
+    ) {
+        if !self.accept_leader(now, from, term) {
+            // The higher term in the refusal deposes the old leader.
+            self.answer_append(from, false, 0, request.round);
+            return;
+        }
+        let previous = request.previous_index;
+        if let Some(retry) = self.mismatch(previous, request.previous_term) {
+            self.answer_append(from, false, retry, request.round);
+            return;
+        }
+        let last_new = previous + request.entries.len() as u64;
+        for entry in request.entries {
+            if !self.take_entry(entry) {
+                return;
+            }
+        }
+        self.commit = self
+            .commit
+            .max(request.commit.min(last_new))
+            .min(self.log.last_index());
+        self.answer_append(from, true, last_new, request.round);
+    }
+
+    /// Returns where the leader should retry when the logs differ at an index.
+    fn mismatch(&self, previous: u64, previous_term: u64) -> Option<u64> {
+        if previous < self.log.base_index() {
+            // Everything up to the commit index is the same on both sides.
+            return Some(self.commit);
+        }
+        match self.log.term(previous) {
+            Some(term) if term == previous_term => None,
+            Some(_) => Some(self.log.term_start(previous).saturating_sub(1)),
+            None => Some(self.log.last_index()),
+        }
+    }
+
+    /// Takes one entry; returns whether the log may go on.
+    fn take_entry(&mut self, entry: message::LogEntry) -> bool {
+        match self.log.term(entry.index) {
+            Some(term) if term == entry.term => return true,
+            Some(_) if !self.replace_from(entry.index) => return false,
+            _ => {}
+        }
+        self.note_membership(&entry);
+        self.log.push(entry);
+        true
+    }
+
+    fn replace_from(&mut self, from: u64) -> bool {
+        if !usher_types::invariant!(
+            "consensus.committed_entry_kept",
+            from > self.commit,
+            "entry {from} would be replaced, committed up to {}",
+            self.commit
+        ) {
+            return false;
+        }
+        self.log.truncate(from);
+        while self.memberships.last().is_some_and(|(at, _)| *at >= from) {
+            self.memberships.pop();
+        }
+        self.write_from = self.write_from.min(from);
+        self.durable = self.durable.min(from - 1);
+        for (_, last) in &mut self.in_flight {
+            *last = (*last).min(from - 1);
+        }
+        true
+    }
+
+    pub(super) fn answer_append(
+        &mut self,
+        to: &identity::NodeId,
+        accepted: bool,
+        index: u64,
+        round: u64,
+    ) {
+        let reply = message::AppendReply {
+            accepted,
+            index,
+            round,
+        };
+        let kind = message::consensus_message::Kind::AppendReply(reply);
+        if self.settings.faults.acknowledge_before_write {
+            self.send(to, kind);
+        } else {
+            self.send_after_write(to, kind);
+        }
+    }
+}
--- /dev/null
+++ b/crates/usher_consensus/src/core/read.rs
@@ -0,0 +1,89 @@
+//! Linearizable reads and the leader's lease. Not for: reading the state itself.
+
+use std::time;
+
+use super::{ConsensusCore, CoreRole, PendingRead};
+use crate::{error, output};
+
+impl ConsensusCore {
+    /// Asks for a linearizable read under a number of the caller's choice.
+    ///
+    /// It is ready at once under the lease, else after a round that a quorum answered.
+    ///
+    /// # Errors
+    ///
+    /// Fails when this node doesn't lead.
+    pub fn read(&mut self, now: time::Instant, id: u64) -> Result<(), error::NotLeaderError> {
+        if self.role != CoreRole::Leader {
+            return Err(error::NotLeaderError);
+        }
+        // Entries of earlier terms are known to be committed once one of this term is.
+        let index = self.commit.max(self.lead.term_start);
+        if self.holds_lease(now) {
+            self.reads_ready.push(output::ReadReady { id, index });
+            return Ok(());
+        }
+        self.start_round(now);
+        let round = self.lead.round;
+        self.lead.reads.push(PendingRead { id, index, round });
+        Ok(())
+    }
+
+    /// Returns whether no other node can lead at this time.
+    pub fn holds_lease(&self, now: time::Instant) -> bool {
+        self.role == CoreRole::Leader
+            && (self.is_only_voter() || self.lease_until().is_some_and(|until| now < until))
+    }
+
+    /// Returns until when the lease holds, if this node leads.
+    ///
+    /// A single voter holds it for as long as it leads, and this gives the end for one round.
+    pub fn lease_until(&self) -> Option<time::Instant> {
+        if self.role != CoreRole::Leader {
+            return None;
+        }
+        let start = self.confirmed_at()?;
+        Some(start + self.settings.lease())
+    }
+
+    /// When the newest round began that a quorum answered.
+    pub(super) fn confirmed_at(&self) -> Option<time::Instant> {
+        let round = self.confirmed_round();
+        let newest = self
+            .lead
+            .rounds
+            .iter()
+            .rev()
+            .find(|(number, _)| *number <= round)?;
+        Some(newest.1)
+    }
+
+    fn confirmed_round(&self) -> u64 {
+        self.members().quorum_value(|node| {
+            if *node == self.id {
+                return self.lead.round;
+            }
+            self.lead
+                .progress
+                .get(node)
+                .map_or(0, |peer| peer.acked_round)
+        })
+    }
+
+    pub(super) fn resolve_reads(&mut self) {
+        if self.lead.reads.is_empty() {
+            return;
+        }
+        let round = self.confirmed_round();
+        let (ready, waiting) = std::mem::take(&mut self.lead.reads)
+            .into_iter()
+            .partition(|read| read.round <= round);
+        self.lead.reads = waiting;
+        let ready: Vec<PendingRead> = ready;
+        self.reads_ready
+            .extend(ready.into_iter().map(|read| output::ReadReady {
+                id: read.id,
+                index: read.index,
+            }));
+    }
+}
--- /dev/null
+++ b/crates/usher_consensus/src/core/start.rs
@@ -0,0 +1,184 @@
+//! Starting from what storage held, and from the settings the first time. Not for: later inputs.
+
+use std::{collections, sync, time};
+
+use usher_wire::message;
+
+use super::{ConsensusCore, CoreRole, KnownSpare, LeaderState};
+use crate::{identity, image, log, membership, output, random, settings};
+
+/// What storage held when the node started.
+#[derive(Clone, Debug, Default)]
+pub struct InitialState {
+    /// Term and vote.
+    pub hard: output::HardState,
+    /// The last snapshot.
+    pub image: Option<sync::Arc<image::SnapshotImage>>,
+    /// Entries behind the snapshot, without a gap.
+    pub entries: Vec<message::LogEntry>,
+}
+
+impl ConsensusCore {
+    /// Starts a node from what its storage held.
+    pub fn new(
+        id: identity::NodeId,
+        settings: settings::ConsensusSettings,
+        state: InitialState,
+        seed: u64,
+        now: time::Instant,
+    ) -> Self {
+        let (base, base_term) = state
+            .image
+            .as_ref()
+            .map_or((0, 0), |image| (image.index, image.term));
+        // A node of term 0 has never answered a leader, so no lease depends on it.
+        let quiet = if state.hard.term == 0 {
+            time::Duration::ZERO
+        } else {
+            settings.election_min
+        };
+        let mut core = Self {
+            id,
+            settings,
+            random: random::SeedSequence::new(seed),
+            role: CoreRole::Follower,
+            hard: state.hard,
+            leader: None,
+            leader_seen: None,
+            quiet_until: now + quiet,
+            election_at: now,
+            log: log::EntryLog::new(base, base_term),
+            memberships: Vec::new(),
+            provisional: false,
+            image: None,
+            commit: base,
+            handed_commit: base,
+            durable: base,
+            in_flight: collections::VecDeque::new(),
+            sequence: 0,
+            write_from: base + 1,
+            handed_last: base,
+            hard_changed: false,
+            installing: None,
+            incoming: None,
+            votes: collections::BTreeSet::new(),
+            own_vote: None,
+            lead: LeaderState::default(),
+            spares: collections::BTreeMap::new(),
+            messages: Vec::new(),
+            messages_after_write: Vec::new(),
+            reads_ready: Vec::new(),
+            reads_failed: Vec::new(),
+        };
+        core.load(state.image, state.entries);
+        core.reset_election(now);
+        core
+    }
+
+    fn load(
+        &mut self,
+        image: Option<sync::Arc<image::SnapshotImage>>,
+        entries: Vec<message::LogEntry>,
+    ) {
+        if let Some(image) = &image {
+            self.memberships
+                .push((image.index, image.membership.clone()));
+        }
+        self.image = image;
+        for entry in entries {
+            if entry.index > self.log.base_index() {
+                self.note_membership(&entry);
+                self.log.push(entry);
+            }
+        }
+        self.durable = self.log.last_index();
+        self.handed_last = self.durable;
+        self.write_from = self.durable + 1;
+    }
+
+    /// Takes the membership of an entry into force.
+    pub(super) fn note_membership(&mut self, entry: &message::LogEntry) {
+        if entry.kind() != message::EntryKind::Membership {
+            return;
+        }
+        match membership::MemberTable::decode(&entry.payload) {
+            Ok(table) => {
+                self.provisional = false;
+                self.memberships.push((entry.index, table));
+            }
+            Err(error) => {
+                usher_types::invariant!(
+                    "consensus.valid_membership",
+                    false,
+                    "entry {}: {error}",
+                    entry.index
+                );
+            }
+        }
+    }
+
+    /// Returns whether the node has never held an entry.
+    pub fn is_blank(&self) -> bool {
+        self.log.last_index() == 0
+    }
+
+    /// Takes the first membership from the settings, and asks for votes at once.
+    ///
+    /// Only one node of a new group may do this. Until the membership is in the log every member
+    /// must vote for the first leader: should the node lose its disk and start a second group
+    /// with the same peers, none that holds an entry of the first one agrees. Does nothing when
+    /// the node isn't blank.
+    pub fn bootstrap(
+        &mut self,
+        now: time::Instant,
+        members: impl IntoIterator<Item = message::Member>,
+    ) {
+        if !self.is_blank() || !self.memberships.is_empty() {
+            return;
+        }
+        self.memberships
+            .push((0, membership::MemberTable::new(members)));
+        self.provisional = true;
+        self.election_at = now;
+    }
+
+    /// Returns the message by which this node makes itself known to peers.
+    pub fn join_notice(&self, member: message::Member) -> message::ConsensusMessage {
+        let notice = message::JoinNotice {
+            member: Some(member),
+            last_index: self.log.last_index(),
+        };
+        self.message(
+            &identity::NodeId::default(),
+            message::consensus_message::Kind::JoinNotice(notice),
+        )
+    }
+
+    pub(super) fn on_join_notice(&mut self, now: time::Instant, notice: message::JoinNotice) {
+        let Some(member) = notice.member else { return };
+        let node = membership::identity_of(&member);
+        if node == self.id || node.incarnation.get() == 0 {
+            return;
+        }
+        // A newer life of a name replaces the one that was known.
+        self.spares.retain(|known, _| known.name != node.name);
+        let spare = KnownSpare {
+            member,
+            last_index: notice.last_index,
+            seen: now,
+        };
+        self.spares.insert(node, spare);
+    }
+
+    /// Returns a node that made itself known since `after`, by name, with its last index.
+    pub fn known_spare(
+        &self,
+        name: &usher_types::NodeName,
+        after: time::Instant,
+    ) -> Option<(&message::Member, u64)> {
+        self.spares
+            .iter()
+            .find(|(node, spare)| node.name == *name && spare.seen >= after)
+            .map(|(_, spare)| (&spare.member, spare.last_index))
+    }
+}
--- /dev/null
+++ b/crates/usher_consensus/src/core/transfer.rs
@@ -0,0 +1,178 @@
+//! Snapshots in pieces, to peers that miss compacted entries. Not for: taking snapshots.
+
+use std::{sync, time};
+
+use usher_wire::message;
+
+use super::{ConsensusCore, IncomingSnapshot};
+use crate::{identity, image, log, membership, progress};
+
+/// The largest snapshot that is accepted, in bytes; guards memory against a wrong length.
+const MAX_SNAPSHOT_BYTES: u64 = 4 * 1_024 * 1_024 * 1_024;
+
+impl ConsensusCore {
+    /// Sends the piece of the snapshot that a peer wants next.
+    pub(super) fn send_piece(&mut self, node: &identity::NodeId) {
+        let Some(newest) = self.image.clone() else {
+            return;
+        };
+        let Some(peer) = self.lead.progress.get_mut(node) else {
+            return;
+        };
+        // A transfer goes on with its snapshot when a newer one is taken, or it might never end.
+        let transfer = peer.transfer.get_or_insert(progress::SnapshotTransfer {
+            image: newest,
+            offset: 0,
+        });
+        let image = transfer.image.clone();
+        let end = image
+            .data
+            .len()
+            .min(transfer.offset + self.settings.piece_bytes);
+        let piece = message::SnapshotPiece {
+            last_index: image.index,
+            last_term: image.term,
+            membership: Some(image.membership.to_message()),
+            offset: transfer.offset as u64,
+            total: image.data.len() as u64,
+            data: image
+                .data
+                .get(transfer.offset..end)
+                .unwrap_or_default()
+                .to_vec(),
+            round: self.lead.round,
+        };
+        self.send(node, message::consensus_message::Kind::SnapshotPiece(piece));
+    }
+
+    pub(super) fn on_piece_reply(
+        &mut self,
+        now: time::Instant,
+        from: &identity::NodeId,
+        term: u64,
+        reply: &message::SnapshotReply,
+    ) {
+        if !self.accept_reply(now, from, term, reply.round) {
+            return;
+        }
+        let last = self.log.last_index();
+        let Some(peer) = self.lead.progress.get_mut(from) else {
+            return;
+        };
+        let Some(transfer) = peer.transfer.as_mut() else {
+            return;
+        };
+        if transfer.image.index != reply.last_index {
+            return;
+        }
+        let total = transfer.image.data.len();
+        let wanted = usize::try_from(reply.next_offset).unwrap_or(total);
+        if wanted <= total {
+            // An offset behind the current one is an answer to a repeated piece, or the peer was
+            // restarted; the next heartbeat sends from there.
+            let moved = wanted != transfer.offset;
+            transfer.offset = wanted;
+            if moved {
+                self.send_piece(from);
+            }
+            return;
+        }
+        peer.matched = peer.matched.max(transfer.image.index.min(last));
+        peer.next = peer.matched + 1;
+        peer.streaming = true;
+        peer.transfer = None;
+        self.advance_commit(now);
+        self.send_append(from, true);
+    }
+
+    pub(super) fn on_piece(
+        &mut self,
+        now: time::Instant,
+        from: &identity::NodeId,
+        term: u64,
+        piece: message::SnapshotPiece,
+    ) {
+        if !self.accept_leader(now, from, term) {
+            self.answer_append(from, false, 0, piece.round);
+            return;
+        }
+        let (index, round) = (piece.last_index, piece.round);
+        let next_offset = if index <= self.commit {
+            // Nothing is missing; one past the total says that it is durable.
+            piece.total + 1
+        } else {
+            self.take_piece(piece)
+        };
+        let reply = message::SnapshotReply {
+            last_index: index,
+            next_offset,
+            round,
+        };
+        self.send_after_write(from, message::consensus_message::Kind::SnapshotReply(reply));
+    }
+
+    /// Takes one piece and returns the offset that is wanted next.
+    fn take_piece(&mut self, piece: message::SnapshotPiece) -> u64 {
+        if piece.total > MAX_SNAPSHOT_BYTES {
+            return 0;
+        }
+        let same = self.incoming.as_ref().is_some_and(|incoming| {
+            (incoming.index, incoming.term) == (piece.last_index, piece.last_term)
+        });
+        if !same {
+            self.incoming = Some(IncomingSnapshot {
+                index: piece.last_index,
+                term: piece.last_term,
+                data: Vec::new(),
+            });
+        }
+        let Some(incoming) = self.incoming.as_mut() else {
+            return 0;
+        };
+        let held = incoming.data.len() as u64;
+        if piece.offset != held || held + piece.data.len() as u64 > piece.total {
+            return held;
+        }
+        incoming.data.extend_from_slice(&piece.data);
+        let held = incoming.data.len() as u64;
+        if held < piece.total {
+            return held;
+        }
+        let members = piece.membership.unwrap_or_default().members;
+        let data = std::mem::take(&mut incoming.data);
+        self.incoming = None;
+        self.install(image::SnapshotImage {
+            index: piece.last_index,
+            term: piece.last_term,
+            membership: membership::MemberTable::new(members),
+            data,
+        });
+        piece.total + 1
+    }
+
+    /// Replaces the state and the log up to the snapshot's index.
+    fn install(&mut self, image: image::SnapshotImage) {
+        let image = sync::Arc::new(image);
+        self.commit = image.index;
+        self.handed_commit = image.index;
+        self.provisional = false;
+        if self.log.term(image.index) == Some(image.term) {
+            // The entries behind the snapshot are the leader's; they stay.
+            self.log.compact(image.index);
+            self.memberships.retain(|(at, _)| *at > image.index);
+        } else {
+            self.log = log::EntryLog::new(image.index, image.term);
+            self.memberships.clear();
+            self.handed_last = image.index;
+            self.write_from = image.index + 1;
+            self.durable = self.durable.min(image.index);
+            for (_, last) in &mut self.in_flight {
+                *last = (*last).min(image.index);
+            }
+        }
+        self.memberships
+            .insert(0, (image.index, image.membership.clone()));
+        self.image = Some(image.clone());
+        self.installing = Some(image);
+    }
+}
--- /dev/null
+++ b/crates/usher_consensus/src/identity.rs
@@ -0,0 +1,50 @@
+//! Identity of a node. Not for: its address.
+
+use std::fmt;
+
+use usher_wire::message;
+
+/// Names one life of a node: a node whose disk was lost returns under a new incarnation.
+#[derive(Clone, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct NodeId {
+    /// Name from the settings.
+    pub name: usher_types::NodeName,
+    /// Number stored in the data folder.
+    pub incarnation: usher_types::IncarnationId,
+}
+
+impl NodeId {
+    /// Makes an identity.
+    ///
+    /// ```
+    /// use usher_consensus::NodeId;
+    /// assert_eq!(NodeId::new("c1", 7).to_string(), "c1#7");
+    /// ```
+    pub fn new(name: &str, incarnation: u64) -> Self {
+        Self {
+            name: usher_types::NodeName::new(name),
+            incarnation: usher_types::IncarnationId::new(incarnation),
+        }
+    }
+
+    /// Reads the identity of a message; a missing one becomes the empty identity.
+    pub fn from_message(identity: Option<&message::NodeIdentity>) -> Self {
+        identity.map_or_else(Self::default, |identity| {
+            Self::new(&identity.name, identity.incarnation)
+        })
+    }
+
+    /// Returns the identity as a message.
+    pub fn to_message(&self) -> message::NodeIdentity {
+        message::NodeIdentity {
+            name: self.name.to_string(),
+            incarnation: self.incarnation.get(),
+        }
+    }
+}
+
+impl fmt::Display for NodeId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}#{}", self.name, self.incarnation)
+    }
+}
--- a/crates/usher_consensus/src/lib.rs
+++ b/crates/usher_consensus/src/lib.rs
@@ -1,1 +1,25 @@
-//! Consensus core as a pure state machine
+//! Consensus core as a pure state machine, and the policy that repairs its membership.
+//!
+//! For: elections, replication, leases, reads and membership after the published Raft
+//! description. Not for: I/O, clocks, or what the replicated commands mean.
+
+mod core;
+mod error;
+mod identity;
+mod image;
+mod log;
+mod membership;
+mod output;
+mod progress;
+mod random;
+mod repair;
+mod settings;
+
+pub use crate::core::{ConsensusCore, CoreRole, InitialState};
+pub use error::{ChangeError, NotLeaderError};
+pub use identity::NodeId;
+pub use image::SnapshotImage;
+pub use membership::{MemberTable, MembershipChange};
+pub use output::{HardState, OutputBatch, ReadReady};
+pub use repair::{RepairMember, RepairPolicy, RepairView};
+pub use settings::{ConsensusSettings, CoreFaults};
--- /dev/null
+++ b/crates/usher_consensus/src/log.rs
@@ -0,0 +1,109 @@
+//! Entries in memory behind the last snapshot. Not for: storage.
+
+use std::collections;
+
+use usher_wire::message;
+
+/// The tail of the log that is kept in memory.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct EntryLog {
+    base_index: u64,
+    base_term: u64,
+    entries: collections::VecDeque<message::LogEntry>,
+}
+
+impl EntryLog {
+    pub(crate) fn new(base_index: u64, base_term: u64) -> Self {
+        Self {
+            base_index,
+            base_term,
+            entries: collections::VecDeque::new(),
+        }
+    }
+
+    /// Index before the first entry in memory.
+    pub(crate) fn base_index(&self) -> u64 {
+        self.base_index
+    }
+
+    pub(crate) fn last_index(&self) -> u64 {
+        self.base_index + self.entries.len() as u64
+    }
+
+    pub(crate) fn last_term(&self) -> u64 {
+        self.entries
+            .back()
+            .map_or(self.base_term, |entry| entry.term)
+    }
+
+    /// Term of an index; `None` when it is compacted or not there yet.
+    pub(crate) fn term(&self, index: u64) -> Option<u64> {
+        if index == self.base_index {
+            return Some(self.base_term);
+        }
+        self.get(index).map(|entry| entry.term)
+    }
+
+    pub(crate) fn get(&self, index: u64) -> Option<&message::LogEntry> {
+        let offset = index.checked_sub(self.base_index + 1)?;
+        self.entries.get(usize::try_from(offset).ok()?)
+    }
+
+    pub(crate) fn push(&mut self, entry: message::LogEntry) {
+        let next = self.last_index() + 1;
+        if usher_types::invariant!(
+            "consensus.contiguous_log",
+            entry.index == next,
+            "entry {} follows {}",
+            entry.index,
+            next - 1
+        ) {
+            self.entries.push_back(entry);
+        }
+    }
+
+    /// Removes the entries from an index on.
+    pub(crate) fn truncate(&mut self, from: u64) {
+        let keep = from.saturating_sub(self.base_index + 1);
+        self.entries
+            .truncate(usize::try_from(keep).unwrap_or(usize::MAX));
+    }
+
+    /// Drops the entries up to an index, which must be in the log.
+    pub(crate) fn compact(&mut self, through: u64) {
+        let Some(term) = self.term(through) else {
+            return;
+        };
+        while self.base_index < through && self.entries.pop_front().is_some() {
+            self.base_index += 1;
+        }
+        self.base_term = term;
+    }
+
+    /// Copies entries from an index on, up to an index and a size; at least one if there is any.
+    pub(crate) fn slice(&self, from: u64, through: u64, bytes: usize) -> Vec<message::LogEntry> {
+        let mut taken = Vec::new();
+        let mut size = 0;
+        for index in from..=through.min(self.last_index()) {
+            let Some(entry) = self.get(index) else { break };
+            size += entry.payload.len();
+            if size > bytes && !taken.is_empty() {
+                break;
+            }
+            taken.push(entry.clone());
+        }
+        taken
+    }
+
+    /// First index of the run of entries with the same term as `index`.
+    pub(crate) fn term_start(&self, index: u64) -> u64 {
+        let Some(term) = self.term(index) else {
+            return index;
+        };
+        let mut start = index;
+        while start > self.base_index + 1 && self.term(start - 1) == Some(term) {
+            start -= 1;
+        }
+        start
+    }
+}
--- /dev/null
+++ b/crates/usher_consensus/src/progress.rs
@@ -0,0 +1,44 @@
+//! What the leader knows of one peer. Not for: deciding what to send.
+
+use std::{sync, time};
+
+use crate::image;
+
+/// A snapshot on its way to a peer.
+#[derive(Clone, Debug)]
+pub(crate) struct SnapshotTransfer {
+    pub(crate) image: sync::Arc<image::SnapshotImage>,
+    pub(crate) offset: usize,
+}
+
+/// Replication state of one peer.
+#[derive(Clone, Debug)]
+pub(crate) struct PeerProgress {
+    /// Highest index that the peer holds durably.
+    pub(crate) matched: u64,
+    /// Next index to send.
+    pub(crate) next: u64,
+    /// Whether the place where the logs agree is known, so that entries may be sent ahead.
+    pub(crate) streaming: bool,
+    /// Highest round that the peer answered.
+    pub(crate) acked_round: u64,
+    /// When the peer last answered.
+    pub(crate) contact: Option<time::Instant>,
+    /// Whether the peer has answered since the last heartbeat.
+    pub(crate) answered: bool,
+    pub(crate) transfer: Option<SnapshotTransfer>,
+}
+
+impl PeerProgress {
+    pub(crate) fn new(next: u64) -> Self {
+        Self {
+            matched: 0,
+            next,
+            streaming: false,
+            acked_round: 0,
+            contact: None,
+            answered: false,
+            transfer: None,
+        }
+    }
+}
