--- a/crates/usher_consensus/src/core/mod.rs
+++ b/crates/usher_consensus/src/core/mod.rs
@@ -104,6 +104,8 @@
     handed_last: u64,
     hard_changed: bool,
     installing: Option<sync::Arc<image::SnapshotImage>>,
+    /// The written log agrees with the snapshot and goes on behind it.
+    installing_keeps_log: bool,
     incoming: Option<IncomingSnapshot>,
     votes: collections::BTreeSet<identity::NodeId>,
     /// Batch whose writing makes this candidate's own vote count.
--- a/crates/usher_consensus/src/core/output.rs
+++ b/crates/usher_consensus/src/core/output.rs
@@ -29,6 +29,7 @@
             sequence: self.sequence,
             hard_state: hard_changed.then(|| self.hard.clone()),
             snapshot: self.installing.take(),
+            keeps_log: self.installing_keeps_log,
             truncate_from: truncated.then_some(self.write_from),
             entries: self.log.slice(self.write_from, last, usize::MAX),
             messages: std::mem::take(&mut self.messages),
--- a/crates/usher_consensus/src/core/read.rs
+++ b/crates/usher_consensus/src/core/read.rs
@@ -23,7 +23,10 @@
             self.reads_ready.push(output::ReadReady { id, index });
             return Ok(());
         }
-        self.start_round(now);
+        // Reads of the same moment share a round.
+        if self.lead.rounds.back().is_none_or(|(_, at)| *at != now) {
+            self.start_round(now);
+        }
         let round = self.lead.round;
         self.lead.reads.push(PendingRead { id, index, round });
         Ok(())
--- a/crates/usher_consensus/src/core/start.rs
+++ b/crates/usher_consensus/src/core/start.rs
@@ -7,6 +7,9 @@
 use super::{ConsensusCore, CoreRole, KnownSpare, LeaderState};
 use crate::{identity, image, log, membership, output, random, settings};
 
+/// How many nodes that aren't members are remembered.
+const MAX_SPARES: usize = 64;
+
 /// What storage held when the node started.
 #[derive(Clone, Debug, Default)]
 pub struct InitialState {
@@ -60,6 +63,7 @@
             handed_last: base,
             hard_changed: false,
             installing: None,
+            installing_keeps_log: false,
             incoming: None,
             votes: collections::BTreeSet::new(),
             own_vote: None,
@@ -162,6 +166,9 @@
         }
         // A newer life of a name replaces the one that was known.
         self.spares.retain(|known, _| known.name != node.name);
+        if self.spares.len() >= MAX_SPARES {
+            return;
+        }
         let spare = KnownSpare {
             member,
             last_index: notice.last_index,
--- a/crates/usher_consensus/src/core/transfer.rs
+++ b/crates/usher_consensus/src/core/transfer.rs
@@ -156,13 +156,18 @@
         self.commit = image.index;
         self.handed_commit = image.index;
         self.provisional = false;
-        if self.log.term(image.index) == Some(image.term) {
+        let same = self.log.term(image.index) == Some(image.term);
+        self.installing_keeps_log = same && self.write_from > image.index;
+        if same {
             // The entries behind the snapshot are the leader's; they stay.
             self.log.compact(image.index);
             self.memberships.retain(|(at, _)| *at > image.index);
         } else {
             self.log = log::EntryLog::new(image.index, image.term);
             self.memberships.clear();
+        }
+        if !self.installing_keeps_log {
+            // Storage starts again behind the snapshot.
             self.handed_last = image.index;
             self.write_from = image.index + 1;
             self.durable = self.durable.min(image.index);
--- a/crates/usher_consensus/src/output.rs
+++ b/crates/usher_consensus/src/output.rs
@@ -26,7 +26,7 @@
 
 /// Effects of the inputs since the last batch.
 ///
-/// The driver writes `snapshot`, `truncate_from`, `entries` and `hard_state` in this order,
+/// The driver writes `hard_state`, `snapshot`, `truncate_from` and `entries` in this order,
 /// syncs, sends `messages_after_write` and calls `persisted(sequence)`. Everything else may
 /// happen at once.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -35,8 +35,10 @@
     pub sequence: u64,
     /// Term and vote to write, when they changed.
     pub hard_state: Option<HardState>,
-    /// A leader's snapshot to write and restore; it replaces the log up to its index.
+    /// A leader's snapshot to write and restore.
     pub snapshot: Option<sync::Arc<image::SnapshotImage>>,
+    /// Whether entries written earlier stay behind the snapshot; else it replaces all of them.
+    pub keeps_log: bool,
     /// The written log ends before this index.
     pub truncate_from: Option<u64>,
     /// Entries to append after that.
--- /dev/null
+++ b/crates/usher_log/src/memory.rs
@@ -0,0 +1,235 @@
+//! A folder in memory that loses what wasn't synced, for tests. Not for: durable data.
+
+use std::{collections, io, sync};
+
+use crate::storage;
+
+/// How much of the bytes that weren't synced a crash loses.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CrashLoss {
+    /// Nothing, as when only the process ends.
+    Nothing,
+    /// Everything that wasn't synced.
+    Unsynced,
+    /// All but this many unsynced bytes of each file, as when a write was cut off.
+    KeepBytes(usize),
+}
+
+#[derive(Clone, Debug, Default)]
+struct MemoryBytes {
+    data: Vec<u8>,
+    durable: Vec<u8>,
+}
+
+#[derive(Debug, Default)]
+struct MemoryDisk {
+    names: collections::BTreeMap<String, u64>,
+    durable_names: collections::BTreeMap<String, u64>,
+    files: collections::BTreeMap<u64, MemoryBytes>,
+    next_file: u64,
+    capacity: Option<usize>,
+    failing_sync: bool,
+    sync_count: u64,
+}
+
+impl MemoryDisk {
+    fn file(&mut self, name: &str) -> io::Result<&mut MemoryBytes> {
+        let id = self.names.get(name).ok_or(io::ErrorKind::NotFound)?;
+        self.files
+            .get_mut(id)
+            .ok_or_else(|| io::ErrorKind::NotFound.into())
+    }
+
+    fn check_sync(&mut self) -> io::Result<()> {
+        if self.failing_sync {
+            return Err(io::Error::other("injected fsync failure"));
+        }
+        self.sync_count += 1;
+        Ok(())
+    }
+
+    fn used(&self) -> usize {
+        self.files.values().map(|file| file.data.len()).sum()
+    }
+
+    fn drop_unnamed(&mut self) {
+        let (names, durable) = (&self.names, &self.durable_names);
+        self.files.retain(|id, _| {
+            names
+                .values()
+                .chain(durable.values())
+                .any(|used| used == id)
+        });
+    }
+}
+
+/// A folder in memory; clones share it.
+#[derive(Clone, Debug, Default)]
+pub struct MemoryFolder {
+    disk: sync::Arc<sync::Mutex<MemoryDisk>>,
+}
+
+/// A file of a [`MemoryFolder`].
+#[derive(Debug)]
+pub struct MemoryFile {
+    disk: sync::Arc<sync::Mutex<MemoryDisk>>,
+    id: u64,
+}
+
+fn lock(disk: &sync::Mutex<MemoryDisk>) -> sync::MutexGuard<'_, MemoryDisk> {
+    disk.lock().unwrap_or_else(sync::PoisonError::into_inner)
+}
+
+impl MemoryFolder {
+    /// Loses power: what wasn't synced is lost as far as `loss` says.
+    pub fn crash(&self, loss: CrashLoss) {
+        let mut disk = lock(&self.disk);
+        if loss == CrashLoss::Nothing {
+            return;
+        }
+        disk.names = disk.durable_names.clone();
+        for file in disk.files.values_mut() {
+            let kept = match loss {
+                CrashLoss::KeepBytes(bytes) => file.durable.len() + bytes,
+                _ => file.durable.len(),
+            };
+            if file.data.starts_with(&file.durable) {
+                file.data.truncate(kept);
+            } else {
+                file.data = file.durable.clone();
+            }
+            file.durable = file.data.clone();
+        }
+        disk.drop_unnamed();
+    }
+
+    /// Limits the disk to a number of bytes, or lifts the limit.
+    pub fn set_capacity(&self, bytes: Option<usize>) {
+        lock(&self.disk).capacity = bytes;
+    }
+
+    /// Lets every fsync fail, or work again.
+    pub fn set_failing_sync(&self, failing: bool) {
+        lock(&self.disk).failing_sync = failing;
+    }
+
+    /// Returns how many bytes all files hold.
+    pub fn used(&self) -> usize {
+        lock(&self.disk).used()
+    }
+
+    /// Returns how many fsyncs succeeded.
+    pub fn sync_count(&self) -> u64 {
+        lock(&self.disk).sync_count
+    }
+
+    /// Replaces the bytes of a file, as damage on the disk would.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the file is missing.
+    pub fn damage<D>(&self, name: &str, damage: D) -> io::Result<()>
+    where
+        D: FnOnce(&mut Vec<u8>),
+    {
+        let mut disk = lock(&self.disk);
+        let file = disk.file(name)?;
+        damage(&mut file.data);
+        file.durable = file.data.clone();
+        Ok(())
+    }
+}
+
+impl storage::StorageFile for MemoryFile {
+    fn write_all(&mut self, bytes: &[u8]) -> io::Result<()> {
+        let mut disk = lock(&self.disk);
+        let free = disk
+            .capacity
+            .map_or(usize::MAX, |capacity| capacity.saturating_sub(disk.used()));
+        let fitting = bytes.get(..free.min(bytes.len())).unwrap_or_default();
+        let file = disk
+            .files
+            .get_mut(&self.id)
+            .ok_or(io::ErrorKind::NotFound)?;
+        file.data.extend_from_slice(fitting);
+        if fitting.len() < bytes.len() {
+            return Err(io::ErrorKind::StorageFull.into());
+        }
+        Ok(())
+    }
+
+    fn sync(&mut self) -> io::Result<()> {
+        let mut disk = lock(&self.disk);
+        disk.check_sync()?;
+        let file = disk
+            .files
+            .get_mut(&self.id)
+            .ok_or(io::ErrorKind::NotFound)?;
+        let known = file.durable.len();
+        let added = file.data.get(known..).unwrap_or_default();
+        file.durable.extend_from_slice(added);
+        Ok(())
+    }
+}
+
+impl storage::StorageFolder for MemoryFolder {
+    type File = MemoryFile;
+
+    fn list(&self) -> io::Result<Vec<String>> {
+        Ok(lock(&self.disk).names.keys().cloned().collect())
+    }
+
+    fn read(&self, name: &str) -> io::Result<Vec<u8>> {
+        Ok(lock(&self.disk).file(name)?.data.clone())
+    }
+
+    fn create(&self, name: &str) -> io::Result<MemoryFile> {
+        let mut disk = lock(&self.disk);
+        let id = disk.next_file;
+        disk.next_file += 1;
+        disk.files.insert(id, MemoryBytes::default());
+        disk.names.insert(name.to_owned(), id);
+        Ok(MemoryFile {
+            disk: self.disk.clone(),
+            id,
+        })
+    }
+
+    fn open_cut(&self, name: &str, length: u64) -> io::Result<MemoryFile> {
+        let mut disk = lock(&self.disk);
+        let id = *disk.names.get(name).ok_or(io::ErrorKind::NotFound)?;
+        let length = usize::try_from(length).unwrap_or(usize::MAX);
+        let file = disk.file(name)?;
+        if file.data.len() != length {
+            file.data.truncate(length);
+            file.durable = file.data.clone();
+            disk.check_sync()?;
+        }
+        Ok(MemoryFile {
+            disk: self.disk.clone(),
+            id,
+        })
+    }
+
+    fn rename(&self, from: &str, to: &str) -> io::Result<()> {
+        let mut disk = lock(&self.disk);
+        let id = disk.names.remove(from).ok_or(io::ErrorKind::NotFound)?;
+        disk.names.insert(to.to_owned(), id);
+        Ok(())
+    }
+
+    fn remove(&self, name: &str) -> io::Result<()> {
+        let mut disk = lock(&self.disk);
+        disk.names.remove(name).ok_or(io::ErrorKind::NotFound)?;
+        disk.drop_unnamed();
+        Ok(())
+    }
+
+    fn sync(&self) -> io::Result<()> {
+        let mut disk = lock(&self.disk);
+        disk.check_sync()?;
+        disk.durable_names = disk.names.clone();
+        disk.drop_unnamed();
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/usher_log/src/snapshot.rs
@@ -0,0 +1,118 @@
+//! Snapshot files, replaced atomically. Not for: what a snapshot contains.
+
+use crate::{error, record, storage};
+
+const PREFIX: &str = "snapshot-";
+const SUFFIX: &str = ".snap";
+
+/// Name under which a snapshot is written before it is whole.
+pub(crate) const TEMPORARY: &str = "snapshot.tmp";
+
+/// The state up to an index, opaque here.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct StoredSnapshot {
+    /// Last index that the state includes.
+    pub index: u64,
+    /// Term of that index.
+    pub term: u64,
+    /// Membership in force at that index.
+    pub membership: Vec<u8>,
+    /// The state.
+    pub data: Vec<u8>,
+}
+
+pub(crate) fn name_of(index: u64) -> String {
+    format!("{PREFIX}{index:020}{SUFFIX}")
+}
+
+pub(crate) fn index_of(name: &str) -> Option<u64> {
+    name.strip_prefix(PREFIX)?
+        .strip_suffix(SUFFIX)?
+        .parse()
+        .ok()
+}
+
+impl StoredSnapshot {
+    fn encode(&self) -> Vec<u8> {
+        let mut buffer = Vec::with_capacity(record::HEAD_BYTES + self.data.len() + 64);
+        let length = u32::try_from(self.membership.len()).unwrap_or(u32::MAX);
+        let parts = [
+            &self.term.to_le_bytes()[..],
+            &length.to_le_bytes(),
+            &self.membership,
+            &self.data,
+        ];
+        record::encode(
+            &mut buffer,
+            record::RecordType::Snapshot,
+            self.index,
+            &parts,
+        );
+        buffer
+    }
+
+    fn decode(bytes: &[u8]) -> Result<Self, &'static str> {
+        let record = record::decode(bytes)?;
+        if record.kind != record::RecordType::Snapshot || record.size() != bytes.len() {
+            return Err("file is not one snapshot");
+        }
+        let parse = || {
+            let length = record::read_u32(record.payload.get(8..)?)?;
+            let rest = record.payload.get(12..)?;
+            let length = usize::try_from(length).ok()?;
+            Some(Self {
+                index: record.index,
+                term: record::read_u64(record.payload)?,
+                membership: rest.get(..length)?.to_vec(),
+                data: rest.get(length..)?.to_vec(),
+            })
+        };
+        parse().ok_or("snapshot is too short")
+    }
+
+    /// Reads the newest snapshot of a folder.
+    pub(crate) fn load<D>(folder: &D, names: &[String]) -> Result<Option<Self>, error::LogError>
+    where
+        D: storage::StorageFolder,
+    {
+        let Some(index) = names.iter().filter_map(|name| index_of(name)).max() else {
+            return Ok(None);
+        };
+        let name = name_of(index);
+        let bytes = folder
+            .read(&name)
+            .map_err(error::LogError::io("reading", &name))?;
+        let snapshot =
+            Self::decode(&bytes).map_err(|reason| error::LogError::corrupt(&name, 0, reason))?;
+        if snapshot.index != index {
+            return Err(error::LogError::corrupt(
+                &name,
+                0,
+                "index differs from the name",
+            ));
+        }
+        Ok(Some(snapshot))
+    }
+
+    /// Writes the snapshot so that either it or the one before is there after a crash.
+    pub(crate) fn save<D>(&self, folder: &D) -> Result<(), error::LogError>
+    where
+        D: storage::StorageFolder,
+    {
+        use storage::StorageFile as _;
+        let name = name_of(self.index);
+        let mut file = folder
+            .create(TEMPORARY)
+            .map_err(error::LogError::io("creation", TEMPORARY))?;
+        file.write_all(&self.encode())
+            .map_err(error::LogError::io("writing", TEMPORARY))?;
+        file.sync()
+            .map_err(error::LogError::io("fsync", TEMPORARY))?;
+        folder
+            .rename(TEMPORARY, &name)
+            .map_err(error::LogError::io("renaming to", &name))?;
+        folder
+            .sync()
+            .map_err(error::LogError::io("fsync of the folder", &name))
+    }
+}
--- /dev/null
+++ b/crates/usher_replica/src/command.rs
@@ -0,0 +1,25 @@
+//! What a handle asks of the driver. Not for: messages of peers.
+
+use tokio::sync::oneshot;
+
+use crate::error;
+
+pub(crate) type ProposeReply = oneshot::Sender<Result<Vec<u8>, error::ProposeError>>;
+pub(crate) type ReadReply = oneshot::Sender<Result<(), error::ReadError>>;
+pub(crate) type ChangeReply = oneshot::Sender<Result<(), error::ChangeMembersError>>;
+
+#[derive(Debug)]
+pub(crate) enum ReplicaCommand {
+    Propose {
+        payload: Vec<u8>,
+        reply: ProposeReply,
+    },
+    Read {
+        reply: ReadReply,
+    },
+    ChangeMembers {
+        change: usher_consensus::MembershipChange,
+        reply: ChangeReply,
+    },
+    Stop,
+}
--- /dev/null
+++ b/crates/usher_replica/src/driver/mod.rs
@@ -0,0 +1,306 @@
+//! Runs the core: feeds it time, commands and messages, and carries out its outputs.
+//! Not for: the rules of consensus.
+
+mod output;
+mod peers;
+mod requests;
+mod storage;
+
+use std::{collections, sync, time};
+
+use tokio::sync::mpsc;
+use usher_types::ClockSource as _;
+use usher_wire::message;
+
+use crate::{command, error, machine, settings, shared};
+
+pub(crate) use storage::{StorageEvent, StorageThread};
+
+/// How often time is passed to the core; several times per heartbeat.
+const TICK: time::Duration = time::Duration::from_millis(20);
+/// How often a node without a leader makes itself known.
+const NOTICE_INTERVAL: time::Duration = time::Duration::from_millis(200);
+/// How old a notice of a peer may be when the group is started.
+const NOTICE_AGE: time::Duration = time::Duration::from_secs(2);
+/// How many inputs are taken before their outputs are carried out together.
+const INPUT_BATCH: usize = 1_024;
+
+/// Turns what the log held into the core's first state.
+pub(crate) fn initial_state(
+    recovered: usher_log::RecoveredLog,
+) -> Result<usher_consensus::InitialState, error::StartError> {
+    let decode = |error: prost::DecodeError| error::StartError::Decode(error.to_string());
+    let image = match recovered.snapshot {
+        Some(snapshot) => Some(sync::Arc::new(usher_consensus::SnapshotImage {
+            index: snapshot.index,
+            term: snapshot.term,
+            membership: usher_consensus::MemberTable::decode(&snapshot.membership)
+                .map_err(decode)?,
+            data: snapshot.data,
+        })),
+        None => None,
+    };
+    let vote = recovered.vote.vote;
+    Ok(usher_consensus::InitialState {
+        hard: usher_consensus::HardState {
+            term: recovered.vote.term,
+            vote: vote.map(|(name, number)| usher_consensus::NodeId::new(&name, number)),
+        },
+        image,
+        entries: recovered
+            .entries
+            .into_iter()
+            .map(|record| message::LogEntry {
+                index: record.index,
+                term: record.term,
+                kind: i32::from(record.kind),
+                payload: record.payload,
+            })
+            .collect(),
+    })
+}
+
+/// A batch whose messages wait until it is durable.
+#[derive(Debug)]
+struct PendingBatch {
+    sequence: u64,
+    has_writes: bool,
+    messages: Vec<message::ConsensusMessage>,
+}
+
+/// A proposal that waits for its outcome.
+#[derive(Debug)]
+struct PendingProposal {
+    term: u64,
+    until: time::Instant,
+    reply: command::ProposeReply,
+}
+
+/// A read that waits for its quorum, then for its index to be applied.
+#[derive(Debug)]
+struct PendingRead {
+    until: time::Instant,
+    reply: command::ReadReply,
+}
+
+/// A membership change that waits to be committed.
+#[derive(Debug)]
+struct PendingChange {
+    index: u64,
+    term: u64,
+    until: time::Instant,
+    reply: command::ChangeReply,
+}
+
+/// The task that owns the core.
+#[derive(Debug)]
+pub(crate) struct ReplicaDriver<M> {
+    settings: settings::ReplicaSettings,
+    core: usher_consensus::ConsensusCore,
+    shared: sync::Arc<shared::SharedState<M>>,
+    storage: StorageThread,
+    commands: mpsc::Receiver<command::ReplicaCommand>,
+    messages: mpsc::Receiver<message::ConsensusMessage>,
+    peers: peers::PeerTable,
+    batches: collections::VecDeque<PendingBatch>,
+    proposals: collections::BTreeMap<u64, PendingProposal>,
+    reads: collections::BTreeMap<u64, PendingRead>,
+    ready_reads: Vec<(u64, command::ReadReply)>,
+    changes: Vec<PendingChange>,
+    next_read: u64,
+    applied: u64,
+    snapshot_index: u64,
+    snapshot_running: bool,
+    members_seen: Option<(u64, u64)>,
+    next_notice: time::Instant,
+    next_repair: time::Instant,
+    stopping: Option<String>,
+}
+
+impl<M> ReplicaDriver<M>
+where
+    M: machine::StateMachine,
+{
+    pub(crate) fn new(
+        settings: settings::ReplicaSettings,
+        core: usher_consensus::ConsensusCore,
+        shared: sync::Arc<shared::SharedState<M>>,
+        storage: StorageThread,
+        commands: mpsc::Receiver<command::ReplicaCommand>,
+        messages: mpsc::Receiver<message::ConsensusMessage>,
+    ) -> Self {
+        let identity = usher_wire::WireIdentity {
+            cluster: settings.cluster.clone(),
+            node: settings.name.clone(),
+            incarnation: core.id().incarnation,
+        };
+        let now = usher_types::SystemClock.now();
+        let applied = core.commit();
+        Self {
+            peers: peers::PeerTable::new(identity, settings.peers.clone()),
+            settings,
+            core,
+            shared,
+            storage,
+            commands,
+            messages,
+            batches: collections::VecDeque::new(),
+            proposals: collections::BTreeMap::new(),
+            reads: collections::BTreeMap::new(),
+            ready_reads: Vec::new(),
+            changes: Vec::new(),
+            next_read: 0,
+            applied,
+            snapshot_index: applied,
+            snapshot_running: false,
+            members_seen: None,
+            next_notice: now,
+            next_repair: now,
+            stopping: None,
+        }
+    }
+
+    pub(crate) async fn run(mut self) {
+        let mut ticks = tokio::time::interval(TICK);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        while self.stopping.is_none() {
+            tokio::select! {
+                biased;
+                event = self.storage.events.recv() => self.on_storage(event),
+                message = self.messages.recv() => self.on_messages(message),
+                command = self.commands.recv() => self.on_commands(command),
+                _ = ticks.tick() => self.on_tick(),
+            }
+            self.carry_out();
+            self.update_status();
+        }
+        self.finish().await;
+    }
+
+    fn on_storage(&mut self, event: Option<StorageEvent>) {
+        match event {
+            Some(StorageEvent::Persisted(sequence)) => self.on_persisted(sequence),
+            Some(StorageEvent::SnapshotSaved) => self.snapshot_running = false,
+            Some(StorageEvent::Failed(reason)) => self.stopping = Some(reason),
+            None => self.stopping = Some("storage thread ended".to_owned()),
+        }
+    }
+
+    fn on_messages(&mut self, first: Option<message::ConsensusMessage>) {
+        let now = usher_types::SystemClock.now();
+        let mut next = first;
+        let mut taken = 0;
+        while let Some(message) = next {
+            self.core.receive(now, message);
+            taken += 1;
+            next = (taken < INPUT_BATCH)
+                .then(|| self.messages.try_recv().ok())
+                .flatten();
+        }
+    }
+
+    fn on_commands(&mut self, first: Option<command::ReplicaCommand>) {
+        // The last handle was dropped.
+        let Some(first) = first else {
+            self.stopping = Some(String::new());
+            return;
+        };
+        let now = usher_types::SystemClock.now();
+        let mut next = Some(first);
+        let mut taken = 0;
+        while let Some(command) = next {
+            self.on_command(now, command);
+            taken += 1;
+            next = (taken < INPUT_BATCH)
+                .then(|| self.commands.try_recv().ok())
+                .flatten();
+        }
+    }
+
+    fn on_tick(&mut self) {
+        let now = usher_types::SystemClock.now();
+        self.core.tick(now);
+        self.expire(now);
+        if now >= self.next_notice {
+            self.next_notice = now + NOTICE_INTERVAL;
+            self.make_known(now);
+        }
+        if now >= self.next_repair {
+            self.next_repair = now + self.settings.repair_interval;
+            self.repair(now);
+        }
+    }
+
+    /// Makes this node known while it has no leader, and starts the group when it is due.
+    fn make_known(&mut self, now: time::Instant) {
+        let member = self.core.members().get(self.core.id()).is_some();
+        if self.core.leader().is_some() && member {
+            return;
+        }
+        let notice = self.core.join_notice(self.settings.member(self.core.id()));
+        self.peers.announce(&notice);
+        if self.core.is_blank() {
+            self.bootstrap(now);
+        }
+    }
+
+    fn bootstrap(&mut self, now: time::Instant) {
+        // One node starts the group, so that there is one first membership.
+        if self.settings.initial_members.first() != Some(&self.settings.name) {
+            return;
+        }
+        let after = now.checked_sub(NOTICE_AGE).unwrap_or(now);
+        let mut members = Vec::new();
+        for name in &self.settings.initial_members {
+            let member = if *name == self.settings.name {
+                Some(self.settings.member(self.core.id()))
+            } else {
+                self.core
+                    .known_spare(name, after)
+                    .filter(|(_, last_index)| *last_index == 0)
+                    .map(|(member, _)| member.clone())
+            };
+            let Some(mut member) = member else { return };
+            member.voter = true;
+            members.push(member);
+        }
+        self.core.bootstrap(now, members);
+        self.core.tick(now);
+    }
+
+    fn repair(&mut self, now: time::Instant) {
+        let Some(policy) = &self.settings.repair else {
+            return;
+        };
+        let Some(change) = self
+            .core
+            .repair_view(now)
+            .and_then(|view| policy.decide(&view))
+        else {
+            return;
+        };
+        match self.core.change_members(&change) {
+            Ok(index) => tracing::info!(index, ?change, "membership change"),
+            Err(error) => tracing::debug!(%error, ?change, "membership change not possible yet"),
+        }
+    }
+
+    async fn finish(self) {
+        let Self {
+            storage,
+            shared,
+            stopping,
+            ..
+        } = self;
+        let StorageThread { jobs, thread, .. } = storage;
+        // The thread ends once the sender is dropped and everything before is written.
+        drop(jobs);
+        let _ = tokio::task::spawn_blocking(move || thread.join()).await;
+        if let Some(reason) = stopping.as_ref().filter(|reason| !reason.is_empty()) {
+            tracing::error!(%reason, "replica stopped");
+        }
+        shared
+            .stopped
+            .send_replace(stopping.or(Some(String::new())));
+    }
+}
--- /dev/null
+++ b/crates/usher_replica/src/driver/output.rs
@@ -0,0 +1,225 @@
+//! Carries out what the core decided. Not for: its inputs.
+
+use usher_consensus::OutputBatch;
+use usher_wire::message;
+
+use super::{storage, PendingBatch, ReplicaDriver};
+use crate::{machine, status};
+
+impl<M> ReplicaDriver<M>
+where
+    M: machine::StateMachine,
+{
+    /// Carries out outputs until there are none.
+    pub(super) fn carry_out(&mut self) {
+        while let Some(batch) = self.core.take_output() {
+            self.carry_out_batch(batch);
+            if self.stopping.is_some() {
+                return;
+            }
+        }
+        self.take_snapshot();
+    }
+
+    fn carry_out_batch(&mut self, mut batch: OutputBatch) {
+        for message in std::mem::take(&mut batch.messages) {
+            self.peers.send(self.core.members(), message);
+        }
+        self.batches.push_back(PendingBatch {
+            sequence: batch.sequence,
+            has_writes: batch.has_writes(),
+            messages: std::mem::take(&mut batch.messages_after_write),
+        });
+        if let Some(image) = &batch.snapshot {
+            self.restore(image);
+        }
+        let committed = std::mem::take(&mut batch.committed);
+        let ready = std::mem::take(&mut batch.reads_ready);
+        let failed = std::mem::take(&mut batch.reads_failed);
+        if batch.has_writes() {
+            let job = storage::StorageJob::Batch(Box::new(batch));
+            if self.storage.jobs.send(job).is_err() {
+                self.stopping = Some("storage thread ended".to_owned());
+                return;
+            }
+        }
+        self.apply(&committed);
+        self.answer_reads(ready, failed);
+        // Batches without writes are durable with those before them.
+        self.on_persisted(0);
+    }
+
+    /// Learns that batches are durable, and sends what waited for that.
+    pub(super) fn on_persisted(&mut self, sequence: u64) {
+        let mut durable = sequence;
+        while let Some(batch) = self.batches.front() {
+            if batch.sequence > sequence && batch.has_writes {
+                break;
+            }
+            durable = durable.max(batch.sequence);
+            let Some(batch) = self.batches.pop_front() else {
+                break;
+            };
+            for message in batch.messages {
+                self.peers.send(self.core.members(), message);
+            }
+        }
+        if durable > 0 {
+            let now = usher_types::ClockSource::now(&usher_types::SystemClock);
+            self.core.persisted(now, durable);
+        }
+    }
+
+    fn restore(&mut self, image: &usher_consensus::SnapshotImage) {
+        let mut state = self.shared.write_state();
+        match state.machine.restore(&image.data) {
+            Ok(()) => {
+                state.index = image.index;
+                self.applied = image.index;
+                self.snapshot_index = image.index;
+                let index = usher_types::LogIndex::new(image.index);
+                self.shared.applied.send_replace(index);
+            }
+            // The state would be behind the log for good.
+            Err(error) => self.stopping = Some(error.to_string()),
+        }
+    }
+
+    fn apply(&mut self, committed: &[message::LogEntry]) {
+        if committed.is_empty() {
+            return;
+        }
+        let mut outcomes = Vec::new();
+        let mut state = self.shared.write_state();
+        for entry in committed {
+            let in_order = usher_types::invariant!(
+                "replica.applied_in_order",
+                entry.index == self.applied + 1,
+                "entry {} after {}",
+                entry.index,
+                self.applied
+            );
+            if !in_order {
+                self.stopping = Some("entries were not applied in order".to_owned());
+                break;
+            }
+            let index = usher_types::LogIndex::new(entry.index);
+            let outcome = match entry.kind() {
+                message::EntryKind::Command => state.machine.apply(index, &entry.payload),
+                message::EntryKind::Membership | message::EntryKind::Noop => Vec::new(),
+            };
+            self.applied = entry.index;
+            state.index = entry.index;
+            outcomes.push((entry.index, entry.term, outcome));
+        }
+        drop(state);
+        let index = usher_types::LogIndex::new(self.applied);
+        self.shared.applied.send_replace(index);
+        for (index, term, outcome) in outcomes {
+            self.answer_proposal(index, term, outcome);
+        }
+        self.answer_changes();
+        self.answer_ready_reads();
+    }
+
+    fn answer_proposal(&mut self, index: u64, term: u64, outcome: Vec<u8>) {
+        let Some(waiting) = self.proposals.remove(&index) else {
+            return;
+        };
+        let answer = if waiting.term == term {
+            Ok(outcome)
+        } else {
+            // Another leader's entry is committed in its place, so it never takes effect.
+            Err(self.propose_refusal())
+        };
+        let _ = waiting.reply.send(answer);
+    }
+
+    fn answer_changes(&mut self) {
+        let applied = self.applied;
+        for waiting in self
+            .changes
+            .extract_if(.., |change| change.index <= applied)
+        {
+            let kept = self
+                .core
+                .term_at(waiting.index)
+                .is_none_or(|term| term == waiting.term);
+            let answer = if kept {
+                Ok(())
+            } else {
+                Err(usher_consensus::ChangeError::NotLeader.into())
+            };
+            let _ = waiting.reply.send(answer);
+        }
+    }
+
+    fn answer_reads(&mut self, ready: Vec<usher_consensus::ReadReady>, failed: Vec<u64>) {
+        for read in ready {
+            if let Some(waiting) = self.reads.remove(&read.id) {
+                self.ready_reads.push((read.index, waiting.reply));
+            }
+        }
+        for id in failed {
+            if let Some(waiting) = self.reads.remove(&id) {
+                let _ = waiting.reply.send(Err(self.read_refusal()));
+            }
+        }
+        self.answer_ready_reads();
+    }
+
+    fn answer_ready_reads(&mut self) {
+        let applied = self.applied;
+        for (_, reply) in self
+            .ready_reads
+            .extract_if(.., |(index, _)| *index <= applied)
+        {
+            let _ = reply.send(Ok(()));
+        }
+    }
+
+    fn take_snapshot(&mut self) {
+        let due = self.applied >= self.snapshot_index + self.settings.snapshot_entries;
+        if !due || self.snapshot_running {
+            return;
+        }
+        let data = self.shared.read_state().machine.snapshot();
+        let Some(image) = self.core.snapshot_taken(self.applied, data) else {
+            return;
+        };
+        self.snapshot_index = image.index;
+        self.snapshot_running = true;
+        if self
+            .storage
+            .jobs
+            .send(storage::StorageJob::Snapshot(image))
+            .is_err()
+        {
+            self.stopping = Some("storage thread ended".to_owned());
+        }
+    }
+
+    pub(super) fn update_status(&mut self) {
+        use usher_consensus::CoreRole;
+        let role = match self.core.role() {
+            CoreRole::Leader => status::ReplicaRole::Leader,
+            CoreRole::Candidate | CoreRole::PreCandidate => status::ReplicaRole::Candidate,
+            CoreRole::Follower if self.core.is_voter() => status::ReplicaRole::Follower,
+            CoreRole::Follower => status::ReplicaRole::Learner,
+        };
+        let leader = self.leader();
+        let seen = (self.core.members_index(), self.core.term());
+        let mut status = self.shared.write_status();
+        if self.members_seen != Some(seen) {
+            self.members_seen = Some(seen);
+            status.membership = self.core.members().to_message();
+        }
+        status.role = role;
+        status.term = usher_types::TermNumber::new(self.core.term());
+        status.leader = leader;
+        status.commit = usher_types::LogIndex::new(self.core.commit());
+        status.applied = usher_types::LogIndex::new(self.applied);
+        status.lease_until = self.core.lease_until();
+        status.leader_seen = self.core.leader_seen();
+    }
+}
--- /dev/null
+++ b/crates/usher_replica/src/driver/peers.rs
@@ -0,0 +1,68 @@
+//! Sends messages to peers. Not for: receiving them.
+
+use std::{collections, net};
+
+use usher_wire::{message, CallClient, WireIdentity};
+
+/// One connection per peer, made when it is first needed.
+#[derive(Debug)]
+pub(crate) struct PeerTable {
+    identity: WireIdentity,
+    known: Vec<(usher_types::NodeName, net::SocketAddr)>,
+    clients: collections::HashMap<net::SocketAddr, CallClient>,
+}
+
+impl PeerTable {
+    pub(crate) fn new(
+        identity: WireIdentity,
+        known: Vec<(usher_types::NodeName, net::SocketAddr)>,
+    ) -> Self {
+        let known = known
+            .into_iter()
+            .filter(|(name, _)| *name != identity.node)
+            .collect();
+        Self {
+            identity,
+            known,
+            clients: collections::HashMap::new(),
+        }
+    }
+
+    /// Sends a message to the member it is addressed to.
+    pub(crate) fn send(
+        &mut self,
+        members: &usher_consensus::MemberTable,
+        message: message::ConsensusMessage,
+    ) {
+        let to = usher_consensus::NodeId::from_message(message.to.as_ref());
+        let address = members
+            .get(&to)
+            .and_then(|member| member.address.parse().ok())
+            .or_else(|| self.address_of(&to.name));
+        if let Some(address) = address {
+            self.post(address, message);
+        }
+    }
+
+    /// Sends a message to all nodes of the settings.
+    pub(crate) fn announce(&mut self, message: &message::ConsensusMessage) {
+        let addresses: Vec<_> = self.known.iter().map(|(_, address)| *address).collect();
+        for address in addresses {
+            self.post(address, message.clone());
+        }
+    }
+
+    pub(crate) fn address_of(&self, name: &usher_types::NodeName) -> Option<net::SocketAddr> {
+        let known = self.known.iter().find(|(known, _)| known == name);
+        known.map(|(_, address)| *address)
+    }
+
+    fn post(&mut self, address: net::SocketAddr, message: message::ConsensusMessage) {
+        let identity = &self.identity;
+        let client = self
+            .clients
+            .entry(address)
+            .or_insert_with(|| CallClient::new(address, identity.clone()));
+        client.post(message::envelope::Body::Consensus(message));
+    }
+}
--- /dev/null
+++ b/crates/usher_replica/src/driver/requests.rs
@@ -0,0 +1,111 @@
+//! Commands of handles and their deadlines. Not for: outputs of the core.
+
+use std::{net, time};
+
+use super::{PendingChange, PendingProposal, PendingRead, ReplicaDriver};
+use crate::{command, error, machine};
+
+impl<M> ReplicaDriver<M>
+where
+    M: machine::StateMachine,
+{
+    pub(super) fn on_command(&mut self, now: time::Instant, command: command::ReplicaCommand) {
+        match command {
+            command::ReplicaCommand::Propose { payload, reply } => {
+                self.on_propose(now, payload, reply);
+            }
+            command::ReplicaCommand::Read { reply } => self.on_read(now, reply),
+            command::ReplicaCommand::ChangeMembers { change, reply } => {
+                self.on_change(now, &change, reply);
+            }
+            command::ReplicaCommand::Stop => self.stopping = Some(String::new()),
+        }
+    }
+
+    fn on_propose(&mut self, now: time::Instant, payload: Vec<u8>, reply: command::ProposeReply) {
+        match self.core.propose(payload) {
+            Ok((index, term)) => {
+                let until = now + self.settings.propose_timeout;
+                let pending = PendingProposal { term, until, reply };
+                // An entry of an earlier term of this node at the same index was overwritten.
+                if let Some(old) = self.proposals.insert(index, pending) {
+                    let _ = old.reply.send(Err(self.propose_refusal()));
+                }
+            }
+            Err(_) => {
+                let _ = reply.send(Err(self.propose_refusal()));
+            }
+        }
+    }
+
+    pub(super) fn propose_refusal(&self) -> error::ProposeError {
+        error::ProposeError::NotLeader {
+            leader: self.leader(),
+        }
+    }
+
+    pub(super) fn read_refusal(&self) -> error::ReadError {
+        error::ReadError::NotLeader {
+            leader: self.leader(),
+        }
+    }
+
+    /// Returns name and address of the leader, where known.
+    pub(super) fn leader(&self) -> Option<(usher_types::NodeName, net::SocketAddr)> {
+        let leader = self.core.leader()?;
+        let member = self.core.members().get(leader);
+        let address = member
+            .and_then(|member| member.address.parse().ok())
+            .or_else(|| self.peers.address_of(&leader.name))?;
+        Some((leader.name.clone(), address))
+    }
+
+    fn on_read(&mut self, now: time::Instant, reply: command::ReadReply) {
+        self.next_read += 1;
+        if self.core.read(now, self.next_read).is_err() {
+            let _ = reply.send(Err(self.read_refusal()));
+            return;
+        }
+        let until = now + self.settings.read_timeout;
+        self.reads
+            .insert(self.next_read, PendingRead { until, reply });
+    }
+
+    fn on_change(
+        &mut self,
+        now: time::Instant,
+        change: &usher_consensus::MembershipChange,
+        reply: command::ChangeReply,
+    ) {
+        match self.core.change_members(change) {
+            Ok(index) => self.changes.push(PendingChange {
+                index,
+                term: self.core.term(),
+                until: now + self.settings.propose_timeout,
+                reply,
+            }),
+            Err(error) => {
+                let _ = reply.send(Err(error.into()));
+            }
+        }
+    }
+
+    /// Answers what has waited too long.
+    pub(super) fn expire(&mut self, now: time::Instant) {
+        let late = self
+            .proposals
+            .extract_if(.., |_, waiting| now >= waiting.until);
+        for (_, waiting) in late {
+            let reason = "no quorum within the timeout".to_owned();
+            let _ = waiting
+                .reply
+                .send(Err(error::ProposeError::Unknown(reason)));
+        }
+        for (_, waiting) in self.reads.extract_if(.., |_, read| now >= read.until) {
+            let _ = waiting.reply.send(Err(error::ReadError::NoQuorum));
+        }
+        for waiting in self.changes.extract_if(.., |change| now >= change.until) {
+            let _ = waiting.reply.send(Err(error::ChangeMembersError::Unknown));
+        }
+    }
+}
--- /dev/null
+++ b/crates/usher_replica/src/driver/storage.rs
@@ -0,0 +1,158 @@
+//! The thread that writes and syncs the log. Not for: deciding what is written.
+
+use std::{io, sync, thread};
+
+use tokio::sync::mpsc;
+use usher_consensus::{OutputBatch, SnapshotImage};
+use usher_log::StorageFolder;
+use usher_wire::message;
+
+/// What the thread is asked to do, in order.
+#[derive(Debug)]
+pub(crate) enum StorageJob {
+    /// Write the changes of a batch.
+    Batch(Box<OutputBatch>),
+    /// Save a snapshot of this node's own state.
+    Snapshot(sync::Arc<SnapshotImage>),
+}
+
+/// What the thread reports.
+#[derive(Debug)]
+pub(crate) enum StorageEvent {
+    /// All batches up to this number are durable.
+    Persisted(u64),
+    /// A snapshot is durable.
+    SnapshotSaved,
+    /// The log is unusable; nothing more is written.
+    Failed(String),
+}
+
+/// Handle of the storage thread; the thread ends when it is dropped.
+#[derive(Debug)]
+pub(crate) struct StorageThread {
+    pub(crate) jobs: sync::mpsc::Sender<StorageJob>,
+    pub(crate) events: mpsc::UnboundedReceiver<StorageEvent>,
+    pub(crate) thread: thread::JoinHandle<()>,
+}
+
+impl StorageThread {
+    pub(crate) fn start<D>(log: usher_log::DurableLog<D>) -> io::Result<Self>
+    where
+        D: StorageFolder,
+        D::File: Send,
+    {
+        let (jobs, source) = sync::mpsc::channel();
+        let (reports, events) = mpsc::unbounded_channel();
+        let thread = thread::Builder::new()
+            .name("usher-storage".to_owned())
+            .spawn(move || run(log, &source, &reports))?;
+        Ok(Self {
+            jobs,
+            events,
+            thread,
+        })
+    }
+}
+
+fn run<D>(
+    mut log: usher_log::DurableLog<D>,
+    jobs: &sync::mpsc::Receiver<StorageJob>,
+    reports: &mpsc::UnboundedSender<StorageEvent>,
+) where
+    D: StorageFolder,
+{
+    while let Ok(first) = jobs.recv() {
+        if let Err(error) = write_group(&mut log, first, jobs, reports) {
+            tracing::error!(%error, "writing the log failed");
+            let _ = reports.send(StorageEvent::Failed(error.to_string()));
+            return;
+        }
+    }
+}
+
+/// Writes all jobs that wait, with one fsync.
+fn write_group<D>(
+    log: &mut usher_log::DurableLog<D>,
+    first: StorageJob,
+    jobs: &sync::mpsc::Receiver<StorageJob>,
+    reports: &mpsc::UnboundedSender<StorageEvent>,
+) -> Result<(), usher_log::LogError>
+where
+    D: StorageFolder,
+{
+    let mut next = Some(first);
+    let mut sequence = None;
+    let mut saved = 0;
+    while let Some(job) = next {
+        match job {
+            StorageJob::Batch(batch) => {
+                write_batch(log, &batch)?;
+                sequence = Some(batch.sequence);
+            }
+            StorageJob::Snapshot(image) => {
+                log.save_snapshot(&stored(&image))?;
+                saved += 1;
+            }
+        }
+        next = jobs.try_recv().ok();
+    }
+    log.sync()?;
+    for _ in 0..saved {
+        let _ = reports.send(StorageEvent::SnapshotSaved);
+    }
+    if let Some(sequence) = sequence {
+        let _ = reports.send(StorageEvent::Persisted(sequence));
+    }
+    Ok(())
+}
+
+fn write_batch<D>(
+    log: &mut usher_log::DurableLog<D>,
+    batch: &OutputBatch,
+) -> Result<(), usher_log::LogError>
+where
+    D: StorageFolder,
+{
+    // The vote first: entries of a term must never be on disk without it.
+    if let Some(hard) = &batch.hard_state {
+        log.set_vote(&usher_log::VoteRecord {
+            term: hard.term,
+            vote: hard
+                .vote
+                .as_ref()
+                .map(|node| (node.name.to_string(), node.incarnation.get())),
+        });
+    }
+    if let Some(image) = &batch.snapshot {
+        if batch.keeps_log {
+            log.save_snapshot(&stored(image))?;
+        } else {
+            log.install_snapshot(&stored(image))?;
+        }
+    }
+    if let Some(from) = batch.truncate_from {
+        log.truncate(from);
+    }
+    for entry in &batch.entries {
+        log.append(&record_of(entry));
+    }
+    Ok(())
+}
+
+fn stored(image: &SnapshotImage) -> usher_log::StoredSnapshot {
+    usher_log::StoredSnapshot {
+        index: image.index,
+        term: image.term,
+        membership: image.membership.encode(),
+        data: image.data.clone(),
+    }
+}
+
+fn record_of(entry: &message::LogEntry) -> usher_log::LogRecord {
+    usher_log::LogRecord {
+        index: entry.index,
+        term: entry.term,
+        kind: u8::try_from(entry.kind).unwrap_or_default(),
+        payload: entry.payload.clone(),
+    }
+}
--- /dev/null
+++ b/crates/usher_replica/src/node.rs
@@ -0,0 +1,134 @@
+//! Starts a replica. Not for: using it.
+
+use std::{sync, time};
+
+use tokio::sync::{mpsc, watch};
+use usher_log::StorageFolder;
+use usher_types::ClockSource as _;
+use usher_wire::message;
+
+use crate::{driver, error, handle, machine, settings, shared, status};
+
+/// How many commands of handles may wait.
+const COMMAND_QUEUE: usize = 8_192;
+/// How many messages of peers may wait.
+const MESSAGE_QUEUE: usize = 4_096;
+
+/// A replica before it is started.
+#[derive(Debug)]
+pub struct ReplicaNode<M> {
+    settings: settings::ReplicaSettings,
+    machine: M,
+}
+
+impl<M> ReplicaNode<M>
+where
+    M: machine::StateMachine,
+{
+    /// Makes a replica of an empty state.
+    pub fn new(settings: settings::ReplicaSettings, machine: M) -> Self {
+        Self { settings, machine }
+    }
+
+    /// Opens the data folder and starts the replica on the current tokio runtime.
+    ///
+    /// # Errors
+    ///
+    /// Fails when another process uses the folder or the log can't be read.
+    pub async fn start(self) -> Result<handle::ReplicaHandle<M>, error::StartError> {
+        let folder = usher_log::DiskFolder::open(self.settings.folder.clone())?;
+        self.start_on(folder).await
+    }
+
+    /// Starts the replica on a folder of another kind, for tests.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the log can't be read.
+    pub async fn start_on<D>(self, folder: D) -> Result<handle::ReplicaHandle<M>, error::StartError>
+    where
+        D: StorageFolder,
+    {
+        let new = usher_types::IncarnationSource::random();
+        let log_settings = self.settings.log.clone();
+        let open = tokio::task::spawn_blocking(move || {
+            usher_log::DurableLog::open(folder, log_settings, new)
+        });
+        let (log, recovered) = open
+            .await
+            .map_err(|error| error::StartError::Decode(error.to_string()))??;
+        if let Some(cut) = &recovered.cut {
+            tracing::warn!(
+                file = %cut.file, offset = cut.offset, bytes = cut.bytes,
+                "removed the end of an unfinished write"
+            );
+        }
+        let id = usher_consensus::NodeId {
+            name: self.settings.name.clone(),
+            incarnation: log.incarnation(),
+        };
+        let mut machine = self.machine;
+        if let Some(snapshot) = &recovered.snapshot {
+            machine.restore(&snapshot.data)?;
+        }
+        let applied = recovered
+            .snapshot
+            .as_ref()
+            .map_or(0, |snapshot| snapshot.index);
+        let state = driver::initial_state(recovered)?;
+        let now = usher_types::SystemClock.now();
+        let seed = usher_types::IncarnationSource::random().get();
+        let core = usher_consensus::ConsensusCore::new(
+            id.clone(),
+            self.settings.consensus.clone(),
+            state,
+            seed,
+            now,
+        );
+        let shared = share(machine, applied, &core);
+        let (commands, command_source) = mpsc::channel(COMMAND_QUEUE);
+        let (messages, message_source) = mpsc::channel(MESSAGE_QUEUE);
+        let storage = driver::StorageThread::start(log).map_err(error::StartError::Thread)?;
+        let driver = driver::ReplicaDriver::new(
+            self.settings,
+            core,
+            shared.clone(),
+            storage,
+            command_source,
+            message_source,
+        );
+        tokio::spawn(driver.run());
+        Ok(handle::ReplicaHandle {
+            shared,
+            commands,
+            messages,
+            identity: id,
+        })
+    }
+}
+
+fn share<M>(
+    machine: M,
+    applied: u64,
+    core: &usher_consensus::ConsensusCore,
+) -> sync::Arc<shared::SharedState<M>> {
+    let status = status::ReplicaStatus {
+        role: status::ReplicaRole::Learner,
+        term: usher_types::TermNumber::new(core.term()),
+        leader: None,
+        commit: usher_types::LogIndex::new(core.commit()),
+        applied: usher_types::LogIndex::new(applied),
+        membership: message::Membership::default(),
+        lease_until: None::<time::Instant>,
+        leader_seen: None,
+    };
+    sync::Arc::new(shared::SharedState {
+        state: sync::RwLock::new(shared::AppliedState {
+            machine,
+            index: applied,
+        }),
+        status: sync::RwLock::new(status),
+        applied: watch::Sender::new(usher_types::LogIndex::new(applied)),
+        stopped: watch::Sender::new(None),
+    })
+}
--- /dev/null
+++ b/crates/usher_replica/tests/common/mod.rs
@@ -0,0 +1,201 @@
+//! A small group of replicas over loopback, for the tests of this crate.
+
+#![allow(dead_code, unreachable_pub)]
+
+use std::{net, path, sync, time};
+
+use usher_replica::{
+    ProposeError, ReplicaHandle, ReplicaNode, ReplicaRole, ReplicaSettings, RestoreError,
+    StateMachine,
+};
+use usher_types::{LogIndex, NodeName};
+use usher_wire::{message, CallHandler, WireIdentity};
+
+/// Keeps the commands in order; the outcome is their number.
+#[derive(Debug, Default)]
+pub struct ListMachine {
+    pub commands: Vec<Vec<u8>>,
+}
+
+impl StateMachine for ListMachine {
+    fn apply(&mut self, _index: LogIndex, command: &[u8]) -> Vec<u8> {
+        self.commands.push(command.to_vec());
+        (self.commands.len() as u64).to_le_bytes().to_vec()
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        let mut bytes = Vec::new();
+        for command in &self.commands {
+            bytes.extend_from_slice(&(command.len() as u32).to_le_bytes());
+            bytes.extend_from_slice(command);
+        }
+        bytes
+    }
+
+    fn restore(&mut self, mut snapshot: &[u8]) -> Result<(), RestoreError> {
+        let mut commands = Vec::new();
+        while !snapshot.is_empty() {
+            let (length, rest) = snapshot.split_at(4);
+            let length = u32::from_le_bytes(length.try_into().unwrap()) as usize;
+            commands.push(rest[..length].to_vec());
+            snapshot = &rest[length..];
+        }
+        self.commands = commands;
+        Ok(())
+    }
+}
+
+pub type Handle = ReplicaHandle<ListMachine>;
+
+/// Hands received messages to the replica.
+struct MessageHandler(Handle);
+
+impl CallHandler for MessageHandler {
+    async fn handle(
+        &self,
+        _peer: &WireIdentity,
+        body: message::envelope::Body,
+    ) -> Option<message::envelope::Body> {
+        if let message::envelope::Body::Consensus(message) = body {
+            self.0.receive(message);
+        }
+        None
+    }
+}
+
+/// One node: its replica and the server that feeds it.
+pub struct Node {
+    pub handle: Handle,
+    server: tokio::task::JoinHandle<()>,
+}
+
+impl Node {
+    /// Cuts the node off and stops it, as the end of its process does.
+    pub async fn stop(self) {
+        self.server.abort();
+        let _ = self.server.await;
+        self.handle.stop().await;
+    }
+}
+
+pub struct Group {
+    pub folder: path::PathBuf,
+    pub names: Vec<NodeName>,
+    pub addresses: Vec<net::SocketAddr>,
+    pub voters: usize,
+    pub adjust: fn(ReplicaSettings) -> ReplicaSettings,
+}
+
+impl Group {
+    /// Plans a group of `count` nodes of which the first `voters` vote at first.
+    pub fn new(name: &str, count: usize, voters: usize) -> Self {
+        let folder = path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+        let _ = std::fs::remove_dir_all(&folder);
+        let listeners: Vec<_> = (0..count)
+            .map(|_| net::TcpListener::bind("127.0.0.1:0").unwrap())
+            .collect();
+        Self {
+            folder,
+            names: (1..=count)
+                .map(|number| NodeName::new(format!("c{number}")))
+                .collect(),
+            addresses: listeners
+                .iter()
+                .map(|listener| listener.local_addr().unwrap())
+                .collect(),
+            voters,
+            adjust: |settings| settings.with_repair(None),
+        }
+    }
+
+    pub fn node_folder(&self, place: usize) -> path::PathBuf {
+        self.folder.join(self.names[place].as_str())
+    }
+
+    pub fn settings(&self, place: usize) -> ReplicaSettings {
+        let peers = self
+            .names
+            .iter()
+            .cloned()
+            .zip(self.addresses.iter().copied());
+        let settings = ReplicaSettings::new(
+            "test",
+            self.names[place].clone(),
+            self.addresses[place],
+            self.node_folder(place),
+        )
+        .with_place("south-a", &format!("d{place}"))
+        .with_peers(peers)
+        .with_initial_members(self.names.iter().take(self.voters).cloned());
+        (self.adjust)(settings)
+    }
+
+    /// Starts one node on its folder.
+    pub async fn start(&self, place: usize) -> Node {
+        let machine = ListMachine::default();
+        let handle = ReplicaNode::new(self.settings(place), machine)
+            .start()
+            .await
+            .unwrap();
+        let socket = tokio::net::TcpSocket::new_v4().unwrap();
+        socket.set_reuseaddr(true).unwrap();
+        socket.bind(self.addresses[place]).unwrap();
+        let listener = socket.listen(64).unwrap();
+        let identity = WireIdentity {
+            cluster: "test".to_owned(),
+            node: self.names[place].clone(),
+            incarnation: handle.identity().incarnation,
+        };
+        let handler = sync::Arc::new(MessageHandler(handle.clone()));
+        let server = tokio::spawn(usher_wire::serve(
+            listener,
+            identity,
+            handler,
+            std::future::pending(),
+        ));
+        Node { handle, server }
+    }
+
+    pub async fn start_all(&self) -> Vec<Node> {
+        let mut nodes = Vec::new();
+        for place in 0..self.names.len() {
+            nodes.push(self.start(place).await);
+        }
+        nodes
+    }
+}
+
+/// Waits until a condition holds; the limit only ends a test that hangs.
+pub async fn wait_for<C>(what: &str, mut condition: C)
+where
+    C: FnMut() -> bool,
+{
+    let limit = time::Instant::now() + time::Duration::from_secs(60);
+    while !condition() {
+        assert!(time::Instant::now() < limit, "waiting for {what}");
+        tokio::time::sleep(time::Duration::from_millis(5)).await;
+    }
+}
+
+/// Waits for a node that leads, and returns its place.
+pub async fn leader_of(nodes: &[&Handle]) -> usize {
+    let leads = |node: &&Handle| node.status().role == ReplicaRole::Leader;
+    wait_for("a leader", || nodes.iter().any(leads)).await;
+    nodes.iter().position(leads).unwrap_or(0)
+}
+
+/// Proposes on whichever node leads until the command is accepted.
+pub async fn propose(nodes: &[&Handle], command: &[u8]) -> Vec<u8> {
+    let limit = time::Instant::now() + time::Duration::from_secs(60);
+    loop {
+        for node in nodes {
+            match node.propose(command.to_vec()).await {
+                Ok(outcome) => return outcome,
+                Err(ProposeError::NotLeader { .. }) => {}
+                Err(error) => panic!("{error}"),
+            }
+        }
+        assert!(time::Instant::now() < limit, "no leader accepts commands");
+        tokio::time::sleep(time::Duration::from_millis(5)).await;
+    }
+}
--- /dev/null
+++ b/crates/usher_replica/tests/group.rs
@@ -0,0 +1,54 @@
+//! Replicas over loopback elect a leader, commit, restart and replace each other.
+
+mod common;
+
+use common::{leader_of, propose, wait_for, Group, Handle};
+use usher_replica::ReplicaRole;
+
+fn handles(nodes: &[common::Node]) -> Vec<&Handle> {
+    nodes.iter().map(|node| &node.handle).collect()
+}
+
+/// Guards against a group that can't start from settings, or whose nodes differ.
+#[tokio::test(flavor = "multi_thread")]
+async fn three_nodes_elect_a_leader_and_commit() {
+    let group = Group::new("commit", 3, 3);
+    let nodes = group.start_all().await;
+    let handles = handles(&nodes);
+    let outcome = propose(&handles, b"first").await;
+    assert_eq!(outcome, 1_u64.to_le_bytes());
+    let leader = handles[leader_of(&handles).await];
+    leader.read().await.unwrap();
+    assert_eq!(leader.view(|machine| machine.commands.len()), 1);
+    for handle in &handles {
+        wait_for("the command on all nodes", || {
+            handle.view(|machine| machine.commands == [b"first"])
+        })
+        .await;
+    }
+    for node in nodes {
+        node.stop().await;
+    }
+}
+
+/// Guards against a single voter that needs others, or forgets its state in a restart.
+#[tokio::test(flavor = "multi_thread")]
+async fn single_voter_keeps_its_state_over_a_restart() {
+    let group = Group::new("single", 1, 1);
+    let node = group.start(0).await;
+    for number in 0..50_u8 {
+        propose(&[&node.handle], &[number]).await;
+    }
+    assert!(node.handle.holds_lease(std::time::Instant::now()));
+    let identity = node.handle.identity().clone();
+    node.stop().await;
+    let node = group.start(0).await;
+    assert_eq!(*node.handle.identity(), identity);
+    wait_for("leadership", || {
+        node.handle.status().role == ReplicaRole::Leader
+    })
+    .await;
+    node.handle.read().await.unwrap();
+    assert_eq!(node.handle.view(|machine| machine.commands.len()), 50);
+    node.stop().await;
+}
