Add the control node: control usable

Cause: entries, operators and the binaries need a daemon library over the replicated state. Change: ControlNode with ControlOptions starts the replica, the wire server (consensus, sync, claims, ends, proposals, relay) and the operators' HTTP server; a relay from every node to the leader, upkeep by the leader, the order service with one short connection per exchange, and a stop in order.

--- /dev/null
+++ b/crates/usher_control/src/fleet/fleet_access.rs
@@ -0,0 +1,67 @@
+//! The replica of the fleet's state, with decoded commands and outcomes. Not for: routing.
+
+use std::{fmt, time};
+
+use prost::Message as _;
+use usher_replica::{ProposeError, ReadError};
+use usher_wire::message;
+
+/// A handle of this node's replica; cheap to clone.
+#[derive(Clone)]
+pub(crate) struct FleetAccess {
+    replica: usher_replica::ReplicaHandle<usher_state::FleetState>,
+}
+
+impl FleetAccess {
+    pub(crate) fn new(replica: usher_replica::ReplicaHandle<usher_state::FleetState>) -> Self {
+        Self { replica }
+    }
+
+    /// Proposes a command on this node.
+    pub(crate) async fn propose(
+        &self,
+        command: &message::StateCommand,
+    ) -> Result<message::StateOutcome, ProposeError> {
+        let outcome = self.replica.propose(command.encode_to_vec()).await?;
+        message::StateOutcome::decode(outcome.as_slice())
+            .map_err(|error| ProposeError::Unknown(error.to_string()))
+    }
+
+    /// Reads the state with all accepted changes; only the leader can.
+    pub(crate) async fn read<T, F>(&self, look: F) -> Result<T, ReadError>
+    where
+        F: FnOnce(&usher_state::FleetState) -> T,
+    {
+        self.replica.read().await?;
+        Ok(self.replica.view(look))
+    }
+
+    /// Looks at the state as far as this node has applied it.
+    pub(crate) fn view<T>(&self, look: impl FnOnce(&usher_state::FleetState) -> T) -> T {
+        self.replica.view(look)
+    }
+
+    pub(crate) fn status(&self) -> usher_replica::ReplicaStatus {
+        self.replica.status()
+    }
+
+    /// Returns whether this node leads in `term` and its lease holds at `now`.
+    pub(crate) fn holds_lease(&self, term: usher_types::TermNumber, now: time::Instant) -> bool {
+        self.replica.status().term == term && self.replica.holds_lease(now)
+    }
+
+    /// Returns whether this node leads, as far as it knows.
+    pub(crate) fn leads(&self) -> bool {
+        self.status().role == usher_replica::ReplicaRole::Leader
+    }
+
+    pub(crate) fn receive(&self, message: message::ConsensusMessage) {
+        self.replica.receive(message);
+    }
+}
+
+impl fmt::Debug for FleetAccess {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("FleetAccess")
+    }
+}
--- /dev/null
+++ b/crates/usher_control/src/grant/sync_service.rs
@@ -0,0 +1,115 @@
+//! Answers the heartbeats of entries. Not for: deciding about shares, which the leader does.
+
+use std::{collections, sync};
+
+use usher_wire::message;
+
+use crate::{fleet, grant};
+
+/// Serves the entries of this node, leader or not.
+#[derive(Debug)]
+pub(crate) struct SyncService<C> {
+    access: fleet::FleetAccess,
+    served: sync::Mutex<grant::ServedEntries>,
+    clock: C,
+}
+
+/// What an entry doesn't know yet.
+struct StateDelta {
+    index: u64,
+    config_version: u64,
+    sheet: Option<String>,
+    registry_version: u64,
+    targets: Option<Vec<message::TargetRecord>>,
+}
+
+impl<C> SyncService<C>
+where
+    C: usher_types::ClockSource,
+{
+    pub(crate) fn new(access: fleet::FleetAccess, clock: C) -> Self {
+        Self {
+            access,
+            served: sync::Mutex::default(),
+            clock,
+        }
+    }
+
+    /// Locks what this node relays; a panic elsewhere doesn't make it unusable.
+    pub(crate) fn served(&self) -> sync::MutexGuard<'_, grant::ServedEntries> {
+        self.served
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    /// Returns the region of each target, for the choice of loads.
+    pub(crate) fn regions(&self) -> collections::HashMap<String, String> {
+        self.access.view(|state| {
+            let targets = state.targets().present();
+            targets
+                .map(|target| (target.name.clone(), target.region.clone()))
+                .collect()
+        })
+    }
+
+    /// Answers one heartbeat.
+    ///
+    /// The state is looked at after the confirmation of the leader, so that a right never goes
+    /// out with a state that is older than the confirmation. An entry that has acted on a newer
+    /// state than this node has gets no right and nothing older.
+    pub(crate) fn answer(&self, request: message::SyncRequest) -> message::SyncReply {
+        let now = self.clock.now();
+        let Some(entry) = request.entry.clone() else {
+            return message::SyncReply::default();
+        };
+        let regions = if request.loads.is_empty() {
+            collections::HashMap::new()
+        } else {
+            self.regions()
+        };
+        let (config_known, registry_known) = (request.config_version, request.registry_version);
+        let sequence = request.sequence;
+        let (loads, shares, issuer) = {
+            let mut served = self.served();
+            served.take(request, &regions, now);
+            let loads = served.loads_for(&entry, now);
+            let shares = served.shares_for(&entry, now);
+            (loads, shares, served.issuer.clone())
+        };
+        let delta = self.delta(config_known, registry_known);
+        let behind = config_known > delta.config_version || registry_known > delta.registry_version;
+        let right = if behind {
+            std::time::Duration::ZERO
+        } else {
+            issuer.right(now, delta.index)
+        };
+        message::SyncReply {
+            sequence,
+            config_version: delta.config_version,
+            config_changed: delta.sheet.is_some(),
+            sheet: delta.sheet.unwrap_or_default(),
+            registry_version: delta.registry_version,
+            registry_changed: delta.targets.is_some(),
+            targets: delta.targets.unwrap_or_default(),
+            loads,
+            shares,
+            right_ms: right.as_millis() as u64,
+        }
+    }
+
+    fn delta(&self, config_known: u64, registry_known: u64) -> StateDelta {
+        self.access.view(|state| {
+            let config = state.config();
+            let targets = state.targets();
+            let sheet = (config.version() > config_known).then(|| config.sheet().to_owned());
+            let changed = targets.version() > registry_known;
+            StateDelta {
+                index: state.index().get(),
+                config_version: config.version(),
+                sheet,
+                registry_version: targets.version(),
+                targets: changed.then(|| targets.present().cloned().collect()),
+            }
+        })
+    }
+}
--- a/crates/usher_control/src/lib.rs
+++ b/crates/usher_control/src/lib.rs
@@ -3,4 +3,16 @@
 //! For: consensus over the fleet's state, grants, claims, orders, and the operators' interface.
 //! Not for: callers' requests, which entries serve.
 
+mod error;
+mod fleet;
+mod grant;
+mod node;
+mod operator;
+mod options;
+mod order;
 pub mod plan;
+mod wire_handler;
+
+pub use error::{ControlError, LinkError, RouteError};
+pub use node::{ControlNode, RunningControl};
+pub use options::{ControlOptions, ControlPeer};
--- /dev/null
+++ b/crates/usher_control/src/node.rs
@@ -0,0 +1,333 @@
+//! Starts and stops a control node. Not for: reading settings.
+
+use std::{net, sync, time};
+
+use usher_wire::message;
+
+use crate::{error, fleet, grant, operator, options, order, plan, wire_handler};
+
+/// How long the wire and operator servers go on after the stop began, so that calls that were
+/// accepted get their answer.
+const STOP_GRACE: time::Duration = time::Duration::from_millis(500);
+
+/// A control node before it is started.
+///
+/// ```no_run
+/// # async fn start() -> Result<(), usher_control::ControlError> {
+/// use usher_control::{ControlNode, ControlOptions};
+/// let options = ControlOptions::new("control-1", "/var/lib/usher");
+/// let node = ControlNode::new(options).start().await?;
+/// println!("operators connect to {}", node.operator_address());
+/// node.stop().await;
+/// # Ok(())
+/// # }
+/// ```
+pub struct ControlNode<C = usher_types::SystemClock> {
+    options: options::ControlOptions,
+    clock: C,
+    services: usher_kernel::ServiceRegistry,
+}
+
+/// A control node that runs; it stops at once when dropped, and gracefully with
+/// [`stop`](Self::stop).
+pub struct RunningControl {
+    replica: usher_replica::ReplicaHandle<usher_state::FleetState>,
+    wire_address: net::SocketAddr,
+    operator_address: net::SocketAddr,
+    stop: usher_kernel::StopSource,
+    servers: Vec<tokio::task::JoinHandle<()>>,
+    tasks: Vec<tokio::task::JoinHandle<()>>,
+}
+
+/// The services of a node, as they are registered by name.
+struct ControlServices<C> {
+    access: fleet::FleetAccess,
+    clients: sync::Arc<fleet::PeerClients>,
+    router: usher_kernel::ServiceHandle<fleet::CommandRouter<C>>,
+    sync: usher_kernel::ServiceHandle<grant::SyncService<C>>,
+    desk: usher_kernel::ServiceHandle<sync::Mutex<grant::LeaderDesk>>,
+}
+
+impl ControlNode {
+    /// Makes a node with the clock of the system.
+    pub fn new(options: options::ControlOptions) -> Self {
+        Self {
+            options,
+            clock: usher_types::SystemClock,
+            services: usher_kernel::ServiceRegistry::new(),
+        }
+    }
+}
+
+impl<C> ControlNode<C>
+where
+    C: usher_types::ClockSource,
+{
+    /// Sets the registry in which the node's services are registered.
+    #[must_use]
+    pub fn with_services(mut self, services: usher_kernel::ServiceRegistry) -> Self {
+        self.services = services;
+        self
+    }
+
+    /// Starts the replica, the servers and the services.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address can't be listened on or the data folder can't be used.
+    pub async fn start(self) -> Result<RunningControl, error::ControlError> {
+        let wire = listen(self.options.wire_address).await?;
+        let operators = listen(self.options.operator_address).await?;
+        let wire_address = bound(&wire, self.options.wire_address)?;
+        let operator_address = bound(&operators, self.options.operator_address)?;
+        let replica = usher_replica::ReplicaNode::new(
+            self.replica_settings(wire_address),
+            usher_state::FleetState::new(),
+        );
+        let replica = replica.start().await?;
+        let services = self.register(&replica)?;
+        let (stop, signal) = usher_kernel::StopSource::new();
+        let servers = vec![
+            self.serve_wire(wire, &services, &replica, signal.clone()),
+            self.serve_operators(operators, operator_address, &services, signal.clone()),
+        ];
+        let tasks = self.run_tasks(&services, &replica, signal);
+        Ok(RunningControl {
+            replica,
+            wire_address,
+            operator_address,
+            stop,
+            servers,
+            tasks,
+        })
+    }
+
+    fn replica_settings(&self, address: net::SocketAddr) -> usher_replica::ReplicaSettings {
+        let options = &self.options;
+        let settings = usher_replica::ReplicaSettings::new(
+            &options.cluster,
+            options.node.clone(),
+            address,
+            options.folder.clone(),
+        );
+        let settings = settings.with_place(options.region.as_str(), options.domain.as_str());
+        if options.peers.is_empty() {
+            return settings;
+        }
+        let peers = options.peers.iter();
+        let voters = options.peers.iter().take(options.voters.max(1));
+        settings
+            .with_peers(peers.map(|peer| (peer.node.clone(), peer.wire_address)))
+            .with_initial_members(voters.map(|peer| peer.node.clone()))
+    }
+
+    fn identity(
+        &self,
+        replica: &usher_replica::ReplicaHandle<usher_state::FleetState>,
+    ) -> usher_wire::WireIdentity {
+        usher_wire::WireIdentity {
+            cluster: self.options.cluster.clone(),
+            node: self.options.node.clone(),
+            incarnation: replica.identity().incarnation,
+        }
+    }
+
+    fn register(
+        &self,
+        replica: &usher_replica::ReplicaHandle<usher_state::FleetState>,
+    ) -> Result<ControlServices<C>, error::ControlError> {
+        let access = fleet::FleetAccess::new(replica.clone());
+        let clients = sync::Arc::new(fleet::PeerClients::new(self.identity(replica)));
+        let router = fleet::CommandRouter::new(access.clone(), clients.clone(), self.clock.clone());
+        let sync = grant::SyncService::new(access.clone(), self.clock.clone());
+        let desk = sync::Mutex::new(grant::LeaderDesk::default());
+        self.services.register("replica", replica.clone())?;
+        Ok(ControlServices {
+            router: self.services.register("commands", router)?,
+            sync: self.services.register("grants", sync)?,
+            desk: self.services.register("leader-desk", desk)?,
+            access,
+            clients,
+        })
+    }
+
+    fn serve_wire(
+        &self,
+        listener: tokio::net::TcpListener,
+        services: &ControlServices<C>,
+        replica: &usher_replica::ReplicaHandle<usher_state::FleetState>,
+        stop: usher_kernel::StopSignal,
+    ) -> tokio::task::JoinHandle<()> {
+        let handler = sync::Arc::new(wire_handler::WireHandler {
+            access: services.access.clone(),
+            router: services.router.clone(),
+            service: services.sync.clone(),
+            desk: services.desk.clone(),
+            clock: self.clock.clone(),
+        });
+        let identity = self.identity(replica);
+        tokio::spawn(async move {
+            usher_wire::serve(listener, identity, handler, stop.stopped()).await;
+        })
+    }
+
+    fn serve_operators(
+        &self,
+        listener: tokio::net::TcpListener,
+        address: net::SocketAddr,
+        services: &ControlServices<C>,
+        stop: usher_kernel::StopSignal,
+    ) -> tokio::task::JoinHandle<()> {
+        let api = sync::Arc::new(operator::OperatorApi {
+            node: self.options.node.clone(),
+            address,
+            operators: self.options.operator_addresses(),
+            access: services.access.clone(),
+            router: services.router.clone(),
+            service: services.sync.clone(),
+            desk: services.desk.clone(),
+            stop: stop.clone(),
+            clock: self.clock.clone(),
+        });
+        let routes = operator::router(api);
+        tokio::spawn(async move {
+            let server = axum::serve(listener, routes);
+            let server = server.with_graceful_shutdown(async move { stop.stopped().await });
+            if let Err(error) = server.await {
+                tracing::error!(%error, "operator server failed");
+            }
+        })
+    }
+
+    fn run_tasks(
+        &self,
+        services: &ControlServices<C>,
+        replica: &usher_replica::ReplicaHandle<usher_state::FleetState>,
+        stop: usher_kernel::StopSignal,
+    ) -> Vec<tokio::task::JoinHandle<()>> {
+        let options = &self.options;
+        let identity = self.identity(replica);
+        let relay = grant::run_relay(grant::RelayParts {
+            identity: message::NodeIdentity {
+                name: identity.node.to_string(),
+                incarnation: identity.incarnation.get(),
+            },
+            access: services.access.clone(),
+            clients: services.clients.clone(),
+            router: services.router.clone(),
+            service: services.sync.clone(),
+            desk: services.desk.clone(),
+            clock: self.clock.clone(),
+        });
+        let upkeep = grant::run_upkeep(
+            services.access.clone(),
+            services.router.clone(),
+            services.desk.clone(),
+            self.clock.clone(),
+        );
+        let bucket = plan::LoadBucket::new(
+            options.weight_store_rate,
+            options.weight_store_burst,
+            self.clock.now(),
+        );
+        let orders = order::run_orders(order::OrderParts {
+            access: services.access.clone(),
+            router: services.router.clone(),
+            link: order::EngineLink::new(options.engine_timeout),
+            rules: plan::PlanRules {
+                per_service: options.orders_per_service,
+            },
+            bucket,
+            stop,
+            clock: self.clock.clone(),
+        });
+        vec![
+            tokio::spawn(relay),
+            tokio::spawn(upkeep),
+            tokio::spawn(orders),
+        ]
+    }
+}
+
+impl RunningControl {
+    /// Returns where entries and other control nodes connect.
+    pub fn wire_address(&self) -> net::SocketAddr {
+        self.wire_address
+    }
+
+    /// Returns where operators connect.
+    pub fn operator_address(&self) -> net::SocketAddr {
+        self.operator_address
+    }
+
+    /// Returns the replica of the fleet's state.
+    pub fn replica(&self) -> &usher_replica::ReplicaHandle<usher_state::FleetState> {
+        &self.replica
+    }
+
+    /// Waits until the replica fails and returns why; the process must then exit with an error.
+    pub async fn failed(&self) -> Option<String> {
+        self.replica.stopped().await
+    }
+
+    /// Stops gracefully: unready first, then no new orders and rights, then the servers once
+    /// accepted calls have their answer, and the replica last.
+    ///
+    /// A change that was accepted is durable on a quorum, so that a leader can simply step aside.
+    pub async fn stop(mut self) {
+        self.stop.drain();
+        for task in self.tasks.drain(..) {
+            task.abort();
+        }
+        tokio::time::sleep(STOP_GRACE).await;
+        self.stop.stop();
+        for server in self.servers.drain(..) {
+            let _ = tokio::time::timeout(STOP_GRACE, server).await;
+        }
+        self.replica.stop().await;
+    }
+
+    /// Ends the node without any grace, as the end of its process does.
+    pub async fn kill(mut self) {
+        self.abort();
+        for server in self.servers.drain(..) {
+            let _ = server.await;
+        }
+        self.replica.stop().await;
+    }
+
+    fn abort(&self) {
+        for task in self.tasks.iter().chain(&self.servers) {
+            task.abort();
+        }
+    }
+}
+
+impl Drop for RunningControl {
+    fn drop(&mut self) {
+        self.abort();
+    }
+}
+
+async fn listen(address: net::SocketAddr) -> Result<tokio::net::TcpListener, error::ControlError> {
+    let open = || {
+        let socket = match address {
+            net::SocketAddr::V4(_) => tokio::net::TcpSocket::new_v4()?,
+            net::SocketAddr::V6(_) => tokio::net::TcpSocket::new_v6()?,
+        };
+        // A restarted node takes its address back while old connections are closing.
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        socket.listen(1_024)
+    };
+    open().map_err(|error| error::ControlError::Listen { address, error })
+}
+
+fn bound(
+    listener: &tokio::net::TcpListener,
+    address: net::SocketAddr,
+) -> Result<net::SocketAddr, error::ControlError> {
+    listener
+        .local_addr()
+        .map_err(|error| error::ControlError::Listen { address, error })
+}
--- /dev/null
+++ b/crates/usher_control/src/operator/answer.rs
@@ -0,0 +1,44 @@
+//! Answers that all operator requests share. Not for: their contents.
+
+use axum::{response, response::IntoResponse as _};
+
+use crate::{error, operator::api};
+
+/// Refuses a request with a status and a text.
+pub(crate) fn refuse(status: http::StatusCode, text: &str) -> response::Response {
+    (status, axum::Json(serde_json::json!({ "error": text }))).into_response()
+}
+
+/// Sends the operator to the leader, or tells that it isn't known.
+pub(crate) fn redirect<C>(api: &api::OperatorApi<C>, path: &str) -> response::Response
+where
+    C: usher_types::ClockSource,
+{
+    let leader = api.access.status().leader;
+    let address = leader.and_then(|(name, _)| api.operators.get(&name).copied());
+    match address {
+        Some(address) if address != api.address => (
+            http::StatusCode::TEMPORARY_REDIRECT,
+            [(http::header::LOCATION, format!("http://{address}{path}"))],
+        )
+            .into_response(),
+        _ => refuse(
+            http::StatusCode::SERVICE_UNAVAILABLE,
+            "no leader is known; try again",
+        ),
+    }
+}
+
+/// Answers a command that has no outcome; the text tells whether it may take effect.
+pub(crate) fn no_outcome(error: &error::RouteError) -> response::Response {
+    let run = match error {
+        error::RouteError::Unknown(_) => usher_types::RunState::Unknown,
+        _ => usher_types::RunState::NotRun,
+    };
+    let status = match error {
+        error::RouteError::Invalid(_) => http::StatusCode::BAD_REQUEST,
+        _ => http::StatusCode::SERVICE_UNAVAILABLE,
+    };
+    let body = serde_json::json!({ "error": error.to_string(), "run": run });
+    (status, axum::Json(body)).into_response()
+}
--- /dev/null
+++ b/crates/usher_control/src/operator/mod.rs
@@ -0,0 +1,8 @@
+//! The operators' interface over HTTP. Not for: callers of models.
+
+mod answer;
+mod api;
+mod change;
+mod status;
+
+pub(crate) use api::{router, OperatorApi};
--- /dev/null
+++ b/crates/usher_control/src/order/engine_link.rs
@@ -0,0 +1,157 @@
+//! One short HTTP connection per exchange with an engine. Not for: what is exchanged.
+
+use std::{future, net, time};
+
+use http_body_util::BodyExt as _;
+use usher_state::OrderRecord;
+
+use crate::{error, order::engine_body, plan};
+
+/// How long sent bytes may stay unacknowledged before the kernel gives the connection up. The
+/// wait of a new leader counts on it: see [`plan::ORDER_WAIT`].
+const USER_TIMEOUT: time::Duration = time::Duration::from_secs(2);
+
+/// The largest answer of an engine that is read.
+const MAX_ANSWER_BYTES: usize = 1_024 * 1_024;
+
+/// How an engine answered an order.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum OrderAnswer {
+    Accepted,
+    Refused,
+}
+
+/// Reads engines and sends orders to them.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct EngineLink {
+    timeout: time::Duration,
+}
+
+/// Ends the task of a connection with its exchange, which resets the connection.
+struct ConnectionGuard(tokio::task::JoinHandle<()>);
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+impl EngineLink {
+    pub(crate) fn new(timeout: time::Duration) -> Self {
+        Self { timeout }
+    }
+
+    /// Reads an engine's state; `None` when it can't be read.
+    pub(crate) async fn read(&self, address: &str) -> Option<plan::EngineReading> {
+        let state = self.get::<engine_body::StateBody>(address, "/v1/orders");
+        let load = self.get::<engine_body::LoadBody>(address, "/v1/load");
+        let (state, load) = tokio::join!(state, load);
+        Some(state?.reading(&load?))
+    }
+
+    async fn get<T>(&self, address: &str, path: &'static str) -> Option<T>
+    where
+        T: serde::de::DeserializeOwned,
+    {
+        let request = http::Request::get(path)
+            .header(http::header::HOST, address)
+            .body(http_body_util::Full::default())
+            .ok()?;
+        let (status, body) = self.exchange(address, request, || true).await.ok()?;
+        let body = status.is_success().then_some(body)?;
+        serde_json::from_slice(&body).ok()
+    }
+
+    /// Sends an order; `may_write` is asked right before the first byte.
+    pub(crate) async fn send<G>(
+        &self,
+        address: &str,
+        order: &OrderRecord,
+        may_write: G,
+    ) -> Result<OrderAnswer, error::LinkError>
+    where
+        G: FnOnce() -> bool,
+    {
+        let not_sent = |text: String| error::LinkError::NotSent(text);
+        let body = serde_json::to_vec(&engine_body::OrderBody::new(order))
+            .map_err(|error| not_sent(error.to_string()))?;
+        let request = http::Request::post("/v1/orders")
+            .header(http::header::HOST, address)
+            .header(http::header::CONTENT_TYPE, "application/json")
+            .body(http_body_util::Full::from(body))
+            .map_err(|error| not_sent(error.to_string()))?;
+        let (status, _) = self.exchange(address, request, may_write).await?;
+        if status.is_success() {
+            Ok(OrderAnswer::Accepted)
+        } else if status.is_client_error() {
+            Ok(OrderAnswer::Refused)
+        } else {
+            Err(error::LinkError::Unknown(status.to_string()))
+        }
+    }
+
+    async fn exchange<G>(
+        &self,
+        address: &str,
+        request: http::Request<http_body_util::Full<bytes::Bytes>>,
+        may_write: G,
+    ) -> Result<(http::StatusCode, bytes::Bytes), error::LinkError>
+    where
+        G: FnOnce() -> bool,
+    {
+        let connect = connect(address);
+        let (mut sender, _guard) = tokio::time::timeout(self.timeout, connect)
+            .await
+            .map_err(|_| error::LinkError::NotSent("connecting timed out".to_owned()))??;
+        if !may_write() {
+            return Err(error::LinkError::NotSent(
+                "the lease has expired".to_owned(),
+            ));
+        }
+        let unknown = |text: String| error::LinkError::Unknown(text);
+        let exchange = async {
+            let answer = sender.send_request(request).await;
+            let answer = answer.map_err(|error| unknown(error.to_string()))?;
+            let status = answer.status();
+            let body = http_body_util::Limited::new(answer.into_body(), MAX_ANSWER_BYTES);
+            let body = body
+                .collect()
+                .await
+                .map_err(|error| unknown(error.to_string()))?;
+            Ok((status, body.to_bytes()))
+        };
+        tokio::time::timeout(self.timeout, exchange)
+            .await
+            .map_err(|_| unknown("no answer in time".to_owned()))?
+    }
+}
+
+type EngineSender = hyper::client::conn::http1::SendRequest<http_body_util::Full<bytes::Bytes>>;
+
+async fn connect(address: &str) -> Result<(EngineSender, ConnectionGuard), error::LinkError> {
+    let not_sent = |text: String| error::LinkError::NotSent(text);
+    let address: net::SocketAddr = address
+        .parse()
+        .map_err(|_| not_sent(format!("{address:?} is not an address")))?;
+    let socket = tokio::net::TcpStream::connect(address)
+        .await
+        .map_err(|error| not_sent(error.to_string()))?;
+    limit_flight(&socket).map_err(|error| not_sent(error.to_string()))?;
+    let io = hyper_util::rt::TokioIo::new(socket);
+    let (sender, connection) = hyper::client::conn::http1::handshake(io)
+        .await
+        .map_err(|error| not_sent(error.to_string()))?;
+    let task = tokio::spawn(async move {
+        let _ = future::IntoFuture::into_future(connection).await;
+    });
+    Ok((sender, ConnectionGuard(task)))
+}
+
+/// Bounds how long an order's bytes can be on their way: unacknowledged ones time out, and
+/// closing resets the connection instead of sending what is left.
+fn limit_flight(socket: &tokio::net::TcpStream) -> std::io::Result<()> {
+    let socket = socket2::SockRef::from(socket);
+    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
+    socket.set_linger(Some(time::Duration::ZERO))?;
+    socket.set_tcp_nodelay(true)
+}
--- /dev/null
+++ b/crates/usher_control/src/order/order_driver.rs
@@ -0,0 +1,99 @@
+//! Drives one order from its committed intent to its committed result. Not for: which orders.
+
+use std::{sync, time};
+
+use usher_state::OrderRecord;
+use usher_wire::message::{self, state_command};
+
+use crate::{error, fleet, order::engine_link, plan};
+
+/// Pause between two reads of an engine.
+const READ_PAUSE: time::Duration = time::Duration::from_millis(200);
+
+/// How long bytes of a broken exchange may still arrive: the TCP user timeout.
+const FLIGHT_TIME: time::Duration = time::Duration::from_secs(2);
+
+/// Works on one order while this node leads in one term.
+pub(crate) struct OrderDriver<C> {
+    pub(crate) access: fleet::FleetAccess,
+    pub(crate) router: sync::Arc<fleet::CommandRouter<C>>,
+    pub(crate) link: engine_link::EngineLink,
+    pub(crate) clock: C,
+    pub(crate) term: usher_types::TermNumber,
+    pub(crate) order: OrderRecord,
+}
+
+impl<C> OrderDriver<C>
+where
+    C: usher_types::ClockSource,
+{
+    /// Works until the result is committed or this leadership ends.
+    ///
+    /// Returns whether the order succeeded; `None` when a later leader goes on with it.
+    pub(crate) async fn run(self) -> Option<bool> {
+        let intent = self.order.intent.clone()?;
+        let mut sent = plan::SendState::NotSent;
+        loop {
+            if !self.leads() {
+                return None;
+            }
+            let slot = self
+                .access
+                .view(|state| state.targets().find(&intent.engine).cloned());
+            let reading = match &slot {
+                Some(slot) => self.link.read(&slot.record.address).await,
+                None => None,
+            };
+            let step = plan::next_step(&self.order, slot.as_ref(), reading.as_ref(), sent);
+            match step.action {
+                plan::OrderAction::Wait => tokio::time::sleep(READ_PAUSE).await,
+                plan::OrderAction::Send => {
+                    let address = slot.map(|slot| slot.record.address).unwrap_or_default();
+                    sent = self.send(&address).await;
+                }
+                plan::OrderAction::Succeed => return self.finish(true, step.detail).await,
+                plan::OrderAction::Fail => return self.finish(false, step.detail).await,
+            }
+        }
+    }
+
+    fn leads(&self) -> bool {
+        self.access.leads() && self.access.status().term == self.term
+    }
+
+    async fn send(&self, address: &str) -> plan::SendState {
+        let may_write = || self.access.holds_lease(self.term, self.clock.now());
+        match self.link.send(address, &self.order, may_write).await {
+            Ok(engine_link::OrderAnswer::Accepted) => plan::SendState::Sent,
+            Ok(engine_link::OrderAnswer::Refused) => plan::SendState::Refused,
+            Err(error::LinkError::NotSent(text)) => {
+                tracing::debug!(%address, "order not sent: {text}");
+                tokio::time::sleep(READ_PAUSE).await;
+                plan::SendState::NotSent
+            }
+            Err(error::LinkError::Unknown(text)) => {
+                tracing::debug!(%address, "order may have been sent: {text}");
+                tokio::time::sleep(FLIGHT_TIME).await;
+                plan::SendState::Sent
+            }
+        }
+    }
+
+    async fn finish(&self, succeeded: bool, detail: String) -> Option<bool> {
+        let result = message::OrderResult {
+            engine: self.order.intent.as_ref()?.engine.clone(),
+            fence: self.order.fence,
+            succeeded,
+            detail,
+        };
+        let kind = state_command::Kind::OrderResult(result);
+        match self.router.propose_here(kind).await {
+            Ok(_) => Some(succeeded),
+            // The next look at the orders in flight finds it again, here or at a later leader.
+            Err(error) => {
+                tracing::debug!(%error, "result of an order not committed");
+                None
+            }
+        }
+    }
+}
--- a/crates/usher_control/src/plan/order_desk.rs
+++ b/crates/usher_control/src/plan/order_desk.rs
@@ -135,12 +135,12 @@
 /// A sender that was paused after its last lease check for longer than the wait can change such
 /// an engine; the correction has a new number and the shape of the last order.
 pub fn correction(
-    slot: &TargetSlot,
+    record: &message::TargetRecord,
     last: &message::OrderIntent,
     reading: &EngineReading,
 ) -> Option<message::OrderIntent> {
-    let same_life = last.incarnation == slot.record.incarnation;
-    if slot.gone || slot.record.leaving || reading.changing || !same_life {
+    let same_life = last.incarnation == record.incarnation;
+    if record.leaving || reading.changing || !same_life {
         return None;
     }
     if last.kind() == message::OrderKind::Drain || is_done(last, reading) {
--- /dev/null
+++ b/crates/usher_control/src/wire_handler.rs
@@ -0,0 +1,136 @@
+//! Answers the calls of entries and other control nodes. Not for: operators.
+
+use std::sync;
+
+use usher_replica::ProposeError;
+use usher_wire::message::{self, envelope, state_command, state_outcome};
+
+use crate::{error, fleet, grant};
+
+/// The calls that a control node answers.
+pub(crate) struct WireHandler<C> {
+    pub(crate) access: fleet::FleetAccess,
+    pub(crate) router: sync::Arc<fleet::CommandRouter<C>>,
+    pub(crate) service: sync::Arc<grant::SyncService<C>>,
+    pub(crate) desk: sync::Arc<sync::Mutex<grant::LeaderDesk>>,
+    pub(crate) clock: C,
+}
+
+impl<C> usher_wire::CallHandler for WireHandler<C>
+where
+    C: usher_types::ClockSource,
+{
+    async fn handle(
+        &self,
+        _peer: &usher_wire::WireIdentity,
+        body: envelope::Body,
+    ) -> Option<envelope::Body> {
+        match body {
+            envelope::Body::Consensus(message) => {
+                self.access.receive(message);
+                None
+            }
+            envelope::Body::SyncRequest(request) => {
+                Some(envelope::Body::SyncReply(self.service.answer(request)))
+            }
+            envelope::Body::ClaimRequest(request) => Some(self.claim(request).await),
+            envelope::Body::FinishRequest(request) => Some(self.finish(request).await),
+            envelope::Body::ProposeRequest(request) => Some(self.propose(request).await),
+            envelope::Body::RelayRequest(request) => Some(self.relay(request).await),
+            _ => Some(refuse(
+                message::ErrorKind::BadRequest,
+                "a control node doesn't answer this message",
+            )),
+        }
+    }
+}
+
+impl<C> WireHandler<C>
+where
+    C: usher_types::ClockSource,
+{
+    async fn claim(&self, request: message::ClaimRequest) -> envelope::Body {
+        let Some(call) = request.call else {
+            return refuse(message::ErrorKind::BadRequest, "the request has no call");
+        };
+        match self.route(state_command::Kind::ClaimCall(call)).await {
+            Ok(state_outcome::Kind::Claim(reply)) => envelope::Body::ClaimReply(reply),
+            Ok(_) => refuse(message::ErrorKind::Unknown, "unexpected outcome"),
+            Err(body) => *body,
+        }
+    }
+
+    async fn finish(&self, request: message::FinishRequest) -> envelope::Body {
+        let Some(finish) = request.finish else {
+            return refuse(message::ErrorKind::BadRequest, "the request has no end");
+        };
+        match self.route(state_command::Kind::FinishClaim(finish)).await {
+            Ok(_) => envelope::Body::Ack(message::Ack {}),
+            Err(body) => *body,
+        }
+    }
+
+    /// Proposes a command of another control node here; never forwards it again.
+    async fn propose(&self, request: message::ProposeRequest) -> envelope::Body {
+        let Some(kind) = request.command.and_then(|command| command.kind) else {
+            return refuse(message::ErrorKind::BadRequest, "the command has no kind");
+        };
+        match self.router.propose_here(kind).await {
+            Ok(outcome) => envelope::Body::ProposeReply(message::ProposeReply {
+                outcome: Some(outcome),
+            }),
+            Err(error) => {
+                let kind = match &error {
+                    ProposeError::NotLeader { .. } => message::ErrorKind::NotLeader,
+                    ProposeError::Busy => message::ErrorKind::NoQuorum,
+                    ProposeError::Unknown(_) => message::ErrorKind::Unknown,
+                    ProposeError::TooLarge { .. } => message::ErrorKind::BadRequest,
+                    ProposeError::Stopped => message::ErrorKind::Stopping,
+                };
+                refuse(kind, &error.to_string())
+            }
+        }
+    }
+
+    async fn relay(&self, request: message::RelayRequest) -> envelope::Body {
+        let (desk, access) = (&self.desk, &self.access);
+        let reply = grant::answer_relay(desk, access, &self.router, &self.clock, request);
+        reply.await.map_or_else(
+            || refuse(message::ErrorKind::NotLeader, "this node doesn't lead"),
+            envelope::Body::RelayReply,
+        )
+    }
+
+    async fn route(
+        &self,
+        kind: state_command::Kind,
+    ) -> Result<state_outcome::Kind, Box<envelope::Body>> {
+        let outcome = self.router.propose(kind).await.map_err(|error| {
+            let kind = match &error {
+                error::RouteError::NoLeader => message::ErrorKind::NoQuorum,
+                error::RouteError::Unknown(_) => message::ErrorKind::Unknown,
+                error::RouteError::Invalid(_) => message::ErrorKind::BadRequest,
+                error::RouteError::Stopping => message::ErrorKind::Stopping,
+            };
+            Box::new(refuse(kind, &error.to_string()))
+        })?;
+        match outcome.kind {
+            Some(state_outcome::Kind::Refused(text)) => {
+                Err(Box::new(refuse(message::ErrorKind::BadRequest, &text)))
+            }
+            Some(kind) => Ok(kind),
+            None => Err(Box::new(refuse(
+                message::ErrorKind::Unknown,
+                "the outcome has no kind",
+            ))),
+        }
+    }
+}
+
+fn refuse(kind: message::ErrorKind, text: &str) -> envelope::Body {
+    envelope::Body::Error(message::ErrorReply {
+        kind: kind.into(),
+        message: text.to_owned(),
+        leader: String::new(),
+    })
+}
