--- a/crates/usher_control/src/grant/upkeep_task.rs
+++ b/crates/usher_control/src/grant/upkeep_task.rs
@@ -94,7 +94,9 @@
         })
         .collect();
     let due = !gone.is_empty() || claims.has_due(wall_ms);
-    due.then(|| state_command::Kind::ExpireClaims(message::ExpireClaims { gone }))
+    due.then_some(state_command::Kind::ExpireClaims(message::ExpireClaims {
+        gone,
+    }))
 }
 
 fn wall_ms<C>(clock: &C) -> u64
