--- a/crates/usher_consensus/src/core/change.rs
+++ b/crates/usher_consensus/src/core/change.rs
@@ -5,7 +5,11 @@
 use usher_wire::message;
 
 use super::{ConsensusCore, CoreRole};
-use crate::{error, membership, repair};
+use crate::{error, identity, membership, repair};
+
+/// How many entries a learner may lack for its promotion to be worth asking for; it is then a
+/// round trip or so behind.
+const CAUGHT_UP: u64 = 1_024;
 
 impl ConsensusCore {
     /// Appends one membership change, in force at once; returns its index.
@@ -16,6 +20,7 @@
     /// fit the members, or a learner to promote hasn't durably acknowledged what is committed.
     pub fn change_members(
         &mut self,
+        now: time::Instant,
         change: &membership::MembershipChange,
     ) -> Result<u64, error::ChangeError> {
         if self.role != CoreRole::Leader {
@@ -27,20 +32,49 @@
         }
         let table = self.members().changed(change)?;
         if let membership::MembershipChange::Promote(node) = change {
-            let acknowledged = self.lead.progress.get(node).map_or(0, |peer| peer.matched);
-            if acknowledged < self.commit && !self.settings.faults.promote_behind {
-                return Err(error::ChangeError::Behind {
-                    node: node.clone(),
-                    acknowledged,
-                    expected: self.commit,
-                });
-            }
+            self.check_promotion(now, node)?;
         }
+        self.lead.promotion = None;
         let index = self.append_own(message::EntryKind::Membership, table.encode());
         self.track_members();
         Ok(index)
     }
 
+    /// Checks that a learner holds what was committed when its promotion was first asked for.
+    ///
+    /// The commit index of this moment would be out of reach under load for a learner that is a
+    /// round trip away.
+    fn check_promotion(
+        &mut self,
+        now: time::Instant,
+        node: &identity::NodeId,
+    ) -> Result<(), error::ChangeError> {
+        let valid = self.lead.promotion.as_ref().is_some_and(|goal| {
+            goal.node == *node && now < goal.asked + self.settings.election_max
+        });
+        if !valid {
+            self.lead.promotion = Some(super::PromotionGoal {
+                node: node.clone(),
+                index: self.commit,
+                asked: now,
+            });
+        }
+        let expected = self
+            .lead
+            .promotion
+            .as_ref()
+            .map_or(self.commit, |goal| goal.index);
+        let acknowledged = self.lead.progress.get(node).map_or(0, |peer| peer.matched);
+        if acknowledged < expected && !self.settings.faults.promote_behind {
+            return Err(error::ChangeError::Behind {
+                node: node.clone(),
+                acknowledged,
+                expected,
+            });
+        }
+        Ok(())
+    }
+
     /// Returns what a repair decision needs, if this node leads and a change is possible.
     pub fn repair_view(&self, now: time::Instant) -> Option<repair::RepairView> {
         let settled = self.commit >= self.lead.term_start && self.members_index() <= self.commit;
@@ -60,7 +94,9 @@
                 } else {
                     now.saturating_duration_since(contact)
                 },
-                caught_up: peer.is_some_and(|peer| peer.matched >= self.commit),
+                caught_up: peer.is_some_and(|peer| {
+                    peer.streaming && self.commit - peer.matched.min(self.commit) <= CAUGHT_UP
+                }),
             }
         });
         let spares = self
--- a/crates/usher_consensus/src/core/election.rs
+++ b/crates/usher_consensus/src/core/election.rs
@@ -61,7 +61,7 @@
             .voters()
             .filter(|voter| self.votes.contains(*voter))
             .count();
-        if self.provisional {
+        if self.is_founding() {
             return granted == self.members().voters().count();
         }
         granted >= self.members().quorum()
@@ -75,9 +75,8 @@
         request: &message::VoteRequest,
     ) {
         let lease_may_hold = self.lease_may_hold(now) && !self.settings.faults.vote_under_lease;
-        if !request.pre_vote && term > self.hard.term && !lease_may_hold {
-            self.enter_term(term);
-            self.follow(now);
+        if !request.pre_vote && !lease_may_hold {
+            self.enter_term_as_follower(now, term);
         }
         let fresh = (request.last_term, request.last_index)
             >= (self.log.last_term(), self.log.last_index());
@@ -125,10 +124,7 @@
         reply: &message::VoteReply,
     ) {
         if !reply.granted {
-            if term > self.hard.term {
-                self.enter_term(term);
-                self.follow(now);
-            }
+            self.enter_term_as_follower(now, term);
             return;
         }
         let counts = match self.role {
--- a/crates/usher_consensus/src/core/follow.rs
+++ b/crates/usher_consensus/src/core/follow.rs
@@ -18,7 +18,7 @@
         if term < self.hard.term {
             return false;
         }
-        self.enter_term(term);
+        self.enter_term_as_follower(now, term);
         if !usher_types::invariant!(
             "consensus.one_leader_per_term",
             self.role != CoreRole::Leader && self.leader.as_ref().is_none_or(|known| known == from),
@@ -54,6 +54,7 @@
             return;
         }
         let last_new = previous + request.entries.len() as u64;
+        let heartbeat = request.entries.is_empty();
         for entry in request.entries {
             if !self.take_entry(entry) {
                 return;
@@ -63,7 +64,22 @@
             .commit
             .max(request.commit.min(last_new))
             .min(self.log.last_index());
-        self.answer_append(from, true, last_new, request.round);
+        if heartbeat && self.hard_is_durable() {
+            // Doesn't wait for a slow disk, which would cost the leader its leadership.
+            let reply = message::AppendReply {
+                accepted: true,
+                index: last_new.min(self.durable),
+                round: request.round,
+            };
+            self.send(from, message::consensus_message::Kind::AppendReply(reply));
+        } else {
+            self.answer_append(from, true, last_new, request.round);
+        }
+    }
+
+    /// Whether term and vote are durable; a restart then keeps the promise to the leader.
+    fn hard_is_durable(&self) -> bool {
+        !self.hard_changed && self.hard_sequence <= self.persisted_sequence
     }
 
     /// Returns where the leader should retry when the logs differ at an index.
--- a/crates/usher_consensus/src/core/lead.rs
+++ b/crates/usher_consensus/src/core/lead.rs
@@ -7,9 +7,6 @@
 use super::{ConsensusCore, CoreRole, LeaderState};
 use crate::{error, identity, progress};
 
-/// How many rounds are remembered; older ones are of no use for the lease.
-const ROUNDS_KEPT: usize = 256;
-
 impl ConsensusCore {
     pub(super) fn start_leading(&mut self, now: time::Instant) {
         self.role = CoreRole::Leader;
@@ -104,9 +101,13 @@
     pub(super) fn start_round(&mut self, now: time::Instant) {
         self.lead.round += 1;
         self.lead.rounds.push_back((self.lead.round, now));
-        if self.lead.rounds.len() > ROUNDS_KEPT {
-            self.lead.rounds.pop_front();
-        }
+        // Rounds before the newest confirmed one are of no further use.
+        let confirmed = self.confirmed_round();
+        let old = self
+            .lead
+            .rounds
+            .partition_point(|(number, _)| *number < confirmed);
+        self.lead.rounds.drain(..old);
         self.lead.heartbeat_at = Some(now + self.settings.heartbeat);
         let peers: Vec<_> = self.lead.progress.keys().cloned().collect();
         for peer in &peers {
@@ -217,10 +218,7 @@
         term: u64,
         round: u64,
     ) -> bool {
-        if term > self.hard.term {
-            self.enter_term(term);
-            self.follow(now);
-        }
+        self.enter_term_as_follower(now, term);
         if self.role != CoreRole::Leader || term != self.hard.term {
             return false;
         }
@@ -230,7 +228,7 @@
         peer.acked_round = peer.acked_round.max(round);
         peer.contact = Some(now);
         peer.answered = true;
-        self.resolve_reads();
+        self.resolve_reads(now);
         true
     }
 
@@ -239,7 +237,7 @@
         if self.role != CoreRole::Leader {
             return;
         }
-        let reached = self.members().quorum_value(|node| {
+        let reached = self.quorum_value(|node| {
             if *node == self.id {
                 return self.durable;
             }
@@ -250,8 +248,13 @@
         if reached <= self.commit || self.log.term(reached) != Some(self.hard.term) {
             return;
         }
+        let founded = self.is_founding();
         self.commit = reached;
-        self.resolve_reads();
+        if founded {
+            // Everyone holds the first membership; from the second one on a majority decides.
+            let payload = self.members().encode();
+            self.append_own(message::EntryKind::Membership, payload);
+        }
         let removed = !self.is_voter() && self.members_index() <= self.commit;
         if removed {
             // The others learn of the commit from this last round.
--- a/crates/usher_consensus/src/core/mod.rs
+++ b/crates/usher_consensus/src/core/mod.rs
@@ -17,6 +17,9 @@
 
 pub use start::InitialState;
 
+/// Index of the entry that holds the first membership.
+const FOUNDING_INDEX: u64 = 1;
+
 usher_types::value_type! {
     /// The part that a node plays; a node without a vote is a follower that never asks for votes.
     pub enum CoreRole {
@@ -60,6 +63,16 @@
     /// Index of the first entry of the term.
     term_start: u64,
     reads: Vec<PendingRead>,
+    promotion: Option<PromotionGoal>,
+}
+
+/// What a learner must hold before it is promoted.
+#[derive(Clone, Debug)]
+struct PromotionGoal {
+    node: identity::NodeId,
+    /// Commit index when the promotion was first asked for.
+    index: u64,
+    asked: time::Instant,
 }
 
 /// A node that made itself known and isn't a member.
@@ -103,6 +116,9 @@
     write_from: u64,
     handed_last: u64,
     hard_changed: bool,
+    /// Batch that holds the term and vote written last.
+    hard_sequence: u64,
+    persisted_sequence: u64,
     installing: Option<sync::Arc<image::SnapshotImage>>,
     /// The written log agrees with the snapshot and goes on behind it.
     installing_keeps_log: bool,
@@ -190,6 +206,25 @@
         &self.settings
     }
 
+    /// Whether the first membership isn't known to be on all its voters.
+    ///
+    /// Until then all of them must agree to everything. Were a majority enough, a founder that
+    /// was paused and replaced could win one of the others, and two groups would found.
+    fn is_founding(&self) -> bool {
+        self.members_index() <= FOUNDING_INDEX && self.image.is_none()
+    }
+
+    /// Returns the highest value that enough voters reached.
+    fn quorum_value<F>(&self, value: F) -> u64
+    where
+        F: FnMut(&identity::NodeId) -> u64,
+    {
+        if self.is_founding() {
+            return self.members().voters().map(value).min().unwrap_or(0);
+        }
+        self.members().quorum_value(value)
+    }
+
     /// Returns whether this node is a voter.
     pub fn is_voter(&self) -> bool {
         self.members().is_voter(&self.id)
@@ -281,6 +316,14 @@
         self.messages_after_write.push(message);
     }
 
+    /// Enters a higher term as a follower.
+    fn enter_term_as_follower(&mut self, now: time::Instant, term: u64) {
+        if term > self.hard.term {
+            self.enter_term(term);
+            self.follow(now);
+        }
+    }
+
     /// Enters a higher term; the vote of the lower one is void.
     fn enter_term(&mut self, term: u64) {
         if term > self.hard.term {
--- a/crates/usher_consensus/src/core/output.rs
+++ b/crates/usher_consensus/src/core/output.rs
@@ -24,6 +24,9 @@
         }
         self.sequence += 1;
         let hard_changed = std::mem::take(&mut self.hard_changed);
+        if hard_changed {
+            self.hard_sequence = self.sequence;
+        }
         let truncated = self.write_from <= self.handed_last;
         let batch = output::OutputBatch {
             sequence: self.sequence,
@@ -56,6 +59,7 @@
             self.in_flight.pop_front();
             self.durable = self.durable.max(last);
         }
+        self.persisted_sequence = self.persisted_sequence.max(sequence);
         if self.own_vote.is_some_and(|vote| vote <= sequence) {
             self.own_vote = None;
             self.votes.insert(self.id.clone());
--- a/crates/usher_consensus/src/core/read.rs
+++ b/crates/usher_consensus/src/core/read.rs
@@ -23,12 +23,18 @@
             self.reads_ready.push(output::ReadReady { id, index });
             return Ok(());
         }
-        // Reads of the same moment share a round.
-        if self.lead.rounds.back().is_none_or(|(_, at)| *at != now) {
+        // While a round for reads is under way, later reads wait for the next one together.
+        let waiting = self
+            .lead
+            .reads
+            .iter()
+            .any(|read| read.round <= self.lead.round);
+        let round = self.lead.round + 1;
+        self.lead.reads.push(PendingRead { id, index, round });
+        if !waiting {
             self.start_round(now);
+            self.resolve_reads(now);
         }
-        let round = self.lead.round;
-        self.lead.reads.push(PendingRead { id, index, round });
         Ok(())
     }
 
@@ -61,8 +67,8 @@
         Some(newest.1)
     }
 
-    fn confirmed_round(&self) -> u64 {
-        self.members().quorum_value(|node| {
+    pub(super) fn confirmed_round(&self) -> u64 {
+        self.quorum_value(|node| {
             if *node == self.id {
                 return self.lead.round;
             }
@@ -73,7 +79,7 @@
         })
     }
 
-    pub(super) fn resolve_reads(&mut self) {
+    pub(super) fn resolve_reads(&mut self, now: time::Instant) {
         if self.lead.reads.is_empty() {
             return;
         }
@@ -82,6 +88,11 @@
             .into_iter()
             .partition(|read| read.round <= round);
         self.lead.reads = waiting;
+        let next = self.lead.round + 1;
+        let under_way = self.lead.reads.iter().any(|read| read.round < next);
+        if !self.lead.reads.is_empty() && !under_way {
+            self.start_round(now);
+        }
         let ready: Vec<PendingRead> = ready;
         self.reads_ready
             .extend(ready.into_iter().map(|read| output::ReadReady {
--- a/crates/usher_consensus/src/core/start.rs
+++ b/crates/usher_consensus/src/core/start.rs
@@ -62,6 +62,8 @@
             write_from: base + 1,
             handed_last: base,
             hard_changed: false,
+            hard_sequence: 0,
+            persisted_sequence: 0,
             installing: None,
             installing_keeps_log: false,
             incoming: None,
--- a/crates/usher_consensus/src/core/transfer.rs
+++ b/crates/usher_consensus/src/core/transfer.rs
@@ -66,8 +66,9 @@
             return;
         }
         let total = transfer.image.data.len();
-        let wanted = usize::try_from(reply.next_offset).unwrap_or(total);
-        if wanted <= total {
+        if !reply.durable {
+            let wanted =
+                usize::try_from(reply.next_offset).map_or(total, |offset| offset.min(total));
             // An offset behind the current one is an answer to a repeated piece, or the peer was
             // restarted; the next heartbeat sends from there.
             let moved = wanted != transfer.offset;
@@ -98,8 +99,7 @@
         }
         let (index, round) = (piece.last_index, piece.round);
         let next_offset = if index <= self.commit {
-            // Nothing is missing; one past the total says that it is durable.
-            piece.total + 1
+            piece.total
         } else {
             self.take_piece(piece)
         };
@@ -107,6 +107,8 @@
             last_index: index,
             next_offset,
             round,
+            // The reply leaves once everything up to now is written.
+            durable: index <= self.commit,
         };
         self.send_after_write(from, message::consensus_message::Kind::SnapshotReply(reply));
     }
@@ -147,7 +149,7 @@
             membership: membership::MemberTable::new(members),
             data,
         });
-        piece.total + 1
+        piece.total
     }
 
     /// Replaces the state and the log up to the snapshot's index.
--- a/crates/usher_consensus/src/repair.rs
+++ b/crates/usher_consensus/src/repair.rs
@@ -15,7 +15,7 @@
     pub member: message::Member,
     /// How long it has been silent.
     pub silent: time::Duration,
-    /// Whether it durably holds everything that is committed.
+    /// Whether it holds nearly everything that is committed; the core checks the rest.
     pub caught_up: bool,
 }
 
--- a/crates/usher_replica/src/driver/mod.rs
+++ b/crates/usher_replica/src/driver/mod.rs
@@ -279,7 +279,7 @@
         else {
             return;
         };
-        match self.core.change_members(&change) {
+        match self.core.change_members(now, &change) {
             Ok(index) => tracing::info!(index, ?change, "membership change"),
             Err(error) => tracing::debug!(%error, ?change, "membership change not possible yet"),
         }
--- a/crates/usher_replica/src/driver/requests.rs
+++ b/crates/usher_replica/src/driver/requests.rs
@@ -77,7 +77,7 @@
         change: &usher_consensus::MembershipChange,
         reply: command::ChangeReply,
     ) {
-        match self.core.change_members(change) {
+        match self.core.change_members(now, change) {
             Ok(index) => self.changes.push(PendingChange {
                 index,
                 term: self.core.term(),
