Share founding and the log bridge between daemons and tests

Cause: the randomised runs must drive the code that the daemons run, also where outputs become log records and where a group is founded.

Change: founding moves into the core (try_bootstrap), the conversion of batches into records into usher_replica::bridge. The in-memory folder can fail after a number of fsyncs.

--- a/crates/usher_consensus/src/core/start.rs
+++ b/crates/usher_consensus/src/core/start.rs
@@ -148,6 +148,33 @@
         self.election_at = now;
     }
 
+    /// Starts a group with the named nodes as its first voters, if this node is the first of them
+    /// and has heard from all others, all without a log, since `after`.
+    ///
+    /// `own` is this node as a member. See [`bootstrap`](Self::bootstrap).
+    pub fn try_bootstrap(
+        &mut self,
+        now: time::Instant,
+        own: &message::Member,
+        names: &[usher_types::NodeName],
+        after: time::Instant,
+    ) {
+        if !self.is_blank() || names.first() != Some(&self.id.name) {
+            return;
+        }
+        let mut members = vec![own.clone()];
+        for name in names.iter().skip(1) {
+            match self.known_spare(name, after) {
+                Some((member, 0)) => members.push(member.clone()),
+                _ => return,
+            }
+        }
+        for member in &mut members {
+            member.voter = true;
+        }
+        self.bootstrap(now, members);
+    }
+
     /// Returns the message by which this node makes itself known to peers.
     pub fn join_notice(&self, member: message::Member) -> message::ConsensusMessage {
         let notice = message::JoinNotice {
--- a/crates/usher_log/src/memory.rs
+++ b/crates/usher_log/src/memory.rs
@@ -28,7 +28,8 @@
     files: collections::BTreeMap<u64, MemoryBytes>,
     next_file: u64,
     capacity: Option<usize>,
-    failing_sync: bool,
+    /// How many fsyncs succeed before all fail.
+    syncs_left: Option<u64>,
     sync_count: u64,
 }
 
@@ -41,9 +42,10 @@
     }
 
     fn check_sync(&mut self) -> io::Result<()> {
-        if self.failing_sync {
+        if self.syncs_left == Some(0) {
             return Err(io::Error::other("injected fsync failure"));
         }
+        self.syncs_left = self.syncs_left.map(|left| left - 1);
         self.sync_count += 1;
         Ok(())
     }
@@ -108,9 +110,9 @@
         lock(&self.disk).capacity = bytes;
     }
 
-    /// Lets every fsync fail, or work again.
-    pub fn set_failing_sync(&self, failing: bool) {
-        lock(&self.disk).failing_sync = failing;
+    /// Lets every fsync fail after a number of them, or work again.
+    pub fn fail_syncs_after(&self, syncs: Option<u64>) {
+        lock(&self.disk).syncs_left = syncs;
     }
 
     /// Returns how many bytes all files hold.
--- a/crates/usher_replica/src/driver/mod.rs
+++ b/crates/usher_replica/src/driver/mod.rs
@@ -12,7 +12,7 @@
 use usher_types::ClockSource as _;
 use usher_wire::message;
 
-use crate::{command, error, machine, settings, shared};
+use crate::{command, machine, settings, shared};
 
 pub(crate) use storage::{StorageEvent, StorageThread};
 
@@ -25,41 +25,6 @@
 /// How many inputs are taken before their outputs are carried out together.
 const INPUT_BATCH: usize = 1_024;
 
-/// Turns what the log held into the core's first state.
-pub(crate) fn initial_state(
-    recovered: usher_log::RecoveredLog,
-) -> Result<usher_consensus::InitialState, error::StartError> {
-    let decode = |error: prost::DecodeError| error::StartError::Decode(error.to_string());
-    let image = match recovered.snapshot {
-        Some(snapshot) => Some(sync::Arc::new(usher_consensus::SnapshotImage {
-            index: snapshot.index,
-            term: snapshot.term,
-            membership: usher_consensus::MemberTable::decode(&snapshot.membership)
-                .map_err(decode)?,
-            data: snapshot.data,
-        })),
-        None => None,
-    };
-    let vote = recovered.vote.vote;
-    Ok(usher_consensus::InitialState {
-        hard: usher_consensus::HardState {
-            term: recovered.vote.term,
-            vote: vote.map(|(name, number)| usher_consensus::NodeId::new(&name, number)),
-        },
-        image,
-        entries: recovered
-            .entries
-            .into_iter()
-            .map(|record| message::LogEntry {
-                index: record.index,
-                term: record.term,
-                kind: i32::from(record.kind),
-                payload: record.payload,
-            })
-            .collect(),
-    })
-}
-
 /// A batch whose messages wait until it is durable.
 #[derive(Debug)]
 struct PendingBatch {
@@ -239,32 +204,10 @@
         }
         let notice = self.core.join_notice(self.settings.member(self.core.id()));
         self.peers.announce(&notice);
-        if self.core.is_blank() {
-            self.bootstrap(now);
-        }
-    }
-
-    fn bootstrap(&mut self, now: time::Instant) {
-        // One node starts the group, so that there is one first membership.
-        if self.settings.initial_members.first() != Some(&self.settings.name) {
-            return;
-        }
+        let own = self.settings.member(self.core.id());
         let after = now.checked_sub(NOTICE_AGE).unwrap_or(now);
-        let mut members = Vec::new();
-        for name in &self.settings.initial_members {
-            let member = if *name == self.settings.name {
-                Some(self.settings.member(self.core.id()))
-            } else {
-                self.core
-                    .known_spare(name, after)
-                    .filter(|(_, last_index)| *last_index == 0)
-                    .map(|(member, _)| member.clone())
-            };
-            let Some(mut member) = member else { return };
-            member.voter = true;
-            members.push(member);
-        }
-        self.core.bootstrap(now, members);
+        let names = &self.settings.initial_members;
+        self.core.try_bootstrap(now, &own, names, after);
         self.core.tick(now);
     }
 
--- a/crates/usher_replica/src/driver/storage.rs
+++ b/crates/usher_replica/src/driver/storage.rs
@@ -5,7 +5,8 @@
 use tokio::sync::mpsc;
 use usher_consensus::{OutputBatch, SnapshotImage};
 use usher_log::StorageFolder;
-use usher_wire::message;
+
+use crate::bridge;
 
 /// What the thread is asked to do, in order.
 #[derive(Debug)]
@@ -86,11 +87,11 @@
     while let Some(job) = next {
         match job {
             StorageJob::Batch(batch) => {
-                write_batch(log, &batch)?;
+                bridge::write_batch(log, &batch)?;
                 sequence = Some(batch.sequence);
             }
             StorageJob::Snapshot(image) => {
-                log.save_snapshot(&stored(&image))?;
+                log.save_snapshot(&bridge::stored_snapshot(&image))?;
                 saved += 1;
             }
         }
@@ -105,54 +106,3 @@
     }
     Ok(())
 }
-
-fn write_batch<D>(
-    log: &mut usher_log::DurableLog<D>,
-    batch: &OutputBatch,
-) -> Result<(), usher_log::LogError>
-where
-    D: StorageFolder,
-{
-    // The vote first: entries of a term must never be on disk without it.
-    if let Some(hard) = &batch.hard_state {
-        log.set_vote(&usher_log::VoteRecord {
-            term: hard.term,
-            vote: hard
-                .vote
-                .as_ref()
-                .map(|node| (node.name.to_string(), node.incarnation.get())),
-        });
-    }
-    if let Some(image) = &batch.snapshot {
-        if batch.keeps_log {
-            log.save_snapshot(&stored(image))?;
-        } else {
-            log.install_snapshot(&stored(image))?;
-        }
-    }
-    if let Some(from) = batch.truncate_from {
-        log.truncate(from);
-    }
-    for entry in &batch.entries {
-        log.append(&record_of(entry));
-    }
-    Ok(())
-}
-
-fn stored(image: &SnapshotImage) -> usher_log::StoredSnapshot {
-    usher_log::StoredSnapshot {
-        index: image.index,
-        term: image.term,
-        membership: image.membership.encode(),
-        data: image.data.clone(),
-    }
-}
-
-fn record_of(entry: &message::LogEntry) -> usher_log::LogRecord {
-    usher_log::LogRecord {
-        index: entry.index,
-        term: entry.term,
-        kind: u8::try_from(entry.kind).unwrap_or_default(),
-        payload: entry.payload.clone(),
-    }
-}
--- a/crates/usher_replica/src/lib.rs
+++ b/crates/usher_replica/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! For: a handle by which services propose commands and read state. Not for: what commands mean.
 
+mod bridge;
 mod command;
 mod driver;
 mod error;
@@ -12,6 +13,7 @@
 mod shared;
 mod status;
 
+pub use bridge::{initial_state, stored_snapshot, write_batch};
 pub use error::{ChangeMembersError, ProposeError, ReadError, StartError};
 pub use handle::ReplicaHandle;
 pub use machine::{RestoreError, StateMachine};
--- a/crates/usher_replica/src/node.rs
+++ b/crates/usher_replica/src/node.rs
@@ -7,7 +7,7 @@
 use usher_types::ClockSource as _;
 use usher_wire::message;
 
-use crate::{driver, error, handle, machine, settings, shared, status};
+use crate::{bridge, driver, error, handle, machine, settings, shared, status};
 
 /// How many commands of handles may wait.
 const COMMAND_QUEUE: usize = 8_192;
@@ -75,7 +75,7 @@
             .snapshot
             .as_ref()
             .map_or(0, |snapshot| snapshot.index);
-        let state = driver::initial_state(recovered)?;
+        let state = bridge::initial_state(recovered)?;
         let now = usher_types::SystemClock.now();
         let seed = usher_types::IncarnationSource::random().get();
         let core = usher_consensus::ConsensusCore::new(
