Add the settings files of all processes, checked as a whole

Cause: daemons and simulated targets need settings that an operator can check before a start, with every error at once. Change: ProcessSettings reads INI for entry, control, operator, fake-engine and fake-service; errors carry section, key, value and what is accepted, and unknown names suggest the nearest known one (strsim). Rules between values: 3 or 5 voters, no failure domain with a majority of them, unique addresses, firms before teams, tokens never shown. Fuzzing found four ways in which rust-ini joins lines: a line without a separator, a backslash at the end of a value or before a separator in a key, and an indented comment. The reader now hands over cleaned lines.

--- a/crates/usher_config/src/lib.rs
+++ b/crates/usher_config/src/lib.rs
@@ -2,8 +2,16 @@
 //!
 //! For: reading, checking, comparing and writing both files. Not for: acting on them.
 
+mod settings;
 mod sheet;
 
+pub use settings::{
+    setting_keys, AccountSettings, ControlGroup, ControlMember, ControlPart, ControlSettings,
+    EntrySettings, FakeEngineSettings, FakeSettings, LimitSettings, LinkSettings, LogFormat,
+    LogSettings, MetricSettings, NodeSettings, ObjectiveSettings, OperatorSettings,
+    ProcessSettings, RoutingSettings, SettingKey, SettingsError, SettingsErrors, ShareValue,
+    TeamAccount,
+};
 pub use sheet::{
     CellChange, CountRange, FleetSheet, ParseCountError, RowChange, SheetDifference, SheetError,
     SheetErrors, SheetRow, MAX_SHEET_BYTES, SHEET_COLUMNS,
--- /dev/null
+++ b/crates/usher_config/src/settings/error.rs
@@ -0,0 +1,70 @@
+//! Errors of the settings with section, key and value. Not for: errors of the sheet.
+
+use std::fmt;
+
+usher_types::value_type! {
+    /// One error of a settings file.
+    #[derive(Eq)]
+    pub struct SettingsError {
+        /// Section of the file; empty when the whole file is meant.
+        pub section: String,
+        /// Key of the section; empty when the whole section is meant.
+        pub key: String,
+        /// Value as written; none when the key is missing or not known.
+        pub value: Option<String>,
+        /// What is accepted.
+        pub accepted: String,
+    }
+}
+
+impl fmt::Display for SettingsError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if !self.section.is_empty() {
+            write!(f, "[{}] ", self.section)?;
+        }
+        if !self.key.is_empty() {
+            write!(f, "{}", self.key)?;
+        }
+        if let Some(value) = &self.value {
+            write!(f, " = {value}")?;
+        }
+        let colon = if self.section.is_empty() && self.key.is_empty() {
+            ""
+        } else {
+            ": "
+        };
+        write!(f, "{colon}{}", self.accepted)
+    }
+}
+
+/// All errors of a settings file; never empty.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+pub struct SettingsErrors(pub(crate) Vec<SettingsError>);
+
+impl SettingsErrors {
+    /// Returns the errors, in the order of the file's parts.
+    pub fn errors(&self) -> &[SettingsError] {
+        &self.0
+    }
+
+    pub(crate) fn whole_file(accepted: impl Into<String>) -> Self {
+        Self(vec![SettingsError {
+            section: String::new(),
+            key: String::new(),
+            value: None,
+            accepted: accepted.into(),
+        }])
+    }
+}
+
+impl fmt::Display for SettingsErrors {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (place, error) in self.0.iter().enumerate() {
+            if place > 0 {
+                f.write_str("\n")?;
+            }
+            write!(f, "{error}")?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/usher_config/src/settings/fake.rs
@@ -0,0 +1,129 @@
+//! Settings of the simulated targets of tests and the tour. Not for: real targets.
+
+use std::{net, time};
+
+use crate::settings::{reader, value};
+
+usher_types::value_type! {
+    /// Section `engine` of a simulated engine.
+    pub struct FakeEngineSettings {
+        /// Model that it has loaded.
+        pub model: usher_types::ModelName,
+        /// Version of the model.
+        pub version: usher_types::VersionName,
+        /// Adapters that it has loaded.
+        pub adapters: Vec<usher_types::AdapterName>,
+        /// Role at the start.
+        pub role: usher_types::EngineRole,
+        /// Memory in pieces of 1,024 tokens.
+        pub kv_pieces: u32,
+        /// Whether it refuses orders with an old fencing number.
+        pub fenced: bool,
+        /// Prompt tokens per second.
+        pub prefill_rate: usher_types::TokenRate,
+        /// Time of one decode step.
+        pub decode_step: time::Duration,
+        /// Age of its load reports.
+        pub load_lag: time::Duration,
+        /// Delay of its cache events.
+        pub event_lag: time::Duration,
+        /// How long a change of role takes.
+        pub role_time: time::Duration,
+        /// How long loading a model or adapter takes.
+        pub load_time: time::Duration,
+    }
+}
+
+usher_types::value_type! {
+    /// The settings file of a simulated target.
+    pub struct FakeSettings {
+        /// Name that it announces.
+        pub name: usher_types::TargetName,
+        /// Service that it belongs to.
+        pub service: usher_types::ServiceName,
+        /// Region that it announces.
+        pub region: usher_types::RegionName,
+        /// Failure domain that it announces.
+        pub domain: usher_types::DomainName,
+        /// Where it listens.
+        pub listen: net::SocketAddr,
+        /// Entries that it announces itself to.
+        pub entries: Vec<net::SocketAddr>,
+        /// The engine; none for a plain service.
+        pub engine: Option<FakeEngineSettings>,
+    }
+}
+
+impl FakeSettings {
+    pub(crate) fn read(file: &reader::SettingsReader, engine: bool) -> Self {
+        let section = file.section("target");
+        Self {
+            name: section.required("name"),
+            service: section.required("service"),
+            region: section.required("region"),
+            domain: section.required("domain"),
+            listen: section.required("listen"),
+            entries: section.required::<AddressList>("entries").0,
+            engine: engine.then(|| FakeEngineSettings::read(file)),
+        }
+    }
+}
+
+impl FakeEngineSettings {
+    fn read(file: &reader::SettingsReader) -> Self {
+        let section = file.section("engine");
+        let rate = usher_types::TokenRate::per_second(8_000.0);
+        Self {
+            model: section.required("model"),
+            version: section.required("version"),
+            adapters: section.or("adapters", AdapterList(Vec::new())).0,
+            role: section.or("role", usher_types::EngineRole::Mixed),
+            kv_pieces: section.or("kv-pieces", 512),
+            fenced: section.or("fenced", true),
+            prefill_rate: section.or("prefill-rate", rate),
+            decode_step: section.or("decode-step", time::Duration::from_millis(20)),
+            load_lag: section.or("load-lag", time::Duration::from_millis(500)),
+            event_lag: section.or("event-lag", time::Duration::from_millis(500)),
+            role_time: section.or("role-time", time::Duration::from_secs(4)),
+            load_time: section.or("load-time", time::Duration::from_secs(10)),
+        }
+    }
+}
+
+/// Addresses separated by spaces.
+struct AddressList(Vec<net::SocketAddr>);
+
+impl value::SettingValue for AddressList {
+    const ACCEPTED: &'static str = "expected addresses IP:PORT separated by spaces";
+
+    fn read(text: &str) -> Option<Self> {
+        let addresses: Option<Vec<_>> = text
+            .split_whitespace()
+            .map(value::SettingValue::read)
+            .collect();
+        addresses.filter(|list| !list.is_empty()).map(Self)
+    }
+
+    fn placeholder() -> Self {
+        Self(Vec::new())
+    }
+}
+
+/// Adapter names separated by spaces.
+struct AdapterList(Vec<usher_types::AdapterName>);
+
+impl value::SettingValue for AdapterList {
+    const ACCEPTED: &'static str = "expected adapter names separated by spaces";
+
+    fn read(text: &str) -> Option<Self> {
+        let names: Option<Vec<_>> = text
+            .split_whitespace()
+            .map(|name| name.parse().ok())
+            .collect();
+        names.map(Self)
+    }
+
+    fn placeholder() -> Self {
+        Self(Vec::new())
+    }
+}
--- /dev/null
+++ b/crates/usher_config/src/settings/links.rs
@@ -0,0 +1,98 @@
+//! One-way delays between places. Not for: measured delays.
+
+use std::{collections, time};
+
+use crate::settings::{reader, value};
+
+/// The largest delay that is accepted; more would be a typing error.
+const MAX_DELAY: time::Duration = time::Duration::from_secs(2);
+
+type RegionPair = (usher_types::RegionName, usher_types::RegionName);
+
+usher_types::value_type! {
+    /// Section `links`: one-way delays, the starting values of routing estimates.
+    pub struct LinkSettings {
+        /// Between failure domains of a region.
+        pub domain: time::Duration,
+        /// Between regions that have no value of their own.
+        pub region: time::Duration,
+        /// Between callers and entries.
+        pub caller: time::Duration,
+        /// Between two regions, each pair once, in order.
+        pub pairs: collections::BTreeMap<RegionPair, time::Duration>,
+    }
+}
+
+impl LinkSettings {
+    /// Returns the one-way delay between two regions.
+    pub fn between(
+        &self,
+        one: &usher_types::RegionName,
+        other: &usher_types::RegionName,
+    ) -> time::Duration {
+        if one == other {
+            return self.domain;
+        }
+        let pair = in_order(one.clone(), other.clone());
+        self.pairs.get(&pair).copied().unwrap_or(self.region)
+    }
+
+    pub(crate) fn read(file: &reader::SettingsReader) -> Self {
+        let section = file.section("links");
+        let settings = Self {
+            domain: section.or("domain", time::Duration::from_micros(1_500)),
+            region: section.or("region", time::Duration::from_millis(30)),
+            caller: section.or("caller", time::Duration::from_millis(3)),
+            pairs: read_pairs(file),
+        };
+        let delays = [
+            ("domain", settings.domain),
+            ("region", settings.region),
+            ("caller", settings.caller),
+        ];
+        for (key, delay) in delays {
+            section.check(delay <= MAX_DELAY, key, "expected a delay of at most 2s");
+        }
+        settings
+    }
+}
+
+fn read_pairs(file: &reader::SettingsReader) -> collections::BTreeMap<RegionPair, time::Duration> {
+    const SECTION: &str = "region-links";
+    let mut pairs = collections::BTreeMap::new();
+    for (key, text) in file.open_section(SECTION) {
+        let mut names = key.split_whitespace().map(str::parse);
+        let (Some(Ok(one)), Some(Ok(other)), None) = (names.next(), names.next(), names.next())
+        else {
+            let message = "expected two regions separated by a space as key";
+            file.fail(SECTION, key, Some(text), message);
+            continue;
+        };
+        let delay = <time::Duration as value::SettingValue>::read(text.trim());
+        let Some(delay) = delay.filter(|delay| *delay <= MAX_DELAY) else {
+            let message = "expected a delay of at most 2s, such as 25ms";
+            file.fail(SECTION, key, Some(text), message);
+            continue;
+        };
+        if one == other {
+            let message = "expected two different regions: [links] domain is the delay inside one";
+            file.fail(SECTION, key, Some(text), message);
+        } else if pairs.insert(in_order(one, other), delay).is_some() {
+            file.fail(
+                SECTION,
+                key,
+                Some(text),
+                "the pair occurs twice: keep one direction",
+            );
+        }
+    }
+    pairs
+}
+
+fn in_order(one: usher_types::RegionName, other: usher_types::RegionName) -> RegionPair {
+    if one <= other {
+        (one, other)
+    } else {
+        (other, one)
+    }
+}
--- /dev/null
+++ b/crates/usher_config/src/settings/mod.rs
@@ -0,0 +1,30 @@
+//! The settings file of a process. Not for: the sheet of the fleet.
+
+mod accounts;
+mod control;
+mod error;
+mod fake;
+mod limits;
+mod links;
+mod node;
+mod objectives;
+mod output;
+mod process;
+mod reader;
+mod routing;
+mod value;
+
+pub use accounts::{AccountSettings, TeamAccount};
+pub use control::{ControlGroup, ControlMember};
+pub use error::{SettingsError, SettingsErrors};
+pub use fake::{FakeEngineSettings, FakeSettings};
+pub use limits::LimitSettings;
+pub use links::LinkSettings;
+pub use node::NodeSettings;
+pub use objectives::ObjectiveSettings;
+pub use output::{LogSettings, MetricSettings};
+pub use process::{
+    setting_keys, ControlSettings, EntrySettings, OperatorSettings, ProcessSettings, SettingKey,
+};
+pub use routing::RoutingSettings;
+pub use value::{ControlPart, LogFormat, ShareValue};
--- /dev/null
+++ b/crates/usher_config/src/settings/objectives.rs
@@ -0,0 +1,66 @@
+//! Objectives of the service level. Not for: how far they are met.
+
+use std::time;
+
+use crate::settings::{reader, value};
+
+/// The strictest objective; a stricter one leaves a budget that one request uses up.
+const MAX_OBJECTIVE: f64 = 0.99999;
+
+usher_types::value_type! {
+    /// Section `objectives`: what share of requests must be how good.
+    #[derive(Copy)]
+    pub struct ObjectiveSettings {
+        /// Share of requests that are accepted and answered whole.
+        pub availability: value::ShareValue,
+        /// Share of answers whose first token arrives within `first_token`.
+        pub first_token_share: value::ShareValue,
+        /// Time to first token that counts as good.
+        pub first_token: time::Duration,
+        /// Share of requests that are answered whole and within their deadline.
+        pub in_time: value::ShareValue,
+        /// Time over which the budget is counted.
+        pub window: time::Duration,
+    }
+}
+
+impl ObjectiveSettings {
+    pub(crate) fn read(file: &reader::SettingsReader) -> Self {
+        let section = file.section("objectives");
+        let settings = Self {
+            availability: section.or("availability", value::ShareValue::new(0.999)),
+            first_token_share: section.or("first-token-share", value::ShareValue::new(0.95)),
+            first_token: section.or("first-token", time::Duration::from_millis(510)),
+            in_time: section.or("in-time", value::ShareValue::new(0.99)),
+            window: section.or("window", time::Duration::from_secs(30 * 24 * 3600)),
+        };
+        let shares = [
+            ("availability", settings.availability),
+            ("first-token-share", settings.first_token_share),
+            ("in-time", settings.in_time),
+        ];
+        for (key, share) in shares {
+            section.check(
+                (0.5..=MAX_OBJECTIVE).contains(&share.get()),
+                key,
+                "expected a percentage from 50% to 99.999%",
+            );
+        }
+        let day = time::Duration::from_secs(24 * 3600);
+        section.check(
+            (3 * day..=90 * day).contains(&settings.window),
+            "window",
+            "expected a duration from 3days to 90days: the longest alert looks back 3 days",
+        );
+        let (shortest, longest) = (
+            time::Duration::from_millis(1),
+            time::Duration::from_secs(60),
+        );
+        section.check(
+            (shortest..=longest).contains(&settings.first_token),
+            "first-token",
+            "expected a duration from 1ms to 60s",
+        );
+        settings
+    }
+}
--- /dev/null
+++ b/crates/usher_config/src/settings/output.rs
@@ -0,0 +1,71 @@
+//! Where logs and metrics go. Not for: writing them.
+
+use std::{net, time};
+
+use crate::settings::{reader, value};
+
+/// Levels of the log, from few to many lines.
+const LOG_LEVELS: [&str; 5] = ["error", "warn", "info", "debug", "trace"];
+
+usher_types::value_type! {
+    /// Section `log`.
+    pub struct LogSettings {
+        /// How events are written.
+        pub format: value::LogFormat,
+        /// Least important level that is written.
+        pub level: String,
+    }
+}
+
+impl LogSettings {
+    pub(crate) fn read(file: &reader::SettingsReader) -> Self {
+        let section = file.section("log");
+        let settings = Self {
+            format: section.or("format", value::LogFormat::Human),
+            level: section.or("level", "info".to_owned()),
+        };
+        section.check(
+            LOG_LEVELS.contains(&settings.level.as_str()),
+            "level",
+            "expected error, warn, info, debug or trace",
+        );
+        settings
+    }
+}
+
+impl Default for LogSettings {
+    fn default() -> Self {
+        Self {
+            format: value::LogFormat::Human,
+            level: "info".to_owned(),
+        }
+    }
+}
+
+usher_types::value_type! {
+    /// Section `metrics`.
+    #[derive(Copy)]
+    pub struct MetricSettings {
+        /// Where metrics are sent in the StatsD format over UDP; none sends none.
+        pub statsd: Option<net::SocketAddr>,
+        /// Time between two reports of gauges.
+        pub interval: time::Duration,
+    }
+}
+
+impl MetricSettings {
+    pub(crate) fn read(file: &reader::SettingsReader) -> Self {
+        let section = file.section("metrics");
+        let settings = Self {
+            statsd: section.optional("statsd"),
+            interval: section.or("interval", time::Duration::from_secs(10)),
+        };
+        let range = time::Duration::from_secs(1)..=time::Duration::from_secs(3600);
+        section.check(
+            range.contains(&settings.interval),
+            "interval",
+            "expected a duration from 1s to 1h",
+        );
+        settings
+    }
+}
--- /dev/null
+++ b/crates/usher_config/src/settings/process.rs
@@ -0,0 +1,250 @@
+//! The settings of each kind of process as a whole. Not for: single sections.
+
+use std::net;
+
+use crate::settings::{
+    accounts, control, error, fake, limits, links, node, objectives, output, reader, routing, value,
+};
+
+usher_types::value_type! {
+    /// Settings of `pimentousher-entry`.
+    pub struct EntrySettings {
+        /// Who and where it is.
+        pub node: node::NodeSettings,
+        /// Where callers and targets connect.
+        pub listen: net::SocketAddr,
+        /// The control VMs.
+        pub control: control::ControlGroup,
+        /// One-way delays.
+        pub links: links::LinkSettings,
+        /// Limits of the entry.
+        pub limits: limits::LimitSettings,
+        /// Starting values of routing.
+        pub routing: routing::RoutingSettings,
+        /// Objectives of the burn report.
+        pub objectives: objectives::ObjectiveSettings,
+        /// Accounts of callers.
+        pub accounts: accounts::AccountSettings,
+        /// Log output.
+        pub log: output::LogSettings,
+        /// Metrics output.
+        pub metrics: output::MetricSettings,
+    }
+}
+
+usher_types::value_type! {
+    /// Settings of `pimentousher-control`.
+    pub struct ControlSettings {
+        /// Who and where it is; the data folder is set.
+        pub node: node::NodeSettings,
+        /// The control VMs, this one included.
+        pub control: control::ControlGroup,
+        /// One-way delays.
+        pub links: links::LinkSettings,
+        /// Log output.
+        pub log: output::LogSettings,
+        /// Metrics output.
+        pub metrics: output::MetricSettings,
+    }
+}
+
+impl ControlSettings {
+    /// Returns the section of this process.
+    pub fn member(&self) -> Option<&control::ControlMember> {
+        self.control.member(&self.node.name)
+    }
+}
+
+usher_types::value_type! {
+    /// Settings of the command line.
+    pub struct OperatorSettings {
+        /// The control VMs.
+        pub control: control::ControlGroup,
+        /// Objectives of the burn report.
+        pub objectives: objectives::ObjectiveSettings,
+    }
+}
+
+/// A checked settings file; `[process] kind` tells which.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ProcessSettings {
+    /// Settings of `pimentousher-entry`.
+    Entry(Box<EntrySettings>),
+    /// Settings of `pimentousher-control`.
+    Control(Box<ControlSettings>),
+    /// Settings of the command line.
+    Operator(Box<OperatorSettings>),
+    /// Settings of `fake-engine` or `fake-service`.
+    Fake(Box<fake::FakeSettings>),
+}
+
+impl ProcessSettings {
+    /// Reads and checks a settings file.
+    ///
+    /// ```
+    /// let errors = usher_config::ProcessSettings::parse("[proces]\nkind = entry\n").unwrap_err();
+    /// assert!(errors.to_string().contains("did you mean \"process\"?"));
+    /// ```
+    ///
+    /// # Errors
+    ///
+    /// Returns every error of the file at once.
+    pub fn parse(text: &str) -> Result<Self, error::SettingsErrors> {
+        let text = text.strip_prefix('\u{feff}').unwrap_or(text);
+        let file = reader::SettingsReader::new(text)?;
+        let kind: ProcessKind = file.section("process").required("kind");
+        let settings = read(&file, kind);
+        file.finish().map(|()| settings)
+    }
+}
+
+usher_types::value_type! {
+    /// Which program a file belongs to.
+    enum ProcessKind {
+        Entry,
+        Control,
+        Operator,
+        Engine,
+        Service,
+        /// The kind was refused; only the section `process` is checked.
+        Refused,
+    }
+}
+
+impl value::SettingValue for ProcessKind {
+    const ACCEPTED: &'static str = "expected entry, control, operator, fake-engine or fake-service";
+
+    fn read(text: &str) -> Option<Self> {
+        match text {
+            "entry" => Some(Self::Entry),
+            "control" => Some(Self::Control),
+            "operator" => Some(Self::Operator),
+            "fake-engine" => Some(Self::Engine),
+            "fake-service" => Some(Self::Service),
+            _ => None,
+        }
+    }
+
+    fn placeholder() -> Self {
+        Self::Refused
+    }
+}
+
+fn read(file: &reader::SettingsReader, kind: ProcessKind) -> ProcessSettings {
+    match kind {
+        ProcessKind::Entry => ProcessSettings::Entry(Box::new(read_entry(file))),
+        ProcessKind::Control => ProcessSettings::Control(Box::new(read_control(file))),
+        ProcessKind::Operator => ProcessSettings::Operator(Box::new(OperatorSettings {
+            control: control::ControlGroup::read(file),
+            objectives: objectives::ObjectiveSettings::read(file),
+        })),
+        ProcessKind::Refused => {
+            know_all(file);
+            ProcessSettings::Operator(Box::new(OperatorSettings {
+                control: control::ControlGroup::default(),
+                objectives: objectives::ObjectiveSettings::read(file),
+            }))
+        }
+        ProcessKind::Engine | ProcessKind::Service => {
+            let engine = kind == ProcessKind::Engine;
+            ProcessSettings::Fake(Box::new(fake::FakeSettings::read(file, engine)))
+        }
+    }
+}
+
+/// Without a kind, only names that no process knows can be reported.
+fn know_all(file: &reader::SettingsReader) {
+    for name in setting_keys() {
+        file.know(&name.section, &name.key);
+    }
+    for (section, _) in file.named_sections("control") {
+        file.open_section(section);
+    }
+    for section in ["firms", "teams", "tokens", "region-links"] {
+        file.open_section(section);
+    }
+}
+
+fn read_entry(file: &reader::SettingsReader) -> EntrySettings {
+    EntrySettings {
+        node: node::NodeSettings::read(file),
+        listen: file.section("listen").required("callers"),
+        control: control::ControlGroup::read(file),
+        links: links::LinkSettings::read(file),
+        limits: limits::LimitSettings::read(file),
+        routing: routing::RoutingSettings::read(file),
+        objectives: objectives::ObjectiveSettings::read(file),
+        accounts: accounts::AccountSettings::read(file),
+        log: output::LogSettings::read(file),
+        metrics: output::MetricSettings::read(file),
+    }
+}
+
+fn read_control(file: &reader::SettingsReader) -> ControlSettings {
+    let settings = ControlSettings {
+        node: node::NodeSettings::read(file),
+        control: control::ControlGroup::read(file),
+        links: links::LinkSettings::read(file),
+        log: output::LogSettings::read(file),
+        metrics: output::MetricSettings::read(file),
+    };
+    let node = &settings.node;
+    let section = file.section("node");
+    section.check(
+        node.data.is_some(),
+        "data",
+        "the key is missing: a control process needs a folder for its log",
+    );
+    if node.name.as_str().is_empty() {
+        return settings;
+    }
+    let Some(member) = settings.member() else {
+        let message = format!(
+            "expected a section [control.{}] for this process",
+            node.name
+        );
+        section.check(false, "name", message);
+        return settings;
+    };
+    let place = format!("[control.{}] says {}", node.name, member.region);
+    section.check(member.region == node.region, "region", place);
+    let place = format!("[control.{}] says {}", node.name, member.domain);
+    section.check(member.domain == node.domain, "domain", place);
+    settings
+}
+
+usher_types::value_type! {
+    /// A key of the settings that some process knows.
+    #[derive(Eq, Ord, PartialOrd)]
+    pub struct SettingKey {
+        /// Section of the key.
+        pub section: String,
+        /// Key.
+        pub key: String,
+    }
+}
+
+/// Returns every key that some process knows, for checks of the documentation.
+pub fn setting_keys() -> Vec<SettingKey> {
+    let kinds = [
+        ProcessKind::Entry,
+        ProcessKind::Control,
+        ProcessKind::Operator,
+        ProcessKind::Engine,
+        ProcessKind::Service,
+    ];
+    let mut keys: Vec<_> = kinds
+        .into_iter()
+        .filter_map(|kind| {
+            let file = reader::SettingsReader::new("").ok()?;
+            file.section("process").required::<ProcessKind>("kind");
+            read(&file, kind);
+            Some(file.known_keys())
+        })
+        .flatten()
+        .map(|(section, key)| SettingKey { section, key })
+        .collect();
+    keys.sort();
+    keys.dedup();
+    keys
+}
--- /dev/null
+++ b/crates/usher_config/src/settings/routing.rs
@@ -0,0 +1,54 @@
+//! Starting values of routing estimates. Not for: what is learnt from targets.
+
+use std::time;
+
+use crate::settings::reader;
+
+usher_types::value_type! {
+    /// Section `routing` of an entry.
+    #[derive(Copy)]
+    pub struct RoutingSettings {
+        /// Prefill rate of an engine that hasn't been observed.
+        pub prefill_rate: usher_types::TokenRate,
+        /// Time per output token of an engine that hasn't been observed.
+        pub token_time: time::Duration,
+        /// Time to load an adapter that isn't resident.
+        pub adapter_load: time::Duration,
+        /// Calls that may run on one engine at a time.
+        pub batch: u32,
+        /// Delay that one megabyte to another region is worth.
+        pub megabyte_cost: time::Duration,
+    }
+}
+
+impl RoutingSettings {
+    pub(crate) fn read(file: &reader::SettingsReader) -> Self {
+        let section = file.section("routing");
+        let rate = usher_types::TokenRate::per_second(8_000.0);
+        let settings = Self {
+            prefill_rate: section.or("prefill-rate", rate),
+            token_time: section.or("token-time", time::Duration::from_millis(40)),
+            adapter_load: section.or("adapter-load", time::Duration::from_millis(1_500)),
+            batch: section.or("batch", 64),
+            megabyte_cost: section.or("megabyte-cost", time::Duration::from_millis(200)),
+        };
+        let shortest = time::Duration::from_micros(1);
+        let longest = time::Duration::from_secs(60);
+        section.check(
+            (shortest..=longest).contains(&settings.token_time),
+            "token-time",
+            "expected a duration from 1us to 60s",
+        );
+        for (key, duration) in [
+            ("adapter-load", settings.adapter_load),
+            ("megabyte-cost", settings.megabyte_cost),
+        ] {
+            section.check(
+                duration <= longest,
+                key,
+                "expected a duration of at most 60s",
+            );
+        }
+        settings
+    }
+}
--- /dev/null
+++ b/crates/usher_config/src/settings/value.rs
@@ -0,0 +1,237 @@
+//! Types that a value of the settings can have. Not for: rules between values.
+
+use std::{fmt, net, path, time};
+
+/// A value that is read from the text of a setting.
+pub(crate) trait SettingValue: Sized {
+    /// What is accepted, for error messages.
+    const ACCEPTED: &'static str;
+
+    /// Reads the value; none when the text isn't accepted.
+    fn read(text: &str) -> Option<Self>;
+
+    /// Stands in for a value that was refused; such settings are never returned.
+    fn placeholder() -> Self;
+}
+
+usher_types::value_type! {
+    /// A share of a whole, from 0 to 1, written as a percentage.
+    #[derive(Copy, Default, PartialOrd)]
+    pub struct ShareValue(f64);
+}
+
+impl ShareValue {
+    /// Makes a share from a number between 0 and 1; numbers outside are cut off.
+    pub fn new(number: f64) -> Self {
+        Self(number.clamp(0.0, 1.0))
+    }
+
+    /// Returns the share as a number between 0 and 1.
+    pub const fn get(self) -> f64 {
+        self.0
+    }
+}
+
+impl fmt::Display for ShareValue {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        // A few more digits than planners write; hides the rounding of 99.9 / 100 * 100.
+        let percent = (self.0 * 1e8).round() / 1e6;
+        write!(f, "{percent}%")
+    }
+}
+
+usher_types::value_type! {
+    /// How a daemon writes its log.
+    #[derive(Default)]
+    pub enum LogFormat {
+        /// One line of text per event.
+        #[default]
+        Human,
+        /// One JSON object per event.
+        Json,
+    }
+}
+
+usher_types::value_type! {
+    /// Whether a control VM votes from the start.
+    #[derive(Default)]
+    pub enum ControlPart {
+        /// Votes from the start of the installation.
+        #[default]
+        Voter,
+        /// Learns, and replaces a voter that is lost.
+        Spare,
+    }
+}
+
+/// Declares how an enum is written in the settings.
+macro_rules! word_value {
+    ($name:ident, $accepted:literal, $($word:literal => $variant:ident),+) => {
+        impl SettingValue for $name {
+            const ACCEPTED: &'static str = $accepted;
+
+            fn read(text: &str) -> Option<Self> {
+                match text {
+                    $($word => Some(Self::$variant),)+
+                    _ => None,
+                }
+            }
+
+            fn placeholder() -> Self {
+                Self::default()
+            }
+        }
+    };
+}
+
+word_value!(LogFormat, "expected human or json", "human" => Human, "json" => Json);
+word_value!(ControlPart, "expected voter or spare", "voter" => Voter, "spare" => Spare);
+
+/// Declares values whose type knows how it is written.
+macro_rules! text_value {
+    ($accepted:literal: $($name:ty),+) => {
+        $(impl SettingValue for $name {
+            const ACCEPTED: &'static str = $accepted;
+
+            fn read(text: &str) -> Option<Self> {
+                text.parse().ok()
+            }
+
+            fn placeholder() -> Self {
+                Self::default()
+            }
+        })+
+    };
+}
+
+text_value!("expected 1 to 200 printable characters without spaces":
+    usher_types::NodeName, usher_types::RegionName, usher_types::DomainName,
+    usher_types::FirmName, usher_types::TeamName, usher_types::TargetName,
+    usher_types::ServiceName, usher_types::ModelName, usher_types::VersionName,
+    usher_types::AdapterName);
+text_value!("expected mixed, prefill or decode": usher_types::EngineRole);
+text_value!("expected true or false": bool);
+
+impl SettingValue for u32 {
+    const ACCEPTED: &'static str = "expected a whole number from 1 to 1000000";
+
+    fn read(text: &str) -> Option<Self> {
+        text.parse()
+            .ok()
+            .filter(|number| (1..=1_000_000).contains(number))
+    }
+
+    fn placeholder() -> Self {
+        1
+    }
+}
+
+impl SettingValue for f64 {
+    const ACCEPTED: &'static str = "expected a number above 0, at most 1000000";
+
+    fn read(text: &str) -> Option<Self> {
+        text.parse()
+            .ok()
+            .filter(|number| *number > 0.0 && *number <= 1e6)
+    }
+
+    fn placeholder() -> Self {
+        1.0
+    }
+}
+
+impl SettingValue for usher_types::TokenRate {
+    const ACCEPTED: &'static str = "expected tokens per second, a number above 0 such as 8000/s";
+
+    fn read(text: &str) -> Option<Self> {
+        text.parse().ok().filter(|rate: &Self| rate.get() > 0.0)
+    }
+
+    fn placeholder() -> Self {
+        Self::default()
+    }
+}
+
+impl SettingValue for String {
+    const ACCEPTED: &'static str = "expected 1 to 200 printable characters without spaces";
+
+    fn read(text: &str) -> Option<Self> {
+        let printable = text.chars().all(|c| c.is_ascii_graphic());
+        (printable && (1..=200).contains(&text.len())).then(|| text.to_owned())
+    }
+
+    fn placeholder() -> Self {
+        Self::new()
+    }
+}
+
+impl SettingValue for net::SocketAddr {
+    const ACCEPTED: &'static str =
+        "expected IP:PORT with a port above 0, such as 10.0.0.5:8080 (names are not looked up)";
+
+    fn read(text: &str) -> Option<Self> {
+        text.parse()
+            .ok()
+            .filter(|address: &Self| address.port() > 0)
+    }
+
+    fn placeholder() -> Self {
+        Self::from(([0, 0, 0, 0], 0))
+    }
+}
+
+impl SettingValue for path::PathBuf {
+    const ACCEPTED: &'static str = "expected the path of a folder";
+
+    fn read(text: &str) -> Option<Self> {
+        (!text.is_empty() && !text.contains('\0')).then(|| Self::from(text))
+    }
+
+    fn placeholder() -> Self {
+        Self::new()
+    }
+}
+
+impl SettingValue for time::Duration {
+    const ACCEPTED: &'static str = "expected a duration such as 1500us, 30ms, 5s or 2m 30s";
+
+    fn read(text: &str) -> Option<Self> {
+        humantime::parse_duration(text).ok()
+    }
+
+    fn placeholder() -> Self {
+        Self::ZERO
+    }
+}
+
+impl SettingValue for ShareValue {
+    const ACCEPTED: &'static str = "expected a percentage from 0% to 100%, such as 99.9%";
+
+    fn read(text: &str) -> Option<Self> {
+        let number: f64 = text.strip_suffix('%')?.trim().parse().ok()?;
+        (0.0..=100.0)
+            .contains(&number)
+            .then(|| Self(number / 100.0))
+    }
+
+    fn placeholder() -> Self {
+        Self(1.0)
+    }
+}
+
+impl SettingValue for usher_types::ByteSize {
+    const ACCEPTED: &'static str = "expected a size such as 64 KiB or 8 MiB";
+
+    fn read(text: &str) -> Option<Self> {
+        let units = [("KiB", 10), ("MiB", 20), ("GiB", 30), ("B", 0)];
+        let (number, shift) = units
+            .iter()
+            .find_map(|(unit, shift)| text.strip_suffix(unit).map(|number| (number, *shift)))?;
+        let number: u64 = number.trim().parse().ok()?;
+        number.checked_mul(1 << shift).map(Self::new)
+    }
+
+    fn placeholder() -> Self {
+        Self::default()
+    }
+}
--- /dev/null
+++ b/crates/usher_config/tests/fuzz.rs
@@ -0,0 +1,162 @@
+//! Random and mutated bytes never stop the readers, and no accepted file loses a line.
+
+use proptest::{prelude::*, test_runner::RngSeed};
+use usher_config::{FleetSheet, ProcessSettings};
+
+const ENTRY: &str = include_str!("data/entry.ini");
+const SHEET: &str = "service,kind,region,model,version,adapters,prefill,decode,mixed,floor\n\
+    assist,engine,south-a,gum-8b,3,crew roster,1..2,1,2,2\n\
+    assist,engine,north-a,gum-8b,3,,0,0,4,2\n\
+    # plain\n\
+    rounds,plain,south-a,,,,0,0,1,1\n";
+
+/// One change of a text's bytes.
+#[derive(Clone, Debug)]
+enum Mutation {
+    Set(usize, u8),
+    Insert(usize, u8),
+    Remove(usize, usize),
+    Repeat(usize, usize),
+}
+
+fn mutation() -> impl Strategy<Value = Mutation> {
+    // Separators occur more often than by chance, because they move the structure.
+    let byte = prop_oneof![
+        any::<u8>(),
+        prop::sample::select(b",;\"\n\r#[]=.: 0".to_vec())
+    ];
+    let place = any::<usize>();
+    prop_oneof![
+        (place, byte.clone()).prop_map(|(at, byte)| Mutation::Set(at, byte)),
+        (place, byte).prop_map(|(at, byte)| Mutation::Insert(at, byte)),
+        (place, 0..40_usize).prop_map(|(at, length)| Mutation::Remove(at, length)),
+        (place, 0..40_usize).prop_map(|(at, length)| Mutation::Repeat(at, length)),
+    ]
+}
+
+fn mutate(text: &str, mutations: &[Mutation]) -> Vec<u8> {
+    let mut bytes = text.as_bytes().to_vec();
+    for mutation in mutations {
+        let length = bytes.len().max(1);
+        match *mutation {
+            Mutation::Set(at, byte) => {
+                if let Some(place) = bytes.get_mut(at % length) {
+                    *place = byte;
+                }
+            }
+            Mutation::Insert(at, byte) => bytes.insert(at % length, byte),
+            Mutation::Remove(at, count) => {
+                let start = at % length;
+                let end = (start + count).min(bytes.len());
+                bytes.drain(start..end);
+            }
+            Mutation::Repeat(at, count) => {
+                let start = at % length;
+                let end = (start + count).min(bytes.len());
+                let part: Vec<u8> = bytes[start..end].to_vec();
+                bytes.splice(start..start, part);
+            }
+        }
+    }
+    bytes
+}
+
+/// Every accepted sheet survives its canonical form, and every error has a place in the text.
+fn check_sheet(bytes: &[u8]) -> Result<(), TestCaseError> {
+    let lines = bytes.iter().filter(|byte| **byte == b'\n').count() + 1;
+    match FleetSheet::parse_bytes(bytes) {
+        Ok(sheet) => {
+            let text = sheet.to_csv();
+            let again = FleetSheet::parse(&text);
+            prop_assert_eq!(again.as_ref(), Ok(&sheet));
+            prop_assert!(sheet.difference(&sheet).is_empty());
+            for row in sheet.rows() {
+                prop_assert!(row.floor <= row.most() && row.most() > 0);
+            }
+        }
+        Err(errors) => {
+            prop_assert!(!errors.errors().is_empty());
+            for error in errors.errors() {
+                prop_assert!(
+                    (1..=lines).contains(&error.line),
+                    "{error} of {lines} lines"
+                );
+                prop_assert!(error.column <= bytes.len());
+            }
+        }
+    }
+    Ok(())
+}
+
+/// Reads a file line by line, to compare with what the settings reader takes over.
+fn count_keys(text: &str) -> usize {
+    let is_key = |line: &&str| !line.is_empty() && !line.starts_with(['#', ';', '[']);
+    text.split('\n').map(str::trim).filter(is_key).count()
+}
+
+fn check_settings(bytes: &[u8]) -> Result<(), TestCaseError> {
+    let text = String::from_utf8_lossy(bytes);
+    match ProcessSettings::parse(&text) {
+        // A reader that loses a line could accept a file whose key count differs from the model.
+        Ok(_) => prop_assert!(count_keys(&text) > 0),
+        Err(errors) => {
+            prop_assert!(!errors.errors().is_empty());
+            for error in errors.errors() {
+                prop_assert!(!error.accepted.is_empty());
+                prop_assert!(!error.section.contains('\n') && !error.key.contains('\n'));
+            }
+        }
+    }
+    Ok(())
+}
+
+/// A fixed seed for CI; PROPTEST_RNG_SEED and PROPTEST_CASES ask for other and more cases.
+fn config() -> ProptestConfig {
+    let mut config = ProptestConfig::with_cases(2_000);
+    config.failure_persistence = None;
+    let asked = |name| std::env::var(name).ok()?.parse().ok();
+    config.rng_seed = RngSeed::Fixed(asked("PROPTEST_RNG_SEED").unwrap_or(1));
+    if let Some(cases) = asked("PROPTEST_CASES") {
+        config.cases = u32::try_from(cases).unwrap_or(u32::MAX);
+    }
+    config
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn sheet_takes_random_bytes(bytes in prop::collection::vec(any::<u8>(), 0..400)) {
+        check_sheet(&bytes)?;
+    }
+
+    #[test]
+    fn sheet_takes_mutated_bytes(mutations in prop::collection::vec(mutation(), 1..12)) {
+        check_sheet(&mutate(SHEET, &mutations))?;
+    }
+
+    #[test]
+    fn settings_take_random_bytes(bytes in prop::collection::vec(any::<u8>(), 0..400)) {
+        check_settings(&bytes)?;
+    }
+
+    #[test]
+    fn settings_take_mutated_bytes(mutations in prop::collection::vec(mutation(), 1..12)) {
+        check_settings(&mutate(ENTRY, &mutations))?;
+    }
+
+    /// Guards against a key that is swallowed: each line of an unknown key must be reported.
+    #[test]
+    fn settings_lose_no_line(keys in prop::collection::btree_set("[a-z.\\-/ ]{0,6}zz", 1..8),
+                             values in prop::collection::vec("[ -~]{0,20}", 8)) {
+        let lines: Vec<String> = keys.iter().zip(&values)
+            .map(|(key, value)| format!("#{value}\n;{value}\n{key} = {}\n", value.trim_end_matches(['\\', ' '])))
+            .collect();
+        let text = ENTRY.replacen("[node]\n", &format!("[node]\n{}", lines.concat()), 1);
+        let errors = ProcessSettings::parse(&text).unwrap_err();
+        let distinct: std::collections::BTreeSet<_> = keys.iter().map(|key| key.trim()).collect();
+        let reported: std::collections::BTreeSet<_> =
+            errors.errors().iter().map(|error| error.key.as_str()).collect();
+        prop_assert_eq!(reported, distinct);
+    }
+}
--- /dev/null
+++ b/crates/usher_config/tests/settings.rs
@@ -0,0 +1,177 @@
+//! A settings file is read as a whole or refused with every error and what is accepted.
+
+use std::{collections, time};
+
+use usher_config::{ControlPart, LogFormat, ProcessSettings};
+
+const ENTRY: &str = include_str!("data/entry.ini");
+const CONTROL: &str = include_str!("data/control.ini");
+
+fn errors_of(text: &str) -> Vec<String> {
+    match ProcessSettings::parse(text) {
+        Ok(settings) => panic!("the file was accepted: {settings:?}"),
+        Err(errors) => errors.errors().iter().map(ToString::to_string).collect(),
+    }
+}
+
+/// Replaces one line of a file that is accepted and expects exactly these errors.
+fn refuse_line(file: &str, line: &str, by: &str, expected: &[&str]) {
+    assert!(file.contains(line), "the file has no line {line:?}");
+    ProcessSettings::parse(file).unwrap();
+    assert_eq!(errors_of(&file.replacen(line, by, 1)), expected);
+}
+
+usher_types::cases! { refuse_line:
+    /// Guards against a typing error that leaves a default in force.
+    unknown_key(ENTRY, "deadline = 60s", "dedline = 60s", &[
+        "[limits] dedline = 60s: the key is not known: did you mean \"deadline\"?",
+    ]);
+    unknown_section(ENTRY, "[limits]", "[limit]", &[
+        "[limit] : the section is not known: did you mean \"limits\"?",
+    ]);
+    /// Guards against host names, which would make a start depend on a name server.
+    address_by_name(ENTRY, "callers = 127.0.0.1:8080", "callers = entry-1:8080", &[
+        "[listen] callers = entry-1:8080: expected IP:PORT with a port above 0, such as 10.0.0.5:8080 (names are not looked up)",
+    ]);
+    missing_key(ENTRY, "cluster = loo-round", "", &[
+        "[node] cluster: the key is missing: expected 1 to 200 printable characters without spaces",
+    ]);
+    duration_without_unit(ENTRY, "deadline = 60s", "deadline = 60", &[
+        "[limits] deadline = 60: expected a duration such as 1500us, 30ms, 5s or 2m 30s",
+    ]);
+    duration_out_of_range(ENTRY, "deadline = 60s", "deadline = 1ms", &[
+        "[limits] deadline = 1ms: expected a duration from 1s to 24h",
+    ]);
+    share_without_percent(ENTRY, "availability = 99.9%", "availability = 99.9", &[
+        "[objectives] availability = 99.9: expected a percentage from 0% to 100%, such as 99.9%",
+    ]);
+    /// Guards against retries that add load to targets that already fail.
+    too_many_retries(ENTRY, "retries = 10%", "retries = 25%", &[
+        "[limits] retries = 25%: expected at most 10%: more retries would add load to targets that already fail",
+    ]);
+    firm_that_is_not_declared(ENTRY, "dispatch = apple-isle 2", "dispatch = aple-isle", &[
+        "[teams] dispatch = aple-isle: firm aple-isle is not in [firms]: expected one of apple-isle, derwent",
+    ]);
+    /// Guards against a secret that an error message copies into a log.
+    token_of_unknown_team(ENTRY, "dispatch = s3cret", "crews = s3cret", &[
+        "[tokens] crews = (hidden): the team is not in [teams]: add it there with its firm",
+    ]);
+    key_twice(ENTRY, "deadline = 60s", "deadline = 60s\ndeadline = 61s", &[
+        "[limits] deadline = 61s: the key occurs twice: keep one",
+    ]);
+    section_twice(ENTRY, "[log]", "[node]\nx = 1\n[log]", &[
+        "[node] : the section occurs twice: join both",
+    ]);
+    pair_of_regions_twice(ENTRY, "south-a north-a = 20ms", "south-a north-a = 20ms\nnorth-a south-a = 21ms", &[
+        "[region-links] south-a north-a = 20ms: the pair occurs twice: keep one direction",
+    ]);
+    /// Guards against an even group, which survives no more losses than a smaller one.
+    two_voters(CONTROL, "domain = west-a-1", "domain = west-a-1\npart = spare", &[
+        "[control.NAME] part: 2 sections have part = voter: expected 3 or 5, so that a majority survives the loss of one or two",
+    ]);
+    /// Guards against a group that one failure domain can stop.
+    voters_in_one_domain(CONTROL, "region = west-a\ndomain = west-a-1", "region = north-a\ndomain = north-a-1", &[
+        "[control.control-3] domain = north-a-1: voters control-2, control-3 share this failure domain: its loss would stop the control group; expected at most 1 voters per domain",
+    ]);
+    /// Guards against two processes that answer under one address.
+    address_twice(CONTROL, "operators = 127.0.0.1:7503", "operators = 127.0.0.1:7402", &[
+        "[control.control-3] operators = 127.0.0.1:7402: the address is taken by [control.control-2]",
+    ]);
+    /// Guards against a control process that isn't part of its own group.
+    own_section_is_missing(CONTROL, "name = control-1", "name = control-9", &[
+        "[node] name = control-9: expected a section [control.control-9] for this process",
+    ]);
+    place_contradicts_own_section(CONTROL, "region = south-a\ndomain = south-a-1\ndata", "region = south-a\ndomain = south-a-2\ndata", &[
+        "[node] domain = south-a-2: [control.control-1] says south-a-1",
+    ]);
+    data_folder_is_missing(CONTROL, "data = control-1.data", "", &[
+        "[node] data: the key is missing: a control process needs a folder for its log",
+    ]);
+    /// Guards against every section being called unknown when only the kind is wrong.
+    wrong_kind(ENTRY, "kind = entry", "kind = door", &[
+        "[process] kind = door: expected entry, control, operator, fake-engine or fake-service",
+    ]);
+    /// Guards against a line without separator that swallows the section headers after it.
+    line_that_is_no_key(ENTRY, "kind = entry", "kind", &[
+        "line 4: \"kind\": expected [section], key = value or # comment, and no \\ in a key or at the end",
+    ]);
+    /// Guards against a value that takes in the next line; found by `settings_lose_no_line`.
+    backslash_at_the_end(ENTRY, "data = entry-1.data", "data = C:\\", &[
+        "line 11: \"data = C:\\\\\": expected [section], key = value or # comment, and no \\ in a key or at the end",
+    ]);
+    section_that_is_not_closed(ENTRY, "[limits]", "[limits", &[
+        "line 49: \"[limits\": expected [section], key = value or # comment, and no \\ in a key or at the end",
+    ]);
+}
+
+/// Guards against operators that mend one error per start.
+#[test]
+fn all_errors_come_at_once() {
+    let text = ENTRY
+        .replace("cluster = loo-round", "cluster = loo round")
+        .replace("running = 512", "running = many")
+        .replace("format = json", "format = xml");
+    assert_eq!(
+        errors_of(&text),
+        [
+            "[node] cluster = loo round: expected 1 to 200 printable characters without spaces",
+            "[limits] running = many: expected a whole number from 1 to 1000000",
+            "[log] format = xml: expected human or json",
+        ]
+    );
+}
+
+/// Guards against values that are accepted but not taken over.
+#[test]
+fn values_reach_the_settings() {
+    let ProcessSettings::Entry(entry) = ProcessSettings::parse(ENTRY).unwrap() else {
+        panic!("not an entry");
+    };
+    assert_eq!(entry.log.format, LogFormat::Json);
+    assert_eq!(entry.limits.running, 512);
+    assert_eq!(entry.limits.deadline, time::Duration::from_secs(60));
+    let team = &entry.accounts.teams[&"dispatch".parse().unwrap()];
+    assert_eq!((team.firm.as_str(), team.weight), ("apple-isle", 2.0));
+    assert_eq!(entry.accounts.tokens["s3cret"].as_str(), "dispatch");
+    let regions = ["north-a", "south-a", "west-a"].map(|name| name.parse().unwrap());
+    let links = &entry.links;
+    assert_eq!(
+        links.between(&regions[1], &regions[0]),
+        time::Duration::from_millis(20)
+    );
+    assert_eq!(links.between(&regions[0], &regions[2]), links.region);
+    assert_eq!(links.between(&regions[0], &regions[0]), links.domain);
+    let parts: Vec<_> = entry
+        .control
+        .members
+        .iter()
+        .map(|member| member.part)
+        .collect();
+    assert_eq!(
+        parts,
+        [
+            ControlPart::Spare,
+            ControlPart::Voter,
+            ControlPart::Voter,
+            ControlPart::Voter
+        ]
+    );
+    assert_eq!(
+        entry.control.operator_addresses()[0],
+        "127.0.0.1:7501".parse().unwrap()
+    );
+}
+
+/// Guards against a default that its own range refuses.
+#[test]
+fn defaults_are_accepted() {
+    let mut kept = String::new();
+    let mut seen = collections::BTreeSet::new();
+    for line in CONTROL.lines().filter(|line| !line.starts_with("format")) {
+        kept.push_str(line);
+        kept.push('\n');
+        seen.insert(line);
+    }
+    ProcessSettings::parse(&kept).unwrap();
+    assert!(seen.contains("[log]"));
+}
