--- a/crates/usher_config/src/lib.rs
+++ b/crates/usher_config/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod settings;
 mod sheet;
+mod together;
 
 pub use settings::{
     setting_keys, AccountSettings, ControlGroup, ControlMember, ControlPart, ControlSettings,
@@ -16,3 +17,4 @@
     CellChange, CountRange, FleetSheet, ParseCountError, RowChange, SheetDifference, SheetError,
     SheetErrors, SheetRow, MAX_SHEET_BYTES, SHEET_COLUMNS,
 };
+pub use together::{check_together, CheckedFile, FileContent};
--- /dev/null
+++ b/crates/usher_config/tests/together.rs
@@ -0,0 +1,46 @@
+//! The files of one installation must agree with each other.
+
+use usher_config::{check_together, CheckedFile};
+
+const ENTRY: &str = include_str!("data/entry.ini");
+const CONTROL: &str = include_str!("data/control.ini");
+const SHEET: &str = "service,kind,region,model,version,adapters,prefill,decode,mixed,floor\n\
+    rounds,plain,south-a,,,,0,0,1,1\n";
+
+fn read(name: &str, text: &str) -> CheckedFile {
+    CheckedFile::read(name, text.as_bytes()).unwrap()
+}
+
+/// Changes one of three files that agree and expects exactly this contradiction.
+fn contradict(file: &str, line: &str, by: &str, expected: &str) {
+    let texts = [
+        ("entry.ini", ENTRY),
+        ("control.ini", CONTROL),
+        ("sheet.csv", SHEET),
+    ];
+    let files = texts.map(|(name, text)| read(name, text));
+    assert_eq!(check_together(&files), [""; 0]);
+    let files = texts.map(|(name, text)| {
+        let changed = text.replacen(line, by, 1);
+        read(name, if name == file { &changed } else { text })
+    });
+    assert_eq!(check_together(&files), [expected]);
+}
+
+usher_types::cases! { contradict:
+    /// Guards against a file that was not updated when a control VM was replaced.
+    control_groups_differ("control.ini", "127.0.0.1:7404", "127.0.0.1:7414",
+        "control.ini: the [control.*] sections differ from those of entry.ini");
+    /// Guards against a process that the others refuse at its first connection.
+    clusters_differ("control.ini", "cluster = loo-round", "cluster = loo-square",
+        "control.ini: [node] cluster = loo-square: entry.ini has loo-round");
+    same_name_twice("entry.ini", "name = entry-1", "name = control-1",
+        "control.ini: [node] name = control-1: entry.ini has the same name");
+    same_address_twice("entry.ini", "127.0.0.1:8080", "127.0.0.1:7501",
+        "entry.ini: 127.0.0.1:7501 is taken by [control.control-1]");
+    /// Guards against a typing error that would leave a row without targets.
+    region_of_the_sheet_is_unknown("sheet.csv", "south-a", "suoth-a",
+        "sheet.csv: row of rounds in suoth-a: region suoth-a has no entry or control VM: expected one of north-a, south-a, west-a");
+    region_of_a_link_is_unknown("entry.ini", "south-a north-a =", "south-a nort-a =",
+        "entry.ini: [region-links] nort-a south-a: region nort-a has no entry or control VM: expected one of north-a, south-a, west-a");
+}
