--- a/crates/usher_config/src/settings/control.rs
+++ b/crates/usher_config/src/settings/control.rs
@@ -58,6 +58,12 @@
         self.members.iter().find(|member| &member.name == name)
     }
 
+    /// Returns whether both groups hold the same members, in whichever order.
+    pub fn has_same_members(&self, other: &Self) -> bool {
+        let held = |member: &ControlMember| other.members.contains(member);
+        self.members.len() == other.members.len() && self.members.iter().all(held)
+    }
+
     pub(crate) fn read(file: &reader::SettingsReader) -> Self {
         // Makes the pattern known to the list of keys and to suggestions.
         let pattern = file.section("control.NAME");
--- a/crates/usher_config/src/together.rs
+++ b/crates/usher_config/src/together.rs
@@ -101,7 +101,7 @@
         .iter()
         .filter_map(|file| Some((file, file.control()?)));
     if let Some((first, group)) = groups.next() {
-        for (file, _) in groups.filter(|(_, other)| *other != group) {
+        for (file, _) in groups.filter(|(_, other)| !group.has_same_members(other)) {
             errors.push(format!(
                 "{}: the [control.*] sections differ from those of {}",
                 file.name, first.name
