Let a control node listen elsewhere than where others reach it

Change: optional [listen] wire and operators in the settings of a control node. Conclusion: the advertised address stays the one of the node's own section.

--- a/crates/usher_config/src/settings/process.rs
+++ b/crates/usher_config/src/settings/process.rs
@@ -39,6 +39,10 @@
         pub node: node::NodeSettings,
         /// The control VMs, this one included.
         pub control: control::ControlGroup,
+        /// Where to listen for others when that isn't the address of the own section.
+        pub wire_listen: Option<net::SocketAddr>,
+        /// Where to listen for operators when that isn't the address of the own section.
+        pub operator_listen: Option<net::SocketAddr>,
         /// One-way delays.
         pub links: links::LinkSettings,
         /// Log output.
@@ -184,6 +188,8 @@
     let settings = ControlSettings {
         node: node::NodeSettings::read(file),
         control: control::ControlGroup::read(file),
+        wire_listen: file.section("listen").optional("wire"),
+        operator_listen: file.section("listen").optional("operators"),
         links: links::LinkSettings::read(file),
         log: output::LogSettings::read(file),
         metrics: output::MetricSettings::read(file),
--- a/crates/usher_control/src/node.rs
+++ b/crates/usher_control/src/node.rs
@@ -76,10 +76,10 @@
     ///
     /// Fails when an address can't be listened on or the data folder can't be used.
     pub async fn start(self) -> Result<RunningControl, error::ControlError> {
-        let wire = listen(self.options.wire_address).await?;
-        let operators = listen(self.options.operator_address).await?;
-        let wire_address = bound(&wire, self.options.wire_address)?;
-        let operator_address = bound(&operators, self.options.operator_address)?;
+        let options = &self.options;
+        let (wire, wire_address) = open(options.wire_address, options.wire_listen).await?;
+        let (operators, operator_address) =
+            open(options.operator_address, options.operator_listen).await?;
         let replica = usher_replica::ReplicaNode::new(
             self.replica_settings(wire_address),
             usher_state::FleetState::new(),
@@ -309,6 +309,19 @@
     }
 }
 
+/// Opens a listener and returns the address by which others reach it.
+async fn open(
+    address: net::SocketAddr,
+    listen_address: Option<net::SocketAddr>,
+) -> Result<(tokio::net::TcpListener, net::SocketAddr), error::ControlError> {
+    let listener = listen(listen_address.unwrap_or(address)).await?;
+    let reached = match listen_address {
+        Some(_) => address,
+        None => bound(&listener, address)?,
+    };
+    Ok((listener, reached))
+}
+
 async fn listen(address: net::SocketAddr) -> Result<tokio::net::TcpListener, error::ControlError> {
     let open = || {
         let socket = match address {
--- a/crates/usher_control/src/options.rs
+++ b/crates/usher_control/src/options.rs
@@ -29,6 +29,10 @@
     pub wire_address: net::SocketAddr,
     /// Where operators connect.
     pub operator_address: net::SocketAddr,
+    /// Where to listen when that isn't `wire_address`, as behind address translation.
+    pub wire_listen: Option<net::SocketAddr>,
+    /// Where to listen when that isn't `operator_address`.
+    pub operator_listen: Option<net::SocketAddr>,
     /// All control nodes of the first start, with this one: name, wire address, region, domain.
     pub peers: Vec<ControlPeer>,
     /// How many control nodes vote.
@@ -71,6 +75,8 @@
             folder: folder.into(),
             wire_address: any_port,
             operator_address: any_port,
+            wire_listen: None,
+            operator_listen: None,
             peers: Vec::new(),
             voters: 3,
             weight_store_rate: 0.5,
@@ -115,6 +121,18 @@
         self
     }
 
+    /// Sets where to listen, when others reach this node under another address.
+    #[must_use]
+    pub fn with_listen(
+        mut self,
+        wire: Option<net::SocketAddr>,
+        operators: Option<net::SocketAddr>,
+    ) -> Self {
+        self.wire_listen = wire;
+        self.operator_listen = operators;
+        self
+    }
+
     /// Sets all control nodes of the first start, with this one.
     #[must_use]
     pub fn with_peers(mut self, peers: Vec<ControlPeer>) -> Self {
