Run scenario scripts against the real daemons

Cause: kills, freezes, silent partitions and races are to be shown on processes, not only on the pure cores. Change: a runner that starts the programs with settings files of its own, relays that tell links apart by the hello of a connection, callers that send again as behind a load balancer, and the expectations whole, once, one-winner, config.

--- /dev/null
+++ b/crates/usher_scenario/src/caller.rs
@@ -0,0 +1,82 @@
+//! HTTP calls of a scenario. Not for: judging the answers.
+
+use std::{net, time};
+
+use http_body_util::BodyExt as _;
+use hyper_util::{client::legacy, rt};
+
+/// How long a call may take in all.
+const CALL_LIMIT: time::Duration = time::Duration::from_secs(30);
+
+/// An answer with its whole body.
+#[derive(Clone, Debug)]
+pub(crate) struct CallAnswer {
+    pub(crate) status: u16,
+    pub(crate) headers: http::HeaderMap,
+    pub(crate) body: bytes::Bytes,
+}
+
+impl CallAnswer {
+    /// Returns the body as JSON; null when it isn't.
+    pub(crate) fn json(&self) -> serde_json::Value {
+        serde_json::from_slice(&self.body).unwrap_or_default()
+    }
+
+    /// Returns a header as text.
+    pub(crate) fn header(&self, name: &str) -> &str {
+        let value = self.headers.get(name);
+        value
+            .and_then(|value| value.to_str().ok())
+            .unwrap_or_default()
+    }
+}
+
+/// Sends calls over new connections, as callers behind a load balancer.
+#[derive(Clone)]
+pub(crate) struct HttpCaller {
+    client: legacy::Client<legacy::connect::HttpConnector, http_body_util::Full<bytes::Bytes>>,
+}
+
+impl HttpCaller {
+    pub(crate) fn new() -> Self {
+        let client = legacy::Client::builder(rt::TokioExecutor::new())
+            .pool_max_idle_per_host(0)
+            .build_http();
+        Self { client }
+    }
+
+    /// Sends a call and reads the whole answer; `None` when it broke off or took too long.
+    pub(crate) async fn call(
+        &self,
+        method: http::Method,
+        address: net::SocketAddr,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: String,
+    ) -> Option<CallAnswer> {
+        let mut request = http::Request::builder()
+            .method(method)
+            .uri(format!("http://{address}{path}"))
+            .header("content-type", "application/json");
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let request = request.body(body.into()).ok()?;
+        let exchange = async {
+            let answer = self.client.request(request).await.ok()?;
+            let (parts, body) = answer.into_parts();
+            let body = body.collect().await.ok()?.to_bytes();
+            Some(CallAnswer {
+                status: parts.status.as_u16(),
+                headers: parts.headers,
+                body,
+            })
+        };
+        tokio::time::timeout(CALL_LIMIT, exchange).await.ok()?
+    }
+
+    pub(crate) async fn get(&self, address: net::SocketAddr, path: &str) -> Option<CallAnswer> {
+        self.call(http::Method::GET, address, path, &[], String::new())
+            .await
+    }
+}
--- a/crates/usher_scenario/src/lib.rs
+++ b/crates/usher_scenario/src/lib.rs
@@ -3,12 +3,20 @@
 //! For: a small language of faults and expectations, the relay that cuts links, and the set of
 //! processes that a script controls. Not for: a model of hosts or networks.
 
+mod caller;
 mod error;
+mod link_table;
+mod load;
+mod managed_process;
 mod parser;
 mod relay;
+mod runner;
+mod settings_file;
 mod step;
 
 pub use error::{ParseScriptError, ScenarioError};
+pub use link_table::LinkTable;
 pub use parser::parse_script;
-pub use relay::{LinkRelay, LinkState};
+pub use relay::LinkRelay;
+pub use runner::ScenarioRunner;
 pub use step::{LoadKind, ProcessKind, ProcessName, ScriptLine, ScriptStep};
--- /dev/null
+++ b/crates/usher_scenario/src/managed_process.rs
@@ -0,0 +1,111 @@
+//! One process of a scenario: started, signalled and ended by its id. Not for: what it does.
+
+use std::{fs, io, path, process, time};
+
+use nix::{sys::signal, unistd};
+
+/// How long a process may take to end after SIGTERM.
+const STOP_LIMIT: time::Duration = time::Duration::from_secs(30);
+
+/// How often the end of a process is looked for.
+const POLL_INTERVAL: time::Duration = time::Duration::from_millis(20);
+
+/// A program with its arguments, and the process that runs it, if any.
+pub(crate) struct ManagedProcess {
+    program: path::PathBuf,
+    arguments: Vec<String>,
+    log: path::PathBuf,
+    child: Option<process::Child>,
+}
+
+impl ManagedProcess {
+    /// Starts a program whose output goes to the file `log`.
+    pub(crate) fn start(
+        program: path::PathBuf,
+        arguments: Vec<String>,
+        log: path::PathBuf,
+    ) -> io::Result<Self> {
+        let mut managed = Self {
+            program,
+            arguments,
+            log,
+            child: None,
+        };
+        managed.restart()?;
+        Ok(managed)
+    }
+
+    /// Starts the program again, unless it runs.
+    pub(crate) fn restart(&mut self) -> io::Result<()> {
+        if self.child.is_some() {
+            return Ok(());
+        }
+        let log = fs::File::options()
+            .create(true)
+            .append(true)
+            .open(&self.log)?;
+        let child = process::Command::new(&self.program)
+            .args(&self.arguments)
+            .stdin(process::Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()?;
+        self.child = Some(child);
+        Ok(())
+    }
+
+    /// Returns whether a process runs or is suspended.
+    pub(crate) fn is_running(&mut self) -> bool {
+        match self.child.as_mut().map(process::Child::try_wait) {
+            Some(Ok(None)) => true,
+            Some(_) => {
+                self.child = None;
+                false
+            }
+            None => false,
+        }
+    }
+
+    /// Sends a signal to the process, if it runs.
+    pub(crate) fn signal(&self, signal: signal::Signal) -> io::Result<()> {
+        let Some(child) = &self.child else {
+            return Err(io::Error::other("the process does not run"));
+        };
+        let id = i32::try_from(child.id()).map_err(io::Error::other)?;
+        Ok(signal::kill(unistd::Pid::from_raw(id), signal)?)
+    }
+
+    /// Ends the process at once.
+    pub(crate) fn kill(&mut self) -> io::Result<()> {
+        if let Some(mut child) = self.child.take() {
+            child.kill()?;
+            child.wait()?;
+        }
+        Ok(())
+    }
+
+    /// Ends the process gracefully and returns its exit code.
+    pub(crate) async fn stop(&mut self) -> io::Result<Option<i32>> {
+        self.signal(signal::Signal::SIGTERM)?;
+        let Some(mut child) = self.child.take() else {
+            return Ok(None);
+        };
+        let start = time::Instant::now();
+        while start.elapsed() < STOP_LIMIT {
+            if let Some(status) = child.try_wait()? {
+                return Ok(status.code());
+            }
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+        child.kill()?;
+        child.wait()?;
+        Ok(None)
+    }
+}
+
+impl Drop for ManagedProcess {
+    fn drop(&mut self) {
+        // A suspended process also ends by SIGKILL.
+        let _ = self.kill();
+    }
+}
--- a/crates/usher_scenario/src/relay.rs
+++ b/crates/usher_scenario/src/relay.rs
@@ -1,59 +1,61 @@
-//! A TCP relay whose link can be cut silently. Not for: delays or loss of single bytes.
+//! A TCP relay in front of a process, whose links can be cut silently. Not for: delays or loss.
 
-use std::{io, net};
+use std::{io, net, time};
 
+use prost::Message as _;
 use tokio::{io as tokio_io, net as tokio_net, sync, task};
 use tokio_io::{AsyncReadExt as _, AsyncWriteExt as _};
+use usher_wire::message;
+
+use crate::{link_table, step};
 
 /// How many bytes are read at once.
 const BUFFER_BYTES: usize = 16 * 1_024;
 
-usher_types::value_type! {
-    /// Whether a link carries bytes.
-    pub enum LinkState {
-        /// Bytes go through.
-        Open,
-        /// Bytes are held, and arrive when the link opens again, as from a kernel that resends.
-        Cut,
-    }
-}
+/// The longest first frame that is taken for a hello, in bytes.
+const MAX_HELLO_BYTES: usize = 1_024;
+
+/// How long a connecting side may take to say who it is.
+const HELLO_TIMEOUT: time::Duration = time::Duration::from_secs(5);
 
-/// Relays connections from an address of its own to another one.
+/// Relays connections to one process; the first frame of a connection names its other side.
 ///
-/// Dropping it closes the relay and its connections.
+/// While a link is cut its bytes are held, and arrive when it opens again, as from a kernel that
+/// sends them again. Dropping the relay closes it and its connections.
 pub struct LinkRelay {
     address: net::SocketAddr,
-    state: sync::watch::Sender<LinkState>,
     listener: task::JoinHandle<()>,
 }
 
+/// One relayed connection.
+#[derive(Clone)]
+struct RelayLink {
+    from: step::ProcessName,
+    to: step::ProcessName,
+    table: sync::watch::Receiver<link_table::LinkTable>,
+}
+
 impl LinkRelay {
-    /// Starts a relay to `target` on a free loopback port.
+    /// Starts a relay to the process `name` at `target`, on a free loopback port.
     ///
     /// # Errors
     ///
     /// Fails when no port can be bound.
-    pub async fn start(target: net::SocketAddr) -> io::Result<Self> {
+    pub async fn start(
+        name: step::ProcessName,
+        target: net::SocketAddr,
+        table: &sync::watch::Sender<link_table::LinkTable>,
+    ) -> io::Result<Self> {
         let listener = tokio_net::TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
-        let (state, watch) = sync::watch::channel(LinkState::Open);
-        let listener = task::spawn(accept_all(listener, target, watch));
-        Ok(Self {
-            address,
-            state,
-            listener,
-        })
+        let listener = task::spawn(accept_all(listener, name, target, table.subscribe()));
+        Ok(Self { address, listener })
     }
 
     /// Returns the address to connect to.
     pub fn address(&self) -> net::SocketAddr {
         self.address
     }
-
-    /// Opens or cuts the link, for present and future connections.
-    pub fn set_state(&self, state: LinkState) {
-        self.state.send_replace(state);
-    }
 }
 
 impl Drop for LinkRelay {
@@ -64,15 +66,16 @@
 
 async fn accept_all(
     listener: tokio_net::TcpListener,
+    name: step::ProcessName,
     target: net::SocketAddr,
-    state: sync::watch::Receiver<LinkState>,
+    table: sync::watch::Receiver<link_table::LinkTable>,
 ) {
     let mut links = task::JoinSet::new();
     loop {
         tokio::select! {
             accepted = listener.accept() => {
                 if let Ok((socket, _)) = accepted {
-                    links.spawn(relay(socket, target, state.clone()));
+                    links.spawn(relay(socket, name.clone(), target, table.clone()));
                 }
             }
             Some(_) = links.join_next() => {}
@@ -81,28 +84,52 @@
 }
 
 async fn relay(
-    near: tokio_net::TcpStream,
+    mut near: tokio_net::TcpStream,
+    to: step::ProcessName,
     target: net::SocketAddr,
-    mut state: sync::watch::Receiver<LinkState>,
+    table: sync::watch::Receiver<link_table::LinkTable>,
 ) {
-    if wait_open(&mut state).await.is_err() {
+    let hello = tokio::time::timeout(HELLO_TIMEOUT, read_hello(&mut near));
+    let Ok(Ok((from, first))) = hello.await else {
+        return;
+    };
+    let mut link = RelayLink { from, to, table };
+    if !link.wait_open().await {
         return;
     }
-    let Ok(far) = tokio_net::TcpStream::connect(target).await else {
+    let Ok(mut far) = tokio_net::TcpStream::connect(target).await else {
         return;
     };
+    if far.write_all(&first).await.is_err() {
+        return;
+    }
     let (near_read, near_write) = near.into_split();
     let (far_read, far_write) = far.into_split();
     tokio::select! {
-        () = copy(near_read, far_write, state.clone()) => {}
-        () = copy(far_read, near_write, state) => {}
+        () = copy(near_read, far_write, link.clone()) => {}
+        () = copy(far_read, near_write, link) => {}
     }
 }
 
+/// Reads the first frame and returns the name in it together with its bytes.
+async fn read_hello(socket: &mut tokio_net::TcpStream) -> io::Result<(step::ProcessName, Vec<u8>)> {
+    let length = socket.read_u32().await?;
+    let size = usize::try_from(length).unwrap_or(usize::MAX);
+    if size > MAX_HELLO_BYTES {
+        return Err(io::ErrorKind::InvalidData.into());
+    }
+    let mut first = length.to_be_bytes().to_vec();
+    first.resize(first.len() + size, 0);
+    socket.read_exact(&mut first[4..]).await?;
+    let hello = message::Hello::decode(&first[4..])
+        .map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error))?;
+    Ok((step::ProcessName::new(hello.node), first))
+}
+
 async fn copy(
     mut source: tokio_net::tcp::OwnedReadHalf,
     mut sink: tokio_net::tcp::OwnedWriteHalf,
-    mut state: sync::watch::Receiver<LinkState>,
+    mut link: RelayLink,
 ) {
     let mut buffer = vec![0; BUFFER_BYTES];
     loop {
@@ -110,17 +137,21 @@
             Ok(0) | Err(_) => break,
             Ok(count) => count,
         };
-        // A close by either side is held back by a cut as well, so it is waited for here.
-        if wait_open(&mut state).await.is_err() || sink.write_all(&buffer[..count]).await.is_err() {
+        if !link.wait_open().await || sink.write_all(&buffer[..count]).await.is_err() {
             return;
         }
     }
-    let _ = wait_open(&mut state).await;
+    // A cut holds back the close of a connection too.
+    link.wait_open().await;
 }
 
-async fn wait_open(
-    state: &mut sync::watch::Receiver<LinkState>,
-) -> Result<(), sync::watch::error::RecvError> {
-    state.wait_for(|now| *now == LinkState::Open).await?;
-    Ok(())
+impl RelayLink {
+    /// Waits until the link is open; returns false when the scenario has ended.
+    async fn wait_open(&mut self) -> bool {
+        let (from, to) = (&self.from, &self.to);
+        self.table
+            .wait_for(|table| table.is_open(from, to))
+            .await
+            .is_ok()
+    }
 }
--- a/crates/usher_scenario/tests/script.rs
+++ b/crates/usher_scenario/tests/script.rs
@@ -2,11 +2,13 @@
 
 use std::time;
 
+use prost::Message as _;
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net, //
 };
-use usher_scenario::{LinkRelay, LinkState, ProcessName, ScriptStep};
+use usher_scenario::{LinkRelay, LinkTable, ProcessName, ScriptStep};
+use usher_wire::message;
 
 fn check_step(text: &str, expected: ScriptStep) {
     let lines = usher_scenario::parse_script(text).unwrap();
@@ -35,25 +37,55 @@
     duration_without_unit_is_refused("heal\n\npause 3", 3);
 }
 
+/// Returns the first frame of a connection, which names the connecting side.
+fn hello_frame(node: &str) -> Vec<u8> {
+    let hello = message::Hello {
+        node: node.to_owned(),
+        ..Default::default()
+    };
+    let body = hello.encode_to_vec();
+    let mut frame = u32::try_from(body.len()).unwrap().to_be_bytes().to_vec();
+    frame.extend(body);
+    frame
+}
+
 /// Guards against a cut that resets connections or loses bytes, unlike a silent partition.
 #[tokio::test]
 async fn cut_link_holds_bytes_until_it_heals() {
     let listener = net::TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let relay = LinkRelay::start(listener.local_addr().unwrap())
+    let table = LinkTable::shared();
+    let target = listener.local_addr().unwrap();
+    let relay = LinkRelay::start(ProcessName::new("control-1"), target, &table)
         .await
         .unwrap();
     let mut near = net::TcpStream::connect(relay.address()).await.unwrap();
-    near.write_all(b"a").await.unwrap();
+    let hello = hello_frame("entry-1");
+    near.write_all(&hello).await.unwrap();
     let (mut far, _) = listener.accept().await.unwrap();
-    let mut byte = [0];
-    far.read_exact(&mut byte).await.unwrap();
+    let mut received = vec![0; hello.len()];
+    far.read_exact(&mut received).await.unwrap();
+    assert_eq!(received, hello);
 
-    relay.set_state(LinkState::Cut);
+    let (entry, control) = (ProcessName::new("entry-1"), ProcessName::new("control-1"));
+    table.send_modify(|table| table.cut(&entry, Some(&control)));
     near.write_all(b"b").await.unwrap();
+    let mut byte = [0];
     let held = tokio::time::timeout(time::Duration::from_millis(50), far.read_exact(&mut byte));
     assert!(held.await.is_err());
 
-    relay.set_state(LinkState::Open);
+    table.send_modify(LinkTable::heal);
     far.read_exact(&mut byte).await.unwrap();
     assert_eq!(&byte, b"b");
 }
+
+/// Guards against a cut of one pair that also stops the links of others.
+#[test]
+fn cut_of_a_pair_leaves_other_links_open() {
+    let mut table = LinkTable::default();
+    let names = ["control-1", "control-2", "control-3"].map(ProcessName::new);
+    table.cut(&names[0], Some(&names[1]));
+    assert!(!table.is_open(&names[1], &names[0]));
+    assert!(table.is_open(&names[0], &names[2]));
+    table.cut(&names[2], None);
+    assert!(!table.is_open(&names[0], &names[2]));
+}
