--- a/crates/usher_control/tests/group/mod.rs
+++ b/crates/usher_control/tests/group/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub(crate) mod fake;
+
 use std::{
     fs, future, net, path,
     time::{Duration, Instant},
