usher_bench: experiments in virtual time with baselines and oracle

Cause: no figure showed what the policies decide under load and faults. Change: fake engines with continuous batching, entries with their own state, late reports and cache events, six experiments, four baselines with the oracle's search, goals of section 15; RolePolicy; WorkPart for prefill and decode apart.

--- /dev/null
+++ b/crates/usher_bench/src/engine.rs
@@ -0,0 +1,383 @@
+//! A small fake engine at the interface: continuous batching in steps, in virtual time.
+//! Not for: hosts, networks or kernels.
+
+use std::collections;
+
+use usher_policy::{CacheEvent, CacheEventKind, PrefixMark};
+use usher_types::{EngineRole, TokenCount};
+
+use crate::sim_time;
+
+/// Rates and limits of one engine.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct EngineRates {
+    /// Prompt tokens prefilled per second of step time on an engine that only prefills.
+    pub prefill_per_second: f64,
+    /// The same on a mixed engine.
+    pub mixed_prefill_per_second: f64,
+    /// Seconds that a batch step takes whatever it holds.
+    pub step_base: f64,
+    /// Seconds that each decoding call adds to a step.
+    pub step_per_call: f64,
+    /// Prompt tokens that one step of a mixed engine prefills at most.
+    pub chunk_tokens: u64,
+    /// The same for an engine that only prefills, which has no streams to keep fluent.
+    pub prefill_chunk_tokens: u64,
+    /// Calls in a batch.
+    pub batch_limit: usize,
+    /// Pieces of memory for running calls.
+    pub kv_pieces: u64,
+    /// Pieces of memory for cached prefixes.
+    pub cache_pieces: u64,
+}
+
+/// The engines of both fleets: an 8-billion-parameter class model on one accelerator.
+///
+/// A full batch of 64 generates 64 / (12 ms + 64 x 0.25 ms) = 2,290 tokens/s, and a step with a
+/// full chunk takes 78 ms, so the inter-token goal of 79 ms can be met on a mixed engine, while a
+/// prompt of 1,024 tokens takes 100 ms of prefill, so the goal of 0.51 s allows some queueing.
+/// Small chunks read the cache of the earlier chunks again, so a mixed engine prefills 15% slower
+/// than one that only prefills, with its larger chunks.
+pub const ENGINE_RATES: EngineRates = EngineRates {
+    prefill_per_second: 12_000.0,
+    mixed_prefill_per_second: 10_200.0,
+    step_base: 0.012,
+    step_per_call: 0.000_25,
+    chunk_tokens: 512,
+    prefill_chunk_tokens: 2_048,
+    batch_limit: 64,
+    kv_pieces: 384,
+    cache_pieces: 96,
+};
+
+/// Seconds that an engine is unavailable while it changes its role.
+pub const ROLE_CHANGE_SECONDS: f64 = 4.0;
+
+/// Tokens per second at which KV cache moves between engines.
+pub const KV_MOVE_PER_SECOND: f64 = 200_000.0;
+
+/// Waiting time after which a call's priority rises by one.
+const AGEING: u64 = sim_time::from_millis(2_000);
+
+impl EngineRates {
+    /// Returns the calls per second that a mixed engine can sustain when all are alike: the rate
+    /// of a step that is full either of decodes or of prefill.
+    ///
+    /// ```
+    /// let rate = usher_bench::ENGINE_RATES.capacity(300.0, 200.0);
+    /// assert!(rate > 8.0 && rate < 10.0);
+    /// ```
+    pub fn capacity(&self, prompt: f64, output: f64) -> f64 {
+        let by_prefill = self.chunk_tokens as f64 / prompt.max(1.0);
+        let by_batch = self.batch_limit as f64 / output.max(1.0);
+        let ends = by_prefill.min(by_batch);
+        let step = self.step_base
+            + self.step_per_call * ends * output
+            + ends * prompt / self.mixed_prefill_per_second;
+        ends / step
+    }
+}
+
+impl EngineRates {
+    /// Returns the engine-seconds that a call takes in a full batch.
+    pub fn work(&self, prompt: f64, output: f64) -> f64 {
+        let token = self.step_base / self.batch_limit as f64 + self.step_per_call;
+        prompt / self.mixed_prefill_per_second + output * token
+    }
+}
+
+/// Which part of a call an engine runs.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum JobPart {
+    Whole,
+    Prefill,
+    Decode,
+}
+
+/// A call on an engine.
+#[derive(Clone, Debug)]
+pub(crate) struct Job {
+    pub(crate) attempt: usize,
+    pub(crate) part: JobPart,
+    pub(crate) priority: u8,
+    pub(crate) arrived: u64,
+    pub(crate) prompt: u64,
+    pub(crate) prompt_left: u64,
+    /// Tokens to generate here.
+    pub(crate) output: u64,
+    pub(crate) generated: u64,
+    pub(crate) estimate: u64,
+    pub(crate) pieces: u64,
+    pub(crate) marks: Vec<PrefixMark>,
+    /// Prompt tokens in the step that runs.
+    chunk: u64,
+    decodes: bool,
+}
+
+impl Job {
+    pub(crate) fn new(attempt: usize, part: JobPart, priority: u8, arrived: u64) -> Self {
+        Self {
+            attempt,
+            part,
+            priority,
+            arrived,
+            prompt: 0,
+            prompt_left: 0,
+            output: 1,
+            generated: 0,
+            estimate: 1,
+            pieces: 0,
+            marks: Vec::new(),
+            chunk: 0,
+            decodes: false,
+        }
+    }
+
+    fn urgency(&self, now: u64) -> (u64, u64) {
+        let aged = (now - self.arrived) / AGEING;
+        (u64::from(self.priority).saturating_sub(aged), self.arrived)
+    }
+}
+
+/// What a step did for a call.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct JobProgress {
+    pub(crate) attempt: usize,
+    pub(crate) generated: u64,
+    pub(crate) finished: bool,
+}
+
+/// Prefix cache of one engine, least recently used out first.
+#[derive(Clone, Debug, Default)]
+struct EngineCache {
+    /// Last use and pieces of each prefix.
+    held: collections::BTreeMap<u64, (u64, u64)>,
+    pieces: u64,
+    clock: u64,
+    next_seq: u64,
+    events: Vec<CacheEvent>,
+}
+
+impl EngineCache {
+    fn hit(&mut self, marks: &[PrefixMark]) -> u64 {
+        self.clock += 1;
+        let clock = self.clock;
+        for mark in marks.iter().rev() {
+            if let Some((used, _)) = self.held.get_mut(&mark.hash) {
+                *used = clock;
+                return mark.tokens.get();
+            }
+        }
+        0
+    }
+
+    fn insert(&mut self, mark: &PrefixMark, limit: u64) {
+        let pieces = mark.tokens.pieces().get();
+        self.clock += 1;
+        if let Some((used, _)) = self.held.get_mut(&mark.hash) {
+            *used = self.clock;
+            return;
+        }
+        while self.pieces + pieces > limit {
+            let oldest = self.held.iter().min_by_key(|(_, (used, _))| *used);
+            let Some((&hash, &(_, freed))) = oldest else {
+                return;
+            };
+            self.held.remove(&hash);
+            self.pieces -= freed;
+            self.record(CacheEventKind::Evict, hash);
+        }
+        self.held.insert(mark.hash, (self.clock, pieces));
+        self.pieces += pieces;
+        self.record(CacheEventKind::Add, mark.hash);
+    }
+
+    fn record(&mut self, kind: CacheEventKind, hash: u64) {
+        self.next_seq += 1;
+        let seq = self.next_seq;
+        self.events.push(CacheEvent { seq, kind, hash });
+    }
+}
+
+/// One engine in virtual time.
+#[derive(Clone, Debug)]
+pub(crate) struct FakeEngine {
+    pub(crate) rates: EngineRates,
+    pub(crate) role: EngineRole,
+    /// Factor on the duration of steps, 1 when not slowed.
+    pub(crate) slowness: f64,
+    pub(crate) waiting: Vec<Job>,
+    pub(crate) running: Vec<Job>,
+    pub(crate) used: u64,
+    pub(crate) stepping: bool,
+    pub(crate) prompt_seen: u64,
+    pub(crate) prompt_hit: u64,
+    cache: EngineCache,
+}
+
+impl FakeEngine {
+    pub(crate) fn new(rates: EngineRates, role: EngineRole) -> Self {
+        Self {
+            rates,
+            role,
+            slowness: 1.0,
+            waiting: Vec::new(),
+            running: Vec::new(),
+            used: 0,
+            stepping: false,
+            prompt_seen: 0,
+            prompt_hit: 0,
+            cache: EngineCache::default(),
+        }
+    }
+
+    pub(crate) fn push(&mut self, job: Job) {
+        self.waiting.push(job);
+    }
+
+    /// Removes a call; its memory is free at once.
+    pub(crate) fn cancel(&mut self, attempt: usize) {
+        self.waiting.retain(|job| job.attempt != attempt);
+        let place = self.running.iter().position(|job| job.attempt == attempt);
+        if let Some(job) = place.map(|at| self.running.remove(at)) {
+            self.used -= job.pieces;
+        }
+    }
+
+    /// Removes everything, as a crash does, and returns the attempts that were on the engine.
+    pub(crate) fn clear(&mut self) -> Vec<usize> {
+        let jobs = self.waiting.drain(..).chain(self.running.drain(..));
+        let attempts = jobs.map(|job| job.attempt).collect();
+        self.used = 0;
+        self.cache = EngineCache::default();
+        attempts
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.waiting.is_empty() && self.running.is_empty()
+    }
+
+    /// Prompt tokens that wait for prefill.
+    pub(crate) fn prefill_waiting(&self) -> u64 {
+        let jobs = self.waiting.iter().chain(&self.running);
+        jobs.map(|job| job.prompt_left).sum()
+    }
+
+    /// Takes calls into the batch and plans a step; returns its duration, or none when idle.
+    pub(crate) fn start_step(&mut self, now: u64) -> Option<u64> {
+        self.admit(now);
+        if self.running.is_empty() {
+            self.stepping = false;
+            return None;
+        }
+        let planned = self.plan_prefill(now);
+        let mut decoding = 0;
+        for job in &mut self.running {
+            job.decodes = job.prompt_left == 0;
+            decoding += u64::from(job.decodes);
+        }
+        let seconds = self.rates.step_base
+            + self.rates.step_per_call * decoding as f64
+            + planned as f64 / self.prefill_rate();
+        self.stepping = true;
+        Some(sim_time::from_seconds(seconds * self.slowness))
+    }
+
+    fn admit(&mut self, now: u64) {
+        while self.running.len() < self.rates.batch_limit {
+            let order = self.waiting.iter().enumerate();
+            let first = order.min_by_key(|(_, job)| job.urgency(now));
+            let Some((place, job)) = first else {
+                return;
+            };
+            let tokens = TokenCount::new(job.prompt + job.estimate);
+            let pieces = tokens.pieces().get();
+            if self.used + pieces > self.rates.kv_pieces && !self.running.is_empty() {
+                return;
+            }
+            let mut job = self.waiting.remove(place);
+            job.pieces = pieces;
+            self.used += pieces;
+            if job.part != JobPart::Decode {
+                let hit = self.cache.hit(&job.marks);
+                self.prompt_seen += job.prompt;
+                self.prompt_hit += hit.min(job.prompt);
+                job.prompt_left = job.prompt.saturating_sub(hit).max(1);
+            }
+            self.running.push(job);
+        }
+    }
+
+    fn prefill_rate(&self) -> f64 {
+        match self.role {
+            EngineRole::Prefill => self.rates.prefill_per_second,
+            _ => self.rates.mixed_prefill_per_second,
+        }
+    }
+
+    fn plan_prefill(&mut self, now: u64) -> u64 {
+        let limit = match self.role {
+            EngineRole::Prefill => self.rates.prefill_chunk_tokens,
+            _ => self.rates.chunk_tokens,
+        };
+        let mut order: Vec<usize> = (0..self.running.len())
+            .filter(|at| self.running[*at].prompt_left > 0)
+            .collect();
+        order.sort_by_key(|at| self.running[*at].urgency(now));
+        let mut left = limit;
+        for at in order {
+            let job = &mut self.running[at];
+            job.chunk = job.prompt_left.min(left);
+            left -= job.chunk;
+        }
+        limit - left
+    }
+
+    /// Ends the step that runs and tells what it did.
+    pub(crate) fn end_step(&mut self, progress: &mut Vec<JobProgress>) {
+        let limit = self.rates.cache_pieces;
+        let mut kept = Vec::with_capacity(self.running.len());
+        for mut job in std::mem::take(&mut self.running) {
+            let mut generated = job.decodes;
+            if job.chunk > 0 {
+                job.prompt_left -= job.chunk;
+                job.chunk = 0;
+                if job.prompt_left == 0 {
+                    generated = true;
+                    for mark in &job.marks {
+                        self.cache.insert(mark, limit);
+                    }
+                }
+            }
+            job.decodes = false;
+            if generated {
+                job.generated += 1;
+                progress.push(JobProgress {
+                    attempt: job.attempt,
+                    generated: job.generated,
+                    finished: job.generated >= job.output,
+                });
+            }
+            if job.generated >= job.output {
+                self.used -= job.pieces;
+            } else {
+                kept.push(job);
+            }
+        }
+        self.running = kept;
+    }
+
+    /// Takes the cache events since the last call, and the number of the next event.
+    pub(crate) fn take_cache_events(&mut self) -> (Vec<CacheEvent>, u64) {
+        (
+            std::mem::take(&mut self.cache.events),
+            self.cache.next_seq + 1,
+        )
+    }
+
+    /// Lists the prefixes that are held, and the number of the next event.
+    pub(crate) fn cache_listing(&self) -> (Vec<u64>, u64) {
+        let hashes = self.cache.held.keys().copied().collect();
+        (hashes, self.cache.next_seq + 1)
+    }
+}
--- /dev/null
+++ b/crates/usher_bench/src/experiments/common.rs
@@ -0,0 +1,181 @@
+//! What the experiments share: loads, policies to run, the oracle's search.
+//! Not for: goals.
+
+use crate::{fleet, metrics, options, report, router, sim, workload};
+
+/// Mean prompt and output of a class, with perfect prefix caches and with stragglers.
+///
+/// Taking perfect caches makes the capacity that goals are measured against the strictest one.
+const SHORT_MEANS: (f64, f64) = (222.0, 153.0);
+const LONG_MEANS: (f64, f64) = (4_989.0, 342.0);
+
+/// Returns the rates of short and long calls that load a fleet by `share` of its capacity, when
+/// `long_share` of the calls are long.
+pub(crate) fn rates(fleet: &fleet::FleetSpec, share: f64, long_share: f64) -> (f64, f64) {
+    let mean = |short: f64, long: f64| short * (1.0 - long_share) + long * long_share;
+    let prompt = mean(SHORT_MEANS.0, LONG_MEANS.0);
+    let output = mean(SHORT_MEANS.1, LONG_MEANS.1);
+    let calls = fleet.capacity(prompt, output) * share;
+    (calls * (1.0 - long_share), calls * long_share)
+}
+
+/// Makes a phase that loads a fleet by `share` of its capacity.
+pub(crate) fn phase(
+    fleet: &fleet::FleetSpec,
+    seconds: f64,
+    share: f64,
+    long_share: f64,
+) -> workload::LoadPhase {
+    let (short_rate, long_rate) = rates(fleet, share, long_share);
+    workload::LoadPhase {
+        seconds,
+        short_rate,
+        long_rate,
+    }
+}
+
+/// Everything that the runs of an experiment have in common.
+pub(crate) struct Setup {
+    pub(crate) experiment: &'static str,
+    pub(crate) fleet: fleet::FleetSpec,
+    pub(crate) seed: u64,
+    pub(crate) policies: Vec<router::PolicyName>,
+    /// Factor on the length of phases.
+    pub(crate) scale: f64,
+}
+
+impl Setup {
+    pub(crate) fn new(experiment: &'static str, options: &options::BenchOptions) -> Self {
+        let all = router::PolicyName::ALL.to_vec();
+        Self {
+            experiment,
+            fleet: fleet::FleetSpec::new(options.fleet),
+            seed: options.seed,
+            policies: options.policy.map_or(all, |policy| vec![policy]),
+            scale: if options.quick { 0.25 } else { 1.0 },
+        }
+    }
+
+    pub(crate) fn context(&self) -> report::GoalContext<'_> {
+        report::GoalContext {
+            experiment: self.experiment,
+            fleet: self.fleet.name,
+            seed: self.seed,
+        }
+    }
+
+    /// Makes a plan for a workload, without faults.
+    pub(crate) fn plan(&self, phases: Vec<workload::LoadPhase>) -> sim::RunPlan {
+        self.plan_with(phases, |_| ())
+    }
+
+    /// Makes a plan for a workload that `change` adapts.
+    pub(crate) fn plan_with<F>(&self, phases: Vec<workload::LoadPhase>, change: F) -> sim::RunPlan
+    where
+        F: FnOnce(&mut workload::WorkloadPlan),
+    {
+        let seconds = phases.iter().map(|phase| phase.seconds).sum();
+        let mut workload = workload::WorkloadPlan::new(&self.fleet, phases);
+        change(&mut workload);
+        let items = workload.make(&self.fleet, self.seed);
+        sim::RunPlan {
+            fleet: self.fleet.clone(),
+            policy: router::PolicyName::Usher,
+            split: router::StaticSplit::default(),
+            seed: self.seed,
+            items,
+            seconds,
+            faults: Vec::new(),
+            roles: false,
+        }
+    }
+
+    /// Runs a plan with a policy and notes its row; the oracle searches its split first.
+    pub(crate) fn run(
+        &self,
+        report: &mut report::ExperimentReport,
+        scenario: &str,
+        plan: &sim::RunPlan,
+        policy: router::PolicyName,
+    ) -> metrics::RunResult {
+        let mut plan = plan.clone();
+        plan.policy = policy;
+        let result = if policy == router::PolicyName::Oracle {
+            let (split, result) = search(&plan);
+            report.notes.push(format!(
+                "{} {scenario}: oracle's split: {} prefill, {} decode, {} for short work only",
+                self.experiment, split.prefill, split.decode, split.short_only
+            ));
+            result
+        } else {
+            sim::run(plan)
+        };
+        let name = (self.experiment, scenario);
+        report
+            .rows
+            .push(result.row(name, self.fleet.name, policy, self.seed));
+        result
+    }
+}
+
+/// Finds the static split with the best goodput, and among equals the best tail of short work, by
+/// climbing from the split without any separation.
+fn search(plan: &sim::RunPlan) -> (router::StaticSplit, metrics::RunResult) {
+    let mut best = (
+        router::StaticSplit::default(),
+        try_split(plan, router::StaticSplit::default()),
+    );
+    let mut step = 2_i64;
+    while step > 0 {
+        let mut improved = false;
+        for split in neighbours(best.0, step, plan.fleet.engines.len()) {
+            let result = try_split(plan, split);
+            if value(&result) > value(&best.1) {
+                best = (split, result);
+                improved = true;
+            }
+        }
+        if !improved {
+            step -= 1;
+        }
+    }
+    best
+}
+
+fn try_split(plan: &sim::RunPlan, split: router::StaticSplit) -> metrics::RunResult {
+    let mut plan = plan.clone();
+    plan.split = split;
+    sim::run(plan)
+}
+
+fn value(result: &metrics::RunResult) -> f64 {
+    let good = result.count(metrics::CallRecord::is_good) as f64;
+    let tail = result.first_tokens(usher_types::WorkClass::Short).p99;
+    // A second of tail is worth a call in a hundred; less than that only breaks ties.
+    good * (1.0 - 0.01 * tail.min(10.0))
+}
+
+fn neighbours(from: router::StaticSplit, step: i64, engines: usize) -> Vec<router::StaticSplit> {
+    let moves = [
+        (1, 0, 0),
+        (0, 1, 0),
+        (0, 0, 1),
+        (1, 1, 0),
+        (-1, 0, 0),
+        (0, -1, 0),
+        (0, 0, -1),
+    ];
+    let add = |value: usize, change: i64| usize::try_from(value as i64 + change * step).ok();
+    let splits = moves.iter().filter_map(|(prefill, decode, short)| {
+        Some(router::StaticSplit {
+            prefill: add(from.prefill, *prefill)?,
+            decode: add(from.decode, *decode)?,
+            short_only: add(from.short_only, *short)?,
+        })
+    });
+    let valid = |split: &router::StaticSplit| {
+        let apart = (split.prefill > 0) == (split.decode > 0);
+        apart && split.prefill + split.decode + split.short_only < engines
+    };
+    splits.filter(valid).collect()
+}
--- /dev/null
+++ b/crates/usher_bench/src/experiments/mix.rs
@@ -0,0 +1,101 @@
+//! The mix of long and short work shifts every minute. Not for: overload.
+
+use crate::{
+    error, experiments::common, fleet, metrics, options, report, router::PolicyName, sim, workload,
+};
+
+/// Seconds of each phase, and the number of phases.
+const PHASE: f64 = 60.0;
+const PHASES: usize = 4;
+/// Share of capacity in each phase.
+const LOAD: f64 = 0.85;
+/// Share of long calls when questions and when summaries prevail.
+const QUESTIONS: f64 = 0.01;
+const SUMMARIES: f64 = 0.35;
+/// Share of long calls in the scenario with noise but without shifts.
+const STEADY: f64 = 0.05;
+/// Role changes allowed for each real shift.
+const CHANGES_PER_SHIFT: f64 = 2.0;
+
+pub(crate) fn run(
+    options: &options::BenchOptions,
+) -> Result<report::ExperimentReport, error::BenchError> {
+    let setup = common::Setup::new("mix", options);
+    let mut report = report::ExperimentReport::default();
+    let shifting = match &options.workload {
+        Some(path) => from_file(&setup, path)?,
+        None => made(&setup),
+    };
+    let noisy = common::phase(&setup.fleet, PHASE * 2.0 * setup.scale, LOAD, STEADY);
+    let mut noise = setup.plan(vec![noisy]);
+    noise.roles = true;
+    let mut usher = None;
+    let mut others: Vec<(PolicyName, f64)> = Vec::new();
+    for &policy in &setup.policies {
+        let result = setup.run(&mut report, "shifts", &shifting, policy);
+        let goodput = result.count(metrics::CallRecord::is_good) as f64;
+        if policy == PolicyName::Usher {
+            let calm = setup.run(&mut report, "noise", &noise, policy);
+            usher = Some((goodput, result, calm));
+        } else {
+            others.push((policy, goodput));
+        }
+    }
+    if let Some((goodput, result, calm)) = usher {
+        judge(&setup, &mut report, goodput, &others, (&result, &calm));
+    }
+    Ok(report)
+}
+
+fn made(setup: &common::Setup) -> sim::RunPlan {
+    let phases = (0..PHASES).map(|at| {
+        let share = if at.is_multiple_of(2) {
+            QUESTIONS
+        } else {
+            SUMMARIES
+        };
+        common::phase(&setup.fleet, PHASE * setup.scale, LOAD, share)
+    });
+    let mut plan = setup.plan(phases.collect());
+    plan.roles = true;
+    plan
+}
+
+fn from_file(
+    setup: &common::Setup,
+    path: &std::path::Path,
+) -> Result<sim::RunPlan, error::BenchError> {
+    let fleet: &fleet::FleetSpec = &setup.fleet;
+    let items = workload::read_workload(path, fleet)?;
+    let last = items.last().map_or(0, |item| item.at);
+    let mut plan = setup.plan(Vec::new());
+    // At least a second, so that an empty file gives rates of zero.
+    plan.seconds = crate::sim_time::to_seconds(last).max(1.0);
+    plan.items = items;
+    plan.roles = true;
+    Ok(plan)
+}
+
+fn judge(
+    setup: &common::Setup,
+    report: &mut report::ExperimentReport,
+    goodput: f64,
+    others: &[(PolicyName, f64)],
+    (shifts, noise): (&metrics::RunResult, &metrics::RunResult),
+) {
+    let context = setup.context();
+    for (policy, other) in others {
+        let share = goodput / other.max(1.0);
+        if *policy == PolicyName::Oracle {
+            report.at_least(&context, "goodput relative to the oracle", 0.95, share);
+        } else {
+            let goal = format!("goodput relative to {policy}");
+            report.at_least(&context, &goal, 1.0, share);
+        }
+    }
+    let changes = shifts.totals.role_changes as f64;
+    let each = changes / (PHASES - 1) as f64;
+    report.at_most(&context, "role changes per shift", CHANGES_PER_SHIFT, each);
+    let needless = noise.totals.role_changes as f64;
+    report.at_most(&context, "role changes under noise", 0.0, needless);
+}
--- /dev/null
+++ b/crates/usher_bench/src/router.rs
@@ -0,0 +1,332 @@
+//! How one entry chooses targets: the policies of the product, the baselines, the oracle.
+//! Not for: events.
+
+use std::time;
+
+use rand::{Rng as _, SeedableRng as _};
+use usher_policy::{
+    CallRequest, EntryPolicy, LoadReport, RefuseReason, RouteDecision, RouteSettings,
+};
+use usher_types::{EngineRole, WorkClass};
+
+use crate::{engine, error, fleet, sim_time};
+
+/// Which policy an experiment runs.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum PolicyName {
+    /// The policies of the product.
+    Usher,
+    /// Each target in turn.
+    RoundRobin,
+    /// Fewest calls by the last report, which is late.
+    LeastReported,
+    /// Two targets at random, the one with fewer own outstanding calls.
+    TwoChoices,
+    /// Best static split of the engines known in hindsight, with exact knowledge of their load.
+    Oracle,
+}
+
+impl PolicyName {
+    /// All policies, in the order of the table.
+    pub const ALL: [Self; 5] = [
+        Self::Usher,
+        Self::RoundRobin,
+        Self::LeastReported,
+        Self::TwoChoices,
+        Self::Oracle,
+    ];
+}
+
+impl std::fmt::Display for PolicyName {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            Self::Usher => "usher",
+            Self::RoundRobin => "round-robin",
+            Self::LeastReported => "least-reported",
+            Self::TwoChoices => "two-choices",
+            Self::Oracle => "oracle",
+        })
+    }
+}
+
+impl std::str::FromStr for PolicyName {
+    type Err = error::BenchError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let found = Self::ALL.into_iter().find(|name| name.to_string() == text);
+        found.ok_or_else(|| {
+            let accepted = "usher, round-robin, least-reported, two-choices, oracle";
+            error::BenchError::unknown("policy", text, accepted)
+        })
+    }
+}
+
+/// A static split of the engines, which the oracle searches.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, serde::Serialize)]
+pub struct StaticSplit {
+    /// Engines that only prefill.
+    pub prefill: usize,
+    /// Engines that only decode.
+    pub decode: usize,
+    /// Mixed engines kept for short work.
+    pub short_only: usize,
+}
+
+/// What an entry knows of an engine without any policy.
+#[derive(Clone, Debug)]
+pub(crate) struct EngineView {
+    pub(crate) available: bool,
+    pub(crate) role: EngineRole,
+    pub(crate) report: Option<LoadReport>,
+    pub(crate) own: u32,
+}
+
+/// What a router decided.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct RoutePlan {
+    pub(crate) refused: Option<RefuseReason>,
+    pub(crate) engine: usize,
+    pub(crate) prefill: Option<usize>,
+    pub(crate) probe: Option<usize>,
+    pub(crate) priority: u8,
+    pub(crate) hedge: Option<time::Duration>,
+}
+
+impl RoutePlan {
+    fn refuse(reason: RefuseReason) -> Self {
+        Self {
+            refused: Some(reason),
+            ..Self::default()
+        }
+    }
+
+    fn send(engine: usize, priority: u8) -> Self {
+        Self {
+            engine,
+            priority,
+            ..Self::default()
+        }
+    }
+}
+
+/// Priority that the baselines give to all work.
+const ONE_PRIORITY: u8 = 5;
+
+/// The choice of one entry.
+#[derive(Clone, Debug)]
+pub(crate) enum Router {
+    RoundRobin(usize),
+    LeastReported,
+    TwoChoices(Box<rand_chacha::ChaCha8Rng>),
+    Oracle(StaticSplit),
+    Usher(Box<EntryPolicy>),
+}
+
+impl Router {
+    pub(crate) fn new(
+        policy: PolicyName,
+        split: StaticSplit,
+        fleet: &fleet::FleetSpec,
+        entry: usize,
+        seed: u64,
+    ) -> Self {
+        let seed = seed.wrapping_mul(1_000) + entry as u64;
+        match policy {
+            PolicyName::RoundRobin => Self::RoundRobin(entry),
+            PolicyName::LeastReported => Self::LeastReported,
+            PolicyName::TwoChoices => {
+                Self::TwoChoices(Box::new(rand_chacha::ChaCha8Rng::seed_from_u64(seed)))
+            }
+            PolicyName::Oracle => Self::Oracle(split),
+            PolicyName::Usher => {
+                let home = fleet.regions[fleet.entries[entry]];
+                let settings = RouteSettings::new(home).with_seed(seed);
+                Self::Usher(Box::new(EntryPolicy::new(settings)))
+            }
+        }
+    }
+
+    pub(crate) fn usher_mut(&mut self) -> Option<&mut EntryPolicy> {
+        match self {
+            Self::Usher(policy) => Some(policy),
+            _ => None,
+        }
+    }
+
+    /// Chooses for a call; `new` is false for retries, which were admitted before.
+    pub(crate) fn route(
+        &mut self,
+        request: &CallRequest,
+        views: &[EngineView],
+        engines: &[engine::FakeEngine],
+        now: time::Instant,
+        new: bool,
+    ) -> RoutePlan {
+        let open: Vec<usize> = (0..views.len())
+            .filter(|at| views[*at].available && views[*at].role == EngineRole::Mixed)
+            .collect();
+        match self {
+            Self::Usher(policy) => route_usher(policy, request, now, new),
+            Self::Oracle(split) => route_oracle(*split, request, views, engines, now),
+            _ if open.is_empty() => RoutePlan::refuse(RefuseReason::NoTarget),
+            Self::RoundRobin(next) => {
+                *next += 1;
+                RoutePlan::send(open[*next % open.len()], ONE_PRIORITY)
+            }
+            Self::LeastReported => {
+                let calls = |at: &usize| {
+                    let report = views[*at].report;
+                    report.map_or(0, |report| report.running + report.waiting)
+                };
+                let best = open.iter().copied().min_by_key(calls).unwrap_or(open[0]);
+                RoutePlan::send(best, ONE_PRIORITY)
+            }
+            Self::TwoChoices(random) => {
+                let first = open[random.random_range(0..open.len())];
+                let second = open[random.random_range(0..open.len())];
+                let best = if views[second].own < views[first].own {
+                    second
+                } else {
+                    first
+                };
+                RoutePlan::send(best, ONE_PRIORITY)
+            }
+        }
+    }
+}
+
+fn route_usher(
+    policy: &mut EntryPolicy,
+    request: &CallRequest,
+    now: time::Instant,
+    new: bool,
+) -> RoutePlan {
+    let decision = policy.choose(request, now);
+    if new {
+        let verdict = policy.admit(request, &decision, now);
+        if verdict.refused.is_some() {
+            return RoutePlan {
+                refused: verdict.refused,
+                ..RoutePlan::default()
+            };
+        }
+    }
+    if decision.target.is_err() {
+        return RoutePlan::refuse(RefuseReason::NoTarget);
+    }
+    let mut plan = plan_of(policy, &decision);
+    plan.hedge = policy.hedge_delay(request, &decision);
+    plan
+}
+
+/// Translates a decision with a target into engine numbers.
+pub(crate) fn plan_of(policy: &EntryPolicy, decision: &RouteDecision) -> RoutePlan {
+    let place = |slot| engine_of(policy, slot);
+    RoutePlan {
+        refused: None,
+        engine: decision.target.map_or(0, place),
+        prefill: decision.prefill.map(place),
+        probe: decision.probe.map(place),
+        priority: decision.priority,
+        hedge: None,
+    }
+}
+
+/// Names of engines end with their number.
+pub(crate) fn engine_name(at: usize) -> String {
+    format!("engine-{at:04}")
+}
+
+fn engine_of(policy: &EntryPolicy, slot: usher_policy::TargetSlot) -> usize {
+    let name = policy.table().name(slot).map_or("", |name| name.as_str());
+    let number = name.rsplit('-').next().and_then(|text| text.parse().ok());
+    number.unwrap_or(0)
+}
+
+/// Exact expectation of an engine, from what is on it at this moment.
+fn exact_times(engine: &engine::FakeEngine, request: &CallRequest) -> (f64, f64) {
+    let rates = &engine.rates;
+    let calls = (engine.running.len() + engine.waiting.len()) as f64;
+    let prefill = engine.prefill_waiting() as f64;
+    let batch = calls.min(rates.batch_limit as f64);
+    let busy = prefill.min(rates.chunk_tokens as f64) / rates.mixed_prefill_per_second;
+    let token = (rates.step_base + rates.step_per_call * (batch + 1.0) + busy) * engine.slowness;
+    let prompt = request.prompt.get() as f64;
+    let steps = ((prefill + prompt) / rates.chunk_tokens as f64).max(1.0);
+    let over = (calls + 1.0 - rates.batch_limit as f64).max(0.0);
+    let output = request.output.get() as f64;
+    let waiting = over * output * token / rates.batch_limit as f64;
+    (waiting + steps * token, token * output)
+}
+
+fn route_oracle(
+    split: StaticSplit,
+    request: &CallRequest,
+    views: &[EngineView],
+    engines: &[engine::FakeEngine],
+    now: time::Instant,
+) -> RoutePlan {
+    let short = request.class == WorkClass::Short;
+    let prefilling = split.prefill;
+    let decoding = split.prefill + split.decode;
+    let reserved = decoding + split.short_only;
+    let cost = |at: usize| {
+        let (first, output) = exact_times(&engines[at], request);
+        first + output
+    };
+    let best = |from: usize, to: usize| {
+        let open = (from..to).filter(|at| views[*at].available);
+        open.map(|at| (at, cost(at)))
+            .min_by(|a, b| a.1.total_cmp(&b.1))
+    };
+    let end = if short { views.len() } else { reserved };
+    let whole = if short {
+        best(decoding, end)
+    } else {
+        best(reserved, views.len())
+    };
+    let pair = best(0, prefilling).zip(best(prefilling, decoding));
+    let pair_cost = pair.map(|((first, _), (second, _))| {
+        exact_times(&engines[first], request).0 + exact_times(&engines[second], request).1
+    });
+    let priority = if short { 0 } else { ONE_PRIORITY };
+    let mut plan = match (whole, pair, pair_cost) {
+        (Some((at, alone)), _, joined) if joined.is_none_or(|joined| alone <= joined) => {
+            (RoutePlan::send(at, priority), alone)
+        }
+        (_, Some(((first, _), (second, _))), Some(joined)) => {
+            let mut plan = RoutePlan::send(second, priority);
+            plan.prefill = Some(first);
+            (plan, joined)
+        }
+        _ => return RoutePlan::refuse(RefuseReason::NoTarget),
+    };
+    let left = request.deadline.map_or(f64::INFINITY, |deadline| {
+        deadline.saturating_duration_since(now).as_secs_f64()
+    });
+    if plan.1 > left {
+        plan.0.refused = Some(RefuseReason::Deadline);
+    }
+    plan.0
+}
+
+/// Sets the roles of the engines for a split: prefill first, then decode, then mixed.
+pub(crate) fn split_roles(split: StaticSplit, engines: usize) -> Vec<EngineRole> {
+    (0..engines)
+        .map(|at| {
+            if at < split.prefill {
+                EngineRole::Prefill
+            } else if at < split.prefill + split.decode {
+                EngineRole::Decode
+            } else {
+                EngineRole::Mixed
+            }
+        })
+        .collect()
+}
+
+/// Converts the deadline of an item to an instant.
+pub(crate) fn instant(base: time::Instant, nanos: u64) -> time::Instant {
+    base + time::Duration::from_nanos(nanos.min(sim_time::from_millis(1_000_000_000)))
+}
--- /dev/null
+++ b/crates/usher_bench/src/sim_control.rs
@@ -0,0 +1,103 @@
+//! The control process in a run: demand, roles and capacity shares. Not for: consensus.
+
+use usher_policy::{RoleChange, RoleCounts, RoleLimits, RolePolicy, RoleRates};
+use usher_types::EngineRole;
+
+use crate::{engine, fleet, router, sim, sim_time};
+
+/// Demand and roles as control knows them.
+pub(crate) struct ControlState {
+    /// Prompt and output tokens asked for since the last look.
+    asked: (f64, f64),
+    roles: RolePolicy,
+}
+
+impl ControlState {
+    pub(crate) fn new(fleet: &fleet::FleetSpec) -> Self {
+        let count = fleet.engines.len() as u32;
+        let least = RoleCounts {
+            prefill: 0,
+            decode: 0,
+            // The sheet's floor: a quarter of the engines always does everything.
+            mixed: count / 4,
+        };
+        let most = RoleCounts {
+            prefill: count,
+            decode: count,
+            mixed: count,
+        };
+        Self {
+            asked: (0.0, 0.0),
+            roles: RolePolicy::new(RoleLimits { least, most }, role_rates(&fleet.rates)),
+        }
+    }
+}
+
+/// Takes the figures of a data sheet for the engines, as the planners would.
+fn role_rates(rates: &engine::EngineRates) -> RoleRates {
+    let batch = rates.batch_limit as f64;
+    let token_time = rates.step_base + batch * rates.step_per_call;
+    let chunk = rates.prefill_chunk_tokens as f64;
+    RoleRates {
+        prefill_alone: chunk / (rates.step_base + chunk / rates.prefill_per_second),
+        prefill_mixed: rates.mixed_prefill_per_second,
+        decode: batch / token_time,
+        token_time,
+        token_goal: 0.079,
+        change: engine::ROLE_CHANGE_SECONDS,
+    }
+}
+
+impl sim::World {
+    /// Notes what an entry was asked for; entries report it with their heartbeat.
+    pub(crate) fn note_demand(&mut self, call: usize) {
+        let item = &self.plan.items[call];
+        let hit = item.marks.last().map_or(0, |mark| mark.tokens.get());
+        self.control.asked.0 += item.prompt.saturating_sub(hit) as f64;
+        self.control.asked.1 += item.estimate as f64;
+    }
+
+    pub(crate) fn control_tick(&mut self) {
+        self.queue
+            .push(self.now + sim::CONTROL_EVERY, sim::Event::Control);
+        for engine in 0..self.engines.len() {
+            // A role change that found the engine idle before the entries knew starts here.
+            if !self.engines[engine].stepping && self.hosts[engine].alive {
+                self.engine_idle(engine);
+            }
+        }
+        let (prompt, output) = std::mem::take(&mut self.control.asked);
+        let now = self.instant();
+        let seconds = sim_time::to_seconds(sim::CONTROL_EVERY);
+        let roles = &mut self.control.roles;
+        roles.observe(prompt / seconds, output / seconds, now);
+        if self.plan.roles && self.plan.policy == router::PolicyName::Usher {
+            self.change_roles();
+        }
+    }
+
+    fn change_roles(&mut self) {
+        let now = self.instant();
+        let counts = RoleCounts::of(self.planned_roles());
+        if let Some(RoleChange { from, to }) = self.control.roles.decide(now, counts) {
+            let idle = |at: &usize| {
+                let host = &self.hosts[*at];
+                host.alive && host.next_role.is_none() && self.engines[*at].role == from
+            };
+            // The one with the least to finish is away for the shortest time.
+            let load = |at: &usize| self.engines[*at].running.len();
+            let engine = (0..self.engines.len()).filter(idle).min_by_key(load);
+            if let Some(engine) = engine {
+                self.begin_role_change(engine, to);
+            }
+        }
+    }
+
+    /// Returns the roles as they are or will be once changes under way are done.
+    fn planned_roles(&self) -> Vec<EngineRole> {
+        let engines = self.engines.iter().zip(&self.hosts);
+        engines
+            .map(|(engine, host)| host.next_role.unwrap_or(engine.role))
+            .collect()
+    }
+}
--- a/crates/usher_policy/src/entry.rs
+++ b/crates/usher_policy/src/entry.rs
@@ -107,6 +107,17 @@
         self.table.on_sent(request, slot, now)
     }
 
+    /// Notes that a part of a call was sent.
+    pub fn on_sent_part(
+        &mut self,
+        request: &request::CallRequest,
+        slot: slot::TargetSlot,
+        part: request::WorkPart,
+        now: time::Instant,
+    ) -> slot::AttemptId {
+        self.table.on_sent_part(request, slot, part, now)
+    }
+
     /// Notes the first token of an attempt.
     pub fn on_first_token(&mut self, attempt: slot::AttemptId, now: time::Instant) {
         self.table.on_first_token(attempt, now);
--- a/crates/usher_policy/src/request.rs
+++ b/crates/usher_policy/src/request.rs
@@ -18,6 +18,18 @@
     }
 }
 
+usher_types::value_type! {
+    /// Which part of a call a target runs.
+    pub enum WorkPart {
+        /// All of it.
+        Whole,
+        /// Prefill only; the KV cache moves on.
+        Prefill,
+        /// Decode only; the KV cache comes from elsewhere.
+        Decode,
+    }
+}
+
 usher_types::value_type! {
     /// A call as the policies see it.
     ///
--- a/crates/usher_policy/src/table.rs
+++ b/crates/usher_policy/src/table.rs
@@ -37,6 +37,7 @@
     tokens: u64,
     progressed_at: Option<time::Instant>,
     straggler: bool,
+    part: request::WorkPart,
     marks: Vec<request::PrefixMark>,
 }
 
@@ -152,11 +153,26 @@
         request: &request::CallRequest,
         slot: slot::TargetSlot,
         now: time::Instant,
+    ) -> slot::AttemptId {
+        self.on_sent_part(request, slot, request::WorkPart::Whole, now)
+    }
+
+    /// Notes that a part of a call was sent to a target; a call whose prefill and decode are
+    /// apart has an attempt on each engine.
+    pub fn on_sent_part(
+        &mut self,
+        request: &request::CallRequest,
+        slot: slot::TargetSlot,
+        part: request::WorkPart,
+        now: time::Instant,
     ) -> slot::AttemptId {
         let id = slot::AttemptId(self.next_attempt);
         self.next_attempt += 1;
         let expected_first = self.expect_first(request, slot);
-        let prefill = self.prefill_work(request, slot);
+        let prefill = match part {
+            request::WorkPart::Decode => 0.0,
+            _ => self.prefill_work(request, slot),
+        };
         let total = request.prompt.get().saturating_add(request.output.get());
         let load = state::load_of(request.class, prefill, TokenCount::new(total));
         let share = f64::from(u8::from(request.class == WorkClass::Short));
@@ -175,7 +191,11 @@
                 tokens: 0,
                 progressed_at: None,
                 straggler: false,
-                marks: request.prefixes.clone(),
+                part,
+                marks: match part {
+                    request::WorkPart::Decode => Vec::new(),
+                    _ => request.prefixes.clone(),
+                },
             },
         );
         id
@@ -200,7 +220,7 @@
         attempt.load.long_prefill = 0.0;
         let observed = now.duration_since(attempt.sent_at).as_secs_f64();
         let ratio = observed / attempt.expected_first.max(0.001);
-        let slot = attempt.slot;
+        let (slot, part) = (attempt.slot, attempt.part);
         for mark in std::mem::take(&mut attempt.marks) {
             self.prefixes.add(slot, mark.hash);
         }
@@ -208,8 +228,11 @@
         state.change_own(&prefill, -1.0, now);
         state.failures = 0;
         state.last_progress = Some(now);
-        let pace = state.prefill_pace * (1.0 + PACE_GAIN * (ratio - 1.0));
-        state.prefill_pace = pace.clamp(PACE_MIN, PACE_MAX);
+        // The first token of a call that decodes here was made elsewhere.
+        if part != request::WorkPart::Decode {
+            let pace = state.prefill_pace * (1.0 + PACE_GAIN * (ratio - 1.0));
+            state.prefill_pace = pace.clamp(PACE_MIN, PACE_MAX);
+        }
     }
 
     /// Notes that an attempt delivered more tokens, `total` since its start.
