Add the service-level burn report from bounded records

Cause: operators need to see how fast each service uses up its objectives, and why, also after a restart. The store writes its own lines, not usher_log: a damaged statistic is skipped, while the log must refuse it.

--- /dev/null
+++ b/crates/usher_report/src/book.rs
@@ -0,0 +1,176 @@
+//! Counts per service, cooperative and time, bounded in size. Not for: files.
+
+use std::{collections, time};
+
+use crate::bucket;
+
+/// The most pairs of service and cooperative that are told apart; more are counted together.
+pub const MAX_SERIES: usize = 32;
+
+/// Whole hours before the current one whose minutes are kept; the longest window that needs
+/// minutes is 6 h.
+const MINUTE_HOURS: u64 = 7;
+/// Hours that are kept: 90 days, the longest window of an objective.
+const KEPT_HOURS: u64 = 90 * 24;
+/// How far a record may lie in the future, after the wall clock was set back.
+const FUTURE_HOURS: u64 = 1;
+
+/// What a count belongs to.
+#[derive(
+    Clone,
+    Debug,
+    Default,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    serde::Deserialize,
+    serde::Serialize,
+)]
+pub struct SeriesKey {
+    /// Service.
+    #[serde(rename = "s")]
+    pub service: usher_types::ServiceName,
+    /// Cooperative.
+    #[serde(rename = "c")]
+    pub cooperative: String,
+}
+
+impl SeriesKey {
+    /// Makes the key of a service and a cooperative.
+    pub fn new(service: &str, cooperative: &str) -> Self {
+        Self {
+            service: usher_types::ServiceName::new(service),
+            cooperative: cooperative.to_owned(),
+        }
+    }
+
+    /// Returns the key of everything beyond `MAX_SERIES`.
+    fn other() -> Self {
+        Self::new("(other)", "(other)")
+    }
+}
+
+usher_types::value_type! {
+    /// What became of one request.
+    pub struct BurnEvent {
+        /// What it belongs to.
+        pub key: SeriesKey,
+        /// When it arrived, by the wall clock.
+        pub at: time::SystemTime,
+        /// What became of it.
+        pub cause: bucket::BurnCause,
+        /// Time to its first token.
+        pub first_token: Option<time::Duration>,
+    }
+}
+
+/// Counts of one pair of service and cooperative.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(crate) struct SeriesCounts {
+    /// By minutes since 1970.
+    pub(crate) minutes: collections::BTreeMap<u64, bucket::CountBucket>,
+    /// By hours since 1970.
+    pub(crate) hours: collections::BTreeMap<u64, bucket::CountBucket>,
+}
+
+/// All counts in memory.
+///
+/// ```
+/// use std::time::SystemTime;
+/// use usher_report::{BurnBook, BurnCause, BurnEvent, SeriesKey};
+/// let mut book = BurnBook::default();
+/// let key = SeriesKey::new("assist", "loo-round");
+/// book.record(&BurnEvent { key, at: SystemTime::now(), cause: BurnCause::Ok, first_token: None });
+/// assert_eq!(book.keys().count(), 1);
+/// ```
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct BurnBook {
+    series: collections::BTreeMap<SeriesKey, SeriesCounts>,
+}
+
+impl BurnBook {
+    /// Counts one request.
+    pub fn record(&mut self, event: &BurnEvent) {
+        let mut counts = bucket::CountBucket::default();
+        counts.record(event.cause, event.first_token);
+        self.add_minute(&event.key, minute_of(event.at), &counts);
+    }
+
+    /// Adds counts of a minute; the hour that it lies in counts them as well.
+    pub(crate) fn add_minute(
+        &mut self,
+        key: &SeriesKey,
+        minute: u64,
+        counts: &bucket::CountBucket,
+    ) {
+        let series = self.series_mut(key);
+        series.minutes.entry(minute).or_default().merge(counts);
+        series.hours.entry(minute / 60).or_default().merge(counts);
+    }
+
+    /// Adds counts of an hour whose minutes are no longer kept.
+    pub(crate) fn add_hour(&mut self, key: &SeriesKey, hour: u64, counts: &bucket::CountBucket) {
+        self.series_mut(key)
+            .hours
+            .entry(hour)
+            .or_default()
+            .merge(counts);
+    }
+
+    /// Adds all counts of another book, such as that of another entry.
+    pub fn merge(&mut self, other: &Self) {
+        for (key, counts) in &other.series {
+            let series = self.series_mut(key);
+            for (minute, bucket) in &counts.minutes {
+                series.minutes.entry(*minute).or_default().merge(bucket);
+            }
+            for (hour, bucket) in &counts.hours {
+                series.hours.entry(*hour).or_default().merge(bucket);
+            }
+        }
+    }
+
+    /// Forgets what no window reaches any more, and what lies in the future.
+    pub fn expire(&mut self, now: time::SystemTime) {
+        let hour = minute_of(now) / 60;
+        let minutes = first_kept_minute(now)..(hour + FUTURE_HOURS + 1) * 60;
+        let hours = hour.saturating_sub(KEPT_HOURS)..=hour + FUTURE_HOURS;
+        for series in self.series.values_mut() {
+            series.minutes.retain(|minute, _| minutes.contains(minute));
+            series.hours.retain(|hour, _| hours.contains(hour));
+        }
+        self.series.retain(|_, series| !series.hours.is_empty());
+    }
+
+    /// Returns the pairs of service and cooperative in order.
+    pub fn keys(&self) -> impl Iterator<Item = &SeriesKey> {
+        self.series.keys()
+    }
+
+    pub(crate) fn series(&self) -> impl Iterator<Item = (&SeriesKey, &SeriesCounts)> {
+        self.series.iter()
+    }
+
+    fn series_mut(&mut self, key: &SeriesKey) -> &mut SeriesCounts {
+        let room = self.series.len() < MAX_SERIES - 1;
+        let key = if room || self.series.contains_key(key) {
+            key.clone()
+        } else {
+            SeriesKey::other()
+        };
+        self.series.entry(key).or_default()
+    }
+}
+
+/// Returns the first minute whose counts are kept apart from those of its hour.
+pub(crate) fn first_kept_minute(now: time::SystemTime) -> u64 {
+    (minute_of(now) / 60).saturating_sub(MINUTE_HOURS) * 60
+}
+
+/// Returns the minutes since 1970; times before it count as 1970.
+pub(crate) fn minute_of(at: time::SystemTime) -> u64 {
+    let since = at.duration_since(time::UNIX_EPOCH).unwrap_or_default();
+    since.as_secs() / 60
+}
--- /dev/null
+++ b/crates/usher_report/src/bucket.rs
@@ -0,0 +1,140 @@
+//! Counts of requests in one stretch of time. Not for: which stretch.
+
+use std::{fmt, time};
+
+/// Upper bounds of the buckets of the time to first token, in ms; 510 is the usual objective.
+pub const FIRST_TOKEN_BOUNDS_MS: [u64; 14] = [
+    25, 50, 100, 150, 200, 300, 400, 510, 750, 1_000, 1_500, 2_500, 5_000, 10_000,
+];
+
+usher_types::value_type! {
+    /// What became of a request.
+    #[derive(serde::Deserialize, serde::Serialize)]
+    #[serde(rename_all = "kebab-case")]
+    pub enum BurnCause {
+        /// The whole answer arrived in time.
+        Ok,
+        /// It was refused before anything ran.
+        Refused,
+        /// The whole answer arrived after the deadline.
+        Late,
+        /// It was delayed by a slow or stalled target.
+        SlowTarget,
+        /// It was refused or ended by a planned stop.
+        Drain,
+        /// It was refused because its region had no contact to control.
+        Region,
+        /// It ended without its whole answer.
+        Failed,
+    }
+}
+
+impl BurnCause {
+    /// All causes, in the order in which counts are kept.
+    pub const ALL: [Self; 7] = [
+        Self::Ok,
+        Self::Refused,
+        Self::Late,
+        Self::SlowTarget,
+        Self::Drain,
+        Self::Region,
+        Self::Failed,
+    ];
+
+    /// Returns whether the caller got a whole answer, in time or not.
+    pub const fn is_answered(self) -> bool {
+        matches!(self, Self::Ok | Self::Late | Self::SlowTarget)
+    }
+}
+
+impl fmt::Display for BurnCause {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Ok => "ok",
+            Self::Refused => "refused",
+            Self::Late => "late",
+            Self::SlowTarget => "slow target",
+            Self::Drain => "drain",
+            Self::Region => "region",
+            Self::Failed => "failed",
+        })
+    }
+}
+
+/// Counts by cause and by time to first token.
+///
+/// ```
+/// use usher_report::{BurnCause, CountBucket};
+/// let mut bucket = CountBucket::default();
+/// bucket.record(BurnCause::Late, None);
+/// assert_eq!(bucket.total(), 1);
+/// ```
+#[derive(Clone, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct CountBucket {
+    #[serde(rename = "n")]
+    causes: [u32; BurnCause::ALL.len()],
+    // One more than the bounds, for longer times.
+    #[serde(rename = "t")]
+    first_tokens: [u32; FIRST_TOKEN_BOUNDS_MS.len() + 1],
+}
+
+impl CountBucket {
+    /// Counts one request.
+    pub fn record(&mut self, cause: BurnCause, first_token: Option<time::Duration>) {
+        add(&mut self.causes, cause as usize, 1);
+        if let Some(duration) = first_token {
+            let within = |bound: &u64| duration <= time::Duration::from_millis(*bound);
+            let place = FIRST_TOKEN_BOUNDS_MS.iter().position(within);
+            add(
+                &mut self.first_tokens,
+                place.unwrap_or(FIRST_TOKEN_BOUNDS_MS.len()),
+                1,
+            );
+        }
+    }
+
+    /// Adds the counts of another bucket.
+    pub fn merge(&mut self, other: &Self) {
+        for (place, count) in other.causes.iter().enumerate() {
+            add(&mut self.causes, place, *count);
+        }
+        for (place, count) in other.first_tokens.iter().enumerate() {
+            add(&mut self.first_tokens, place, *count);
+        }
+    }
+
+    /// Returns how many requests had a cause.
+    pub fn count(&self, cause: BurnCause) -> u64 {
+        self.causes
+            .get(cause as usize)
+            .copied()
+            .map_or(0, u64::from)
+    }
+
+    /// Returns how many requests were counted.
+    pub fn total(&self) -> u64 {
+        self.causes.iter().copied().map(u64::from).sum()
+    }
+
+    /// Returns how many requests had a first token.
+    pub fn first_tokens(&self) -> u64 {
+        self.first_tokens.iter().copied().map(u64::from).sum()
+    }
+
+    /// Returns how many first tokens surely came within a time: a bucket that reaches past it
+    /// counts as late, so a goal between two bounds is judged strictly.
+    pub fn first_tokens_within(&self, goal: time::Duration) -> u64 {
+        FIRST_TOKEN_BOUNDS_MS
+            .iter()
+            .zip(&self.first_tokens)
+            .filter(|(bound, _)| time::Duration::from_millis(**bound) <= goal)
+            .map(|(_, count)| u64::from(*count))
+            .sum()
+    }
+}
+
+fn add(counts: &mut [u32], place: usize, amount: u32) {
+    if let Some(count) = counts.get_mut(place) {
+        *count = count.saturating_add(amount);
+    }
+}
--- /dev/null
+++ b/crates/usher_report/src/store.rs
@@ -0,0 +1,249 @@
+//! The counts on disk: appended lines with a checksum, rewritten when they grow. Not for: reports.
+
+use std::{
+    collections, fs,
+    io::{self, Write as _},
+    path, time,
+};
+
+use crate::{book, bucket, error};
+
+/// Name of the file of records inside a data folder.
+pub const RECORDS_FILE: &str = "burn.records";
+
+/// How much a file may grow beyond twice its size after the last rewrite.
+const GROWTH_BYTES: u64 = 1 << 20;
+/// The largest file that is read: several times what `MAX_SERIES` full series need.
+const MAX_FILE_BYTES: u64 = 256 << 20;
+
+/// One line of the file: counts of a minute or of an hour.
+#[derive(Debug, serde::Deserialize, serde::Serialize)]
+struct RecordLine {
+    #[serde(flatten)]
+    key: book::SeriesKey,
+    #[serde(rename = "m", default, skip_serializing_if = "Option::is_none")]
+    minute: Option<u64>,
+    #[serde(rename = "h", default, skip_serializing_if = "Option::is_none")]
+    hour: Option<u64>,
+    #[serde(flatten)]
+    counts: bucket::CountBucket,
+}
+
+impl RecordLine {
+    fn to_text(&self) -> Result<String, error::ReportError> {
+        let json = serde_json::to_string(self)?;
+        Ok(format!("{:08x} {json}\n", crc32fast::hash(json.as_bytes())))
+    }
+
+    /// Reads a line; none when its checksum or content is wrong.
+    fn from_text(line: &[u8]) -> Option<Self> {
+        let text = std::str::from_utf8(line).ok()?;
+        let (checksum, json) = text.split_once(' ')?;
+        let checksum = u32::from_str_radix(checksum, 16).ok()?;
+        if crc32fast::hash(json.as_bytes()) != checksum {
+            return None;
+        }
+        serde_json::from_str(json).ok()
+    }
+}
+
+/// Counts read from a file, and what was wrong with it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct LoadedBook {
+    /// The counts.
+    pub book: book::BurnBook,
+    /// Whole lines that were skipped because their checksum or content is wrong.
+    pub skipped: usize,
+    /// Bytes of a line at the end that was cut off while it was written.
+    pub torn_bytes: usize,
+}
+
+impl LoadedBook {
+    /// Reads a file of records without changing it; a file that isn't there holds none.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the file can't be read, but not when its content is damaged.
+    pub fn read(file: &path::Path) -> Result<Self, error::ReportError> {
+        let length = match fs::metadata(file) {
+            Ok(metadata) => metadata.len(),
+            Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(Self::default()),
+            Err(error) => return Err(error::ReportError::file(file, error)),
+        };
+        if length > MAX_FILE_BYTES {
+            let message = format!("{length} bytes are too many for a file of records");
+            return Err(error::ReportError::file(file, io::Error::other(message)));
+        }
+        let bytes = fs::read(file).map_err(|error| error::ReportError::file(file, error))?;
+        Ok(Self::from_bytes(&bytes))
+    }
+
+    /// Reads records from the bytes of a file.
+    pub fn from_bytes(bytes: &[u8]) -> Self {
+        let mut loaded = Self::default();
+        let mut rest = bytes;
+        while let Some(end) = rest.iter().position(|byte| *byte == b'\n') {
+            let (line, after) = rest.split_at(end);
+            rest = after.get(1..).unwrap_or_default();
+            loaded.add_line(line);
+        }
+        loaded.torn_bytes = rest.len();
+        loaded
+    }
+
+    fn add_line(&mut self, line: &[u8]) {
+        let Some(record) = RecordLine::from_text(line) else {
+            self.skipped += 1;
+            return;
+        };
+        match (record.minute, record.hour) {
+            (Some(minute), None) => self.book.add_minute(&record.key, minute, &record.counts),
+            (None, Some(hour)) => self.book.add_hour(&record.key, hour, &record.counts),
+            _ => self.skipped += 1,
+        }
+    }
+}
+
+type PendingCounts = collections::BTreeMap<(book::SeriesKey, u64), bucket::CountBucket>;
+
+/// Keeps counts in memory and on disk.
+#[derive(Debug)]
+pub struct BurnStore {
+    path: path::PathBuf,
+    file: fs::File,
+    bytes: u64,
+    rewritten_bytes: u64,
+    book: book::BurnBook,
+    pending: PendingCounts,
+}
+
+impl BurnStore {
+    /// Opens the records of a data folder; damaged lines are dropped and a torn end is cut off.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the folder or file can't be read or written.
+    pub fn open(folder: &path::Path, now: time::SystemTime) -> Result<Self, error::ReportError> {
+        fs::create_dir_all(folder).map_err(|error| error::ReportError::file(folder, error))?;
+        let path = folder.join(RECORDS_FILE);
+        let mut loaded = LoadedBook::read(&path)?;
+        loaded.book.expire(now);
+        let (file, bytes) = rewrite(&path, &loaded.book, now)?;
+        Ok(Self {
+            path,
+            file,
+            bytes,
+            rewritten_bytes: bytes,
+            book: loaded.book,
+            pending: PendingCounts::new(),
+        })
+    }
+
+    /// Counts one request in memory.
+    pub fn record(&mut self, event: &book::BurnEvent) {
+        self.book.record(event);
+        let place = (event.key.clone(), book::minute_of(event.at));
+        let pending = self.pending.entry(place).or_default();
+        pending.record(event.cause, event.first_token);
+    }
+
+    /// Returns the counts.
+    pub fn book(&self) -> &book::BurnBook {
+        &self.book
+    }
+
+    /// Writes and syncs what was counted since the last call.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the file can't be written; the counts are then written by the next call.
+    pub fn flush(&mut self, now: time::SystemTime) -> Result<(), error::ReportError> {
+        self.book.expire(now);
+        if self.bytes > 2 * self.rewritten_bytes + GROWTH_BYTES {
+            // The book holds the pending counts as well.
+            (self.file, self.bytes) = rewrite(&self.path, &self.book, now)?;
+            self.rewritten_bytes = self.bytes;
+            self.pending.clear();
+            return Ok(());
+        }
+        let mut text = String::new();
+        for ((key, minute), counts) in &self.pending {
+            text.push_str(&minute_line(key, *minute, counts)?);
+        }
+        if text.is_empty() {
+            return Ok(());
+        }
+        let written = self
+            .file
+            .write_all(text.as_bytes())
+            .and_then(|()| self.file.sync_data());
+        if let Err(error) = written {
+            // A part may have been written: cut it off, or the next call would count it twice.
+            let _ = self.file.set_len(self.bytes);
+            return Err(error::ReportError::file(&self.path, error));
+        }
+        self.bytes += text.len() as u64;
+        self.pending.clear();
+        Ok(())
+    }
+}
+
+fn minute_line(
+    key: &book::SeriesKey,
+    minute: u64,
+    counts: &bucket::CountBucket,
+) -> Result<String, error::ReportError> {
+    let line = RecordLine {
+        key: key.clone(),
+        minute: Some(minute),
+        hour: None,
+        counts: counts.clone(),
+    };
+    line.to_text()
+}
+
+/// Writes the whole book to a new file, and puts it in place of the old one.
+fn rewrite(
+    path: &path::Path,
+    book: &book::BurnBook,
+    now: time::SystemTime,
+) -> Result<(fs::File, u64), error::ReportError> {
+    let text = book_text(book, now)?;
+    let fail = |error| error::ReportError::file(path, error);
+    let fresh = path.with_extension("new");
+    let mut file = fs::File::create(&fresh).map_err(fail)?;
+    file.write_all(text.as_bytes()).map_err(fail)?;
+    file.sync_all().map_err(fail)?;
+    fs::rename(&fresh, path).map_err(fail)?;
+    if let Some(folder) = path.parent() {
+        let folder = fs::File::open(folder).map_err(fail)?;
+        folder.sync_all().map_err(fail)?;
+    }
+    let file = fs::OpenOptions::new()
+        .append(true)
+        .open(path)
+        .map_err(fail)?;
+    Ok((file, text.len() as u64))
+}
+
+fn book_text(book: &book::BurnBook, now: time::SystemTime) -> Result<String, error::ReportError> {
+    let first_minute = book::first_kept_minute(now);
+    let mut text = String::new();
+    for (key, counts) in book.series() {
+        let old_hours = counts.hours.range(..first_minute / 60);
+        for (hour, bucket) in old_hours {
+            let line = RecordLine {
+                key: key.clone(),
+                minute: None,
+                hour: Some(*hour),
+                counts: bucket.clone(),
+            };
+            text.push_str(&line.to_text()?);
+        }
+        // The counts of later hours are the sums of these minutes.
+        for (minute, bucket) in counts.minutes.range(first_minute..) {
+            text.push_str(&minute_line(key, *minute, bucket)?);
+        }
+    }
+    Ok(text)
+}
