Add the command line and the control daemon

Cause: operators need commands that find the leader, and control needs a process around its library. Change: check-config, apply, status, drain, report burn and explain on a library with thin binaries; requests go to the leader, follow redirects and are sent again with the same content after a lost answer; exit codes 0, 1 and 2; log as text or JSON, metrics over UDP; SIGTERM stops the control daemon gracefully, a second signal ends it.

--- /dev/null
+++ b/crates/pimentousher/src/args.rs
@@ -0,0 +1,208 @@
+//! Options that several commands share. Not for: options of one command.
+
+use std::{ffi, net, path, str, time};
+
+use lexopt::ValueExt as _;
+
+use crate::{error, file};
+
+/// Names a settings file when `--settings` isn't given.
+pub const SETTINGS_VARIABLE: &str = "PIMENTOUSHER_SETTINGS";
+
+/// How long a command looks for the leader: an election takes 1 to 3 s.
+const DEFAULT_TIMEOUT: time::Duration = time::Duration::from_secs(15);
+
+/// How a command writes its result.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum OutputFormat {
+    /// For terminals.
+    #[default]
+    Table,
+    /// One JSON object.
+    Json,
+    /// One HTML page.
+    Html,
+}
+
+impl str::FromStr for OutputFormat {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "table" => Ok(Self::Table),
+            "json" => Ok(Self::Json),
+            "html" => Ok(Self::Html),
+            _ => Err("expected table, json or html".to_owned()),
+        }
+    }
+}
+
+/// Options of commands that talk to control.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ControlArgs {
+    /// Settings file that names the control VMs.
+    pub settings: Option<path::PathBuf>,
+    /// Addresses given on the command line, used in place of those of the settings.
+    pub control: Vec<net::SocketAddr>,
+    /// How long to look for the leader.
+    pub timeout: time::Duration,
+    /// How to write the result.
+    pub format: OutputFormat,
+}
+
+/// The help of these options.
+pub const CONTROL_HELP: &str = "\
+  --settings FILE    settings that name the control VMs (default: $PIMENTOUSHER_SETTINGS)
+  --control IP:PORT  operators' address of a control VM, in place of settings; may be repeated
+  --timeout TIME     how long to look for the leader (default: 15s)
+  --format FORMAT    table or json (default: table)
+  --help             print this help";
+
+impl Default for ControlArgs {
+    fn default() -> Self {
+        Self {
+            settings: std::env::var_os(SETTINGS_VARIABLE).map(path::PathBuf::from),
+            control: Vec::new(),
+            timeout: DEFAULT_TIMEOUT,
+            format: OutputFormat::Table,
+        }
+    }
+}
+
+impl ControlArgs {
+    /// Takes an option if it is one of these; returns whether it was.
+    pub(crate) fn take(
+        &mut self,
+        argument: &OwnedArg,
+        parser: &mut ArgReader<'_>,
+    ) -> Result<bool, error::CommandError> {
+        match argument {
+            OwnedArg::Long(name) => match name.as_str() {
+                "settings" => self.settings = Some(parser.value()?.into()),
+                "control" => self.control.push(parser.parse("IP:PORT")?),
+                "timeout" => self.timeout = parser.duration()?,
+                "format" => self.format = parser.parse("table or json")?,
+                _ => return Ok(false),
+            },
+            OwnedArg::Value(_) => return Ok(false),
+        }
+        Ok(true)
+    }
+
+    /// Returns where operators reach the control VMs.
+    pub fn addresses(&self) -> Result<Vec<net::SocketAddr>, error::CommandError> {
+        if !self.control.is_empty() {
+            return Ok(self.control.clone());
+        }
+        let Some(settings) = &self.settings else {
+            return Err(error::CommandError::Usage(format!(
+                "no control VM is named: give --settings FILE or --control IP:PORT, or set \
+                 {SETTINGS_VARIABLE}"
+            )));
+        };
+        match file::read_settings(settings)? {
+            usher_config::ProcessSettings::Operator(settings) => {
+                Ok(settings.control.operator_addresses())
+            }
+            usher_config::ProcessSettings::Entry(settings) => {
+                Ok(settings.control.operator_addresses())
+            }
+            usher_config::ProcessSettings::Control(settings) => {
+                Ok(settings.control.operator_addresses())
+            }
+            usher_config::ProcessSettings::Fake(_) => Err(error::CommandError::Usage(format!(
+                "{} names no control VMs: give a file with [process] kind = operator",
+                settings.display()
+            ))),
+        }
+    }
+}
+
+/// An argument that doesn't borrow the parser.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum OwnedArg {
+    /// `--name`, also for the short forms `-h` and `-V`.
+    Long(String),
+    /// A positional value.
+    Value(ffi::OsString),
+}
+
+/// Reads arguments and words errors for one command.
+pub(crate) struct ArgReader<'a> {
+    command: &'a str,
+    parser: lexopt::Parser,
+    last: String,
+}
+
+impl<'a> ArgReader<'a> {
+    pub(crate) fn new(command: &'a str, parser: lexopt::Parser) -> Self {
+        Self {
+            command,
+            parser,
+            last: String::new(),
+        }
+    }
+
+    /// Returns the next argument.
+    pub(crate) fn next(&mut self) -> Result<Option<OwnedArg>, error::CommandError> {
+        let argument = match self.parser.next() {
+            Ok(argument) => argument,
+            Err(error) => return Err(error::CommandError::usage(self.command, error)),
+        };
+        let owned = argument.map(|argument| match argument {
+            lexopt::Arg::Short('h') => OwnedArg::Long("help".to_owned()),
+            lexopt::Arg::Short('V') => OwnedArg::Long("version".to_owned()),
+            lexopt::Arg::Short(letter) => OwnedArg::Long(letter.to_string()),
+            lexopt::Arg::Long(name) => OwnedArg::Long(name.to_owned()),
+            lexopt::Arg::Value(value) => OwnedArg::Value(value),
+        });
+        if let Some(OwnedArg::Long(name)) = &owned {
+            self.last.clone_from(name);
+        }
+        Ok(owned)
+    }
+
+    /// Returns the value of the option that was read last.
+    pub(crate) fn value(&mut self) -> Result<ffi::OsString, error::CommandError> {
+        self.parser
+            .value()
+            .map_err(|error| error::CommandError::usage(self.command, error))
+    }
+
+    /// Reads the value of the option that was read last.
+    pub(crate) fn parse<T>(&mut self, accepted: &str) -> Result<T, error::CommandError>
+    where
+        T: str::FromStr,
+    {
+        let value = self.value()?;
+        let text = value.string().unwrap_or_default();
+        text.parse().map_err(|_| self.refuse(&text, accepted))
+    }
+
+    /// Reads a duration such as `15s`.
+    pub(crate) fn duration(&mut self) -> Result<time::Duration, error::CommandError> {
+        let value = self.value()?;
+        let text = value.string().unwrap_or_default();
+        humantime::parse_duration(&text)
+            .map_err(|_| self.refuse(&text, "a duration such as 500ms or 15s"))
+    }
+
+    fn refuse(&self, text: &str, accepted: &str) -> error::CommandError {
+        let message = format!("--{} {text}: expected {accepted}", self.last);
+        error::CommandError::usage(self.command, message)
+    }
+
+    /// Refuses an argument that the command doesn't know.
+    pub(crate) fn unexpected(&self, argument: &OwnedArg) -> error::CommandError {
+        let shown = match argument {
+            OwnedArg::Long(name) => format!("--{name}"),
+            OwnedArg::Value(value) => format!("{value:?}"),
+        };
+        error::CommandError::usage(self.command, format!("argument {shown} is not expected"))
+    }
+
+    /// Refuses a command without an argument that it needs.
+    pub(crate) fn missing(&self, what: &str) -> error::CommandError {
+        error::CommandError::usage(self.command, format!("{what} is missing"))
+    }
+}
--- /dev/null
+++ b/crates/pimentousher/src/client.rs
@@ -0,0 +1,139 @@
+//! A small HTTP client for JSON. Not for: streams.
+
+use std::{net, time};
+
+use http_body_util::BodyExt as _;
+use hyper_util::{client::legacy, rt};
+
+/// The largest answer that is read: a sheet of 1 MiB inside JSON, and a status of 760 targets.
+const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+
+/// Tells why a request has no answer.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum RequestError {
+    /// No connection was made; nothing was sent.
+    #[error("{0}")]
+    NotSent(String),
+    /// The request may have been acted on.
+    #[error("{0}")]
+    Lost(String),
+}
+
+/// An answer with its body as JSON; a body that isn't JSON is a string.
+#[derive(Clone, Debug, PartialEq)]
+pub struct JsonAnswer {
+    /// Status.
+    pub status: http::StatusCode,
+    /// Headers.
+    pub headers: http::HeaderMap,
+    /// Body.
+    pub body: serde_json::Value,
+}
+
+impl JsonAnswer {
+    /// Returns the error text of a refusal.
+    pub fn error_text(&self) -> String {
+        let error = self.body.get("error").unwrap_or(&self.body);
+        let error = error.get("message").unwrap_or(error);
+        error
+            .as_str()
+            .map_or_else(|| error.to_string(), str::to_owned)
+    }
+}
+
+type BodyBytes = http_body_util::Full<hyper::body::Bytes>;
+
+/// Sends JSON requests.
+#[derive(Clone, Debug)]
+pub struct JsonClient {
+    client: legacy::Client<legacy::connect::HttpConnector, BodyBytes>,
+}
+
+impl JsonClient {
+    /// Makes a client.
+    pub fn new() -> Self {
+        let mut connector = legacy::connect::HttpConnector::new();
+        connector.set_nodelay(true);
+        let client = legacy::Client::builder(rt::TokioExecutor::new())
+            // A connection from before a restart would lose the request.
+            .pool_max_idle_per_host(0)
+            .build(connector);
+        Self { client }
+    }
+
+    /// Sends one request and reads its whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no whole answer arrives within the time.
+    pub async fn send(
+        &self,
+        address: net::SocketAddr,
+        method: &http::Method,
+        path: &str,
+        body: Option<&serde_json::Value>,
+        timeout: time::Duration,
+    ) -> Result<JsonAnswer, RequestError> {
+        let exchange = self.exchange(address, method, path, body);
+        match tokio::time::timeout(timeout, exchange).await {
+            Ok(result) => result,
+            Err(_) => Err(RequestError::Lost(format!(
+                "{address} did not answer within {}",
+                humantime::format_duration(timeout)
+            ))),
+        }
+    }
+
+    async fn exchange(
+        &self,
+        address: net::SocketAddr,
+        method: &http::Method,
+        path: &str,
+        body: Option<&serde_json::Value>,
+    ) -> Result<JsonAnswer, RequestError> {
+        let text = body.map(ToString::to_string).unwrap_or_default();
+        let request = http::Request::builder()
+            .method(method)
+            .uri(format!("http://{address}{path}"))
+            .header(http::header::CONTENT_TYPE, "application/json")
+            .body(BodyBytes::from(text))
+            .map_err(|error| RequestError::NotSent(error.to_string()))?;
+        let answer = self.client.request(request).await.map_err(|error| {
+            let message = format!("{address}: {}", root_cause(&error));
+            if error.is_connect() {
+                RequestError::NotSent(message)
+            } else {
+                RequestError::Lost(message)
+            }
+        })?;
+        let (parts, body) = answer.into_parts();
+        let limited = http_body_util::Limited::new(body, MAX_ANSWER_BYTES);
+        let bytes = limited
+            .collect()
+            .await
+            .map_err(|error| RequestError::Lost(format!("{address}: {error}")))?
+            .to_bytes();
+        let body = serde_json::from_slice(&bytes)
+            .unwrap_or_else(|_| String::from_utf8_lossy(&bytes).trim().into());
+        Ok(JsonAnswer {
+            status: parts.status,
+            headers: parts.headers,
+            body,
+        })
+    }
+}
+
+impl Default for JsonClient {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// Returns the innermost error, which names what the operating system said.
+fn root_cause(error: &dyn std::error::Error) -> String {
+    let mut cause = error;
+    while let Some(source) = cause.source() {
+        cause = source;
+    }
+    cause.to_string()
+}
--- /dev/null
+++ b/crates/pimentousher/src/daemon/control.rs
@@ -0,0 +1,85 @@
+//! The control daemon from its settings. Not for: what control does.
+
+use std::path;
+
+use crate::{daemon, error, file};
+
+/// Makes the options of a control node from its settings.
+///
+/// # Errors
+///
+/// Fails when the settings don't name this process among the control VMs.
+pub fn control_options(
+    settings: &usher_config::ControlSettings,
+) -> Result<usher_control::ControlOptions, error::CommandError> {
+    let node = &settings.node;
+    let (Some(member), Some(folder)) = (settings.member(), &node.data) else {
+        let message = format!(
+            "{} needs a [control.*] section and a data folder",
+            node.name
+        );
+        return Err(error::CommandError::Usage(message));
+    };
+    let (voters, spares): (Vec<_>, Vec<_>) = settings
+        .control
+        .members
+        .iter()
+        .partition(|member| member.is_voter());
+    let peers = voters
+        .iter()
+        .chain(&spares)
+        .map(|member| usher_control::ControlPeer {
+            node: member.name.clone(),
+            wire_address: member.address,
+            operator_address: member.operators,
+            region: member.region.clone(),
+            domain: member.domain.clone(),
+        });
+    let options = usher_control::ControlOptions::new(node.name.as_str(), folder)
+        .with_cluster(&node.cluster)
+        .with_region(node.region.as_str())
+        .with_domain(node.domain.as_str())
+        .with_wire_address(member.address)
+        .with_operator_address(member.operators)
+        .with_peers(peers.collect())
+        .with_voters(voters.len());
+    Ok(options)
+}
+
+/// Runs the control daemon until it is told to stop.
+///
+/// # Errors
+///
+/// Fails when the settings are wrong, the node can't start, or its replica fails.
+pub async fn run_control(settings: &path::Path) -> Result<(), error::CommandError> {
+    let usher_config::ProcessSettings::Control(settings) = file::read_settings(settings)? else {
+        let message = "the settings are not for control: expected [process] kind = control";
+        return Err(error::CommandError::Usage(message.to_owned()));
+    };
+    let options = control_options(&settings)?;
+    daemon::start_log(&settings.log)?;
+    let node = usher_control::ControlNode::new(options).start().await;
+    let node = node.map_err(error::CommandError::failed)?;
+    tracing::info!(
+        node = %settings.node.name,
+        wire = %node.wire_address(),
+        operators = %node.operator_address(),
+        "control is listening"
+    );
+    tokio::select! {
+        signal = daemon::wait_for_stop() => {
+            tracing::info!(signal = signal?, "control is stopping");
+        }
+        why = node.failed() => {
+            let why = why.unwrap_or_else(|| "unknown".to_owned());
+            return Err(error::CommandError::Failed(format!("the replica failed: {why}")));
+        }
+    }
+    tokio::select! {
+        () = node.stop() => Ok(()),
+        signal = daemon::wait_for_stop() => {
+            let message = format!("ended by a second {} before the stop was complete", signal?);
+            Err(error::CommandError::Failed(message))
+        }
+    }
+}
--- /dev/null
+++ b/crates/pimentousher/src/daemon/metrics.rs
@@ -0,0 +1,36 @@
+//! Where metrics go. Not for: which metrics there are.
+
+use std::net;
+
+use crate::error;
+
+/// The prefix of all metrics.
+const PREFIX: &str = "pimentousher";
+
+/// Makes a client for the settings; without an address, metrics go nowhere.
+///
+/// # Errors
+///
+/// Fails when no socket can be made.
+pub fn metric_client(
+    settings: &usher_config::MetricSettings,
+    node: &usher_types::NodeName,
+) -> Result<cadence::StatsdClient, error::CommandError> {
+    let Some(address) = settings.statsd else {
+        return Ok(cadence::StatsdClient::from_sink(
+            PREFIX,
+            cadence::NopMetricSink,
+        ));
+    };
+    let any = net::SocketAddr::from((net::Ipv4Addr::UNSPECIFIED, 0));
+    let socket = net::UdpSocket::bind(any).map_err(error::CommandError::failed)?;
+    // A full socket buffer must not hold up a request.
+    socket
+        .set_nonblocking(true)
+        .map_err(error::CommandError::failed)?;
+    let sink = cadence::BufferedUdpMetricSink::from(address, socket);
+    let sink = sink.map_err(error::CommandError::failed)?;
+    let queue = cadence::QueuingMetricSink::from(sink);
+    let builder = cadence::StatsdClient::builder(PREFIX, queue);
+    Ok(builder.with_tag("node", node.as_str()).build())
+}
--- /dev/null
+++ b/crates/pimentousher/src/daemon/program.rs
@@ -0,0 +1,69 @@
+//! The command line of a daemon. Not for: its settings.
+
+use std::{ffi, path};
+
+use crate::{args, command, error};
+
+/// What a daemon was asked on its command line.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum DaemonArgs {
+    /// Run with a settings file.
+    Run(path::PathBuf),
+    /// Print a text and end.
+    Print(String),
+}
+
+/// Reads the command line of a daemon without the name of the program.
+///
+/// # Errors
+///
+/// Fails when the command line is wrong.
+pub fn daemon_arguments<I>(
+    program: &str,
+    purpose: &str,
+    arguments: I,
+) -> Result<DaemonArgs, error::CommandError>
+where
+    I: IntoIterator<Item = ffi::OsString>,
+{
+    let parser = lexopt::Parser::from_args(arguments);
+    let mut reader = args::ArgReader::new("", parser);
+    let mut settings = std::env::var_os(args::SETTINGS_VARIABLE).map(path::PathBuf::from);
+    let refuse = |error: error::CommandError| {
+        let text = error.to_string();
+        let first = text.lines().next().unwrap_or_default();
+        error::CommandError::Usage(format!("{first}\nrun `{program} --help` for the options"))
+    };
+    while let Some(argument) = reader.next().map_err(refuse)? {
+        match &argument {
+            args::OwnedArg::Long(name) => match name.as_str() {
+                "help" => return Ok(DaemonArgs::Print(help(program, purpose))),
+                "version" => return Ok(DaemonArgs::Print(command::version(program))),
+                "settings" => settings = Some(reader.value().map_err(refuse)?.into()),
+                _ => return Err(refuse(reader.unexpected(&argument))),
+            },
+            args::OwnedArg::Value(_) => return Err(refuse(reader.unexpected(&argument))),
+        }
+    }
+    settings
+        .map(DaemonArgs::Run)
+        .ok_or_else(|| refuse(reader.missing("--settings FILE")))
+}
+
+fn help(program: &str, purpose: &str) -> String {
+    format!(
+        "{purpose}
+
+usage: {program} --settings FILE
+
+options:
+  --settings FILE    settings of the process (default: $PIMENTOUSHER_SETTINGS);
+                     `pimentousher check-config FILE` checks them
+  --help             print this help
+  --version          print the version
+
+SIGTERM and SIGINT stop it gracefully; a second signal ends it at once.
+exit codes: 0 stopped, 1 failure, 2 wrong command line or settings
+"
+    )
+}
--- a/crates/pimentousher/src/lib.rs
+++ b/crates/pimentousher/src/lib.rs
@@ -1,1 +1,11 @@
-//! Command line and daemons of the pimentousher serving system
+//! Command line and daemons of the pimentousher serving system.
+//!
+//! For: turning command lines and settings into calls of the libraries. Not for: decisions.
+
+pub mod args;
+pub mod client;
+pub mod command;
+pub mod daemon;
+pub mod error;
+pub mod file;
+pub mod leader;
--- /dev/null
+++ b/crates/pimentousher/tests/leader.rs
@@ -0,0 +1,155 @@
+//! Requests reach the leader and are sent again after a lost answer, with the same content.
+
+use std::{
+    net,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use pimentousher::leader::LeaderClient;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+
+/// What a stand-in node does with one request.
+#[derive(Clone, Debug)]
+enum Reply {
+    /// Closes the connection after reading the request.
+    Lose,
+    /// Answers with a status line, extra headers and a body.
+    Answer(&'static str, String, &'static str),
+}
+
+/// A stand-in for a control node that replays its replies and keeps the bodies that it read.
+struct StandInNode {
+    address: net::SocketAddr,
+    bodies: Arc<Mutex<Vec<String>>>,
+}
+
+impl StandInNode {
+    async fn start(replies: Vec<Reply>) -> Self {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let bodies = Arc::new(Mutex::new(Vec::new()));
+        let kept = bodies.clone();
+        tokio::spawn(async move {
+            for reply in replies {
+                let (mut socket, _) = listener.accept().await.unwrap();
+                let body = read_body(&mut socket).await;
+                kept.lock().unwrap().push(body);
+                if let Reply::Answer(status, headers, body) = reply {
+                    let text = format!(
+                        "HTTP/1.1 {status}\r\n{headers}content-length: {}\r\n\r\n{body}",
+                        body.len()
+                    );
+                    socket.write_all(text.as_bytes()).await.unwrap();
+                    let _ = socket.shutdown().await;
+                }
+            }
+        });
+        Self { address, bodies }
+    }
+
+    fn bodies(&self) -> Vec<String> {
+        self.bodies.lock().unwrap().clone()
+    }
+}
+
+async fn read_body(socket: &mut tokio::net::TcpStream) -> String {
+    let mut text = String::new();
+    let mut buffer = [0; 4096];
+    loop {
+        let count = socket.read(&mut buffer).await.unwrap();
+        text.push_str(std::str::from_utf8(&buffer[..count]).unwrap());
+        let Some((head, body)) = text.split_once("\r\n\r\n") else {
+            continue;
+        };
+        let length = head
+            .lines()
+            .find_map(|line| line.strip_prefix("content-length: "))
+            .map_or(0, |length| length.parse().unwrap());
+        if body.len() >= length {
+            return body.to_owned();
+        }
+    }
+}
+
+fn ok(body: &'static str) -> Reply {
+    Reply::Answer("200 OK", String::new(), body)
+}
+
+fn redirect_to(address: net::SocketAddr) -> Reply {
+    let headers = format!("location: http://{address}/v1/config\r\n");
+    Reply::Answer("307 Temporary Redirect", headers, "")
+}
+
+async fn post(
+    nodes: &[&StandInNode],
+) -> Result<pimentousher::client::JsonAnswer, pimentousher::error::CommandError> {
+    let addresses = nodes.iter().map(|node| node.address).collect();
+    let leader = LeaderClient::new(addresses, Duration::from_secs(20));
+    let body = serde_json::json!({ "request_id": "r-1" });
+    leader
+        .send(&http::Method::POST, "/v1/config", Some(&body))
+        .await
+}
+
+/// Guards against a follower's redirect that drops the body.
+#[tokio::test]
+async fn redirect_is_followed_with_the_body() {
+    let leader = StandInNode::start(vec![ok("{\"version\":4}")]).await;
+    let follower = StandInNode::start(vec![redirect_to(leader.address)]).await;
+    let answer = post(&[&follower]).await.unwrap();
+    assert_eq!(answer.body["version"], 4);
+    assert_eq!(leader.bodies(), ["{\"request_id\":\"r-1\"}"]);
+}
+
+/// Guards against a lost answer that is resent under another id, and so takes effect twice.
+#[tokio::test]
+async fn lost_answer_is_asked_for_again_with_the_same_body() {
+    let node = StandInNode::start(vec![Reply::Lose, ok("{\"version\":4}")]).await;
+    post(&[&node]).await.unwrap();
+    let bodies = node.bodies();
+    assert_eq!(bodies.len(), 2);
+    assert_eq!(bodies[0], bodies[1]);
+}
+
+/// Guards against a command that gives up while a leader is being elected.
+#[tokio::test]
+async fn nodes_without_leader_are_asked_in_turn() {
+    let no_leader = || {
+        let body = "{\"error\":\"no leader is known; try again\"}";
+        Reply::Answer("503 Service Unavailable", String::new(), body)
+    };
+    let first = StandInNode::start(vec![no_leader(), no_leader()]).await;
+    let second = StandInNode::start(vec![no_leader(), ok("{}")]).await;
+    post(&[&first, &second]).await.unwrap();
+    assert_eq!((first.bodies().len(), second.bodies().len()), (2, 2));
+}
+
+/// Guards against two nodes that send a request back and forth for ever.
+#[tokio::test]
+async fn redirects_in_a_circle_end() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    let replies = vec![redirect_to(address); 1];
+    let node = StandInNode::start(replies).await;
+    let leader = LeaderClient::new(vec![node.address], Duration::from_millis(600));
+    let error = leader.get("/v1/config").await.unwrap_err();
+    assert!(
+        error
+            .to_string()
+            .contains("no leader answered within 600ms"),
+        "{error}"
+    );
+    assert_eq!(error.exit_code(), 1);
+}
+
+/// Guards against a refusal that is taken for a fault of the node and asked again.
+#[tokio::test]
+async fn refusal_is_returned_at_once() {
+    let reply = Reply::Answer("409 Conflict", String::new(), "{\"version\":9}");
+    let node = StandInNode::start(vec![reply]).await;
+    let answer = post(&[&node]).await.unwrap();
+    assert_eq!(answer.status, http::StatusCode::CONFLICT);
+    assert_eq!(node.bodies().len(), 1);
+}
--- a/crates/usher_config/src/settings/objectives.rs
+++ b/crates/usher_config/src/settings/objectives.rs
@@ -24,15 +24,28 @@
     }
 }
 
+impl Default for ObjectiveSettings {
+    fn default() -> Self {
+        Self {
+            availability: value::ShareValue::new(0.999),
+            first_token_share: value::ShareValue::new(0.95),
+            first_token: time::Duration::from_millis(510),
+            in_time: value::ShareValue::new(0.99),
+            window: time::Duration::from_secs(30 * 24 * 3600),
+        }
+    }
+}
+
 impl ObjectiveSettings {
     pub(crate) fn read(file: &reader::SettingsReader) -> Self {
         let section = file.section("objectives");
+        let usual = Self::default();
         let settings = Self {
-            availability: section.or("availability", value::ShareValue::new(0.999)),
-            first_token_share: section.or("first-token-share", value::ShareValue::new(0.95)),
-            first_token: section.or("first-token", time::Duration::from_millis(510)),
-            in_time: section.or("in-time", value::ShareValue::new(0.99)),
-            window: section.or("window", time::Duration::from_secs(30 * 24 * 3600)),
+            availability: section.or("availability", usual.availability),
+            first_token_share: section.or("first-token-share", usual.first_token_share),
+            first_token: section.or("first-token", usual.first_token),
+            in_time: section.or("in-time", usual.in_time),
+            window: section.or("window", usual.window),
         };
         let shares = [
             ("availability", settings.availability),
