usher_bench: deadlines that tell policies apart

Cause: with 79 ms for each token of slack every policy but one was in time in mix, so the goodput goal showed nothing. Change: short work has 1 s + 50 ms a token, long work 10 s + 79 ms a token; mix runs at 0.9 of the capacity.

--- a/crates/usher_bench/src/experiments/mix.rs
+++ b/crates/usher_bench/src/experiments/mix.rs
@@ -8,7 +8,7 @@
 const PHASE: f64 = 60.0;
 const PHASES: usize = 4;
 /// Share of capacity in each phase.
-const LOAD: f64 = 0.85;
+const LOAD: f64 = 0.9;
 /// Share of long calls when questions and when summaries prevail.
 const QUESTIONS: f64 = 0.01;
 const SUMMARIES: f64 = 0.35;
--- a/crates/usher_bench/src/workload.rs
+++ b/crates/usher_bench/src/workload.rs
@@ -17,10 +17,10 @@
 /// Share of stragglers and how many times longer their output is.
 const STRAGGLER_SHARE: f64 = 0.01;
 const STRAGGLER_FACTOR: f64 = 8.0;
-/// Deadline after arrival: a base, and a time for each output token at the inter-token goal.
-const SHORT_DEADLINE: f64 = 4.0;
-const LONG_DEADLINE: f64 = 15.0;
-const DEADLINE_PER_TOKEN: f64 = 0.079;
+/// Deadline after arrival: a base, and a time for each output token. The inter-token goal of 79 ms
+/// is for 95 in 100 tokens, so a whole short answer is expected at a better mean, 20 tokens/s.
+const SHORT_DEADLINE: (f64, f64) = (1.0, 0.050);
+const LONG_DEADLINE: (f64, f64) = (10.0, 0.079);
 /// Length of the prompt prefix that a team's calls share.
 const TEAM_PREFIX: u64 = 128;
 /// Length of a document that several long calls of a team are about, and the share of them.
@@ -140,7 +140,7 @@
         let firm = pick(random, &self.firm_weights);
         let region = pick(random, &self.region_weights);
         let team = random.random_range(0..fleet.teams_per_firm);
-        let (prompt, output, base) = match class {
+        let (prompt, output, (base, per_token)) = match class {
             WorkClass::Short => (
                 spread(random, SHORT_PROMPT).clamp(TEAM_PREFIX as f64 + 8.0, 1_024.0),
                 spread(random, SHORT_OUTPUT).clamp(8.0, 256.0),
@@ -161,7 +161,7 @@
             let document = random.random_range(1..=DOCUMENTS);
             marks.push(mark((account << 8) + document, DOCUMENT_PREFIX));
         }
-        let deadline = at + base + DEADLINE_PER_TOKEN * real as f64;
+        let deadline = at + base + per_token * real as f64;
         WorkItem {
             at: sim_time::from_seconds(at),
             region,
