usher_policy: short work is chosen by its first token

Cause: half of the output time in the score of short work made targets near-best whose first tokens were 200 ms apart. Change: the output counts a tenth; near-best within 10% instead of 15%.

--- a/crates/usher_policy/src/route.rs
+++ b/crates/usher_policy/src/route.rs
@@ -15,7 +15,7 @@
 /// Holders of the longest known prefix that are scored in addition to the sample.
 const HOLDER_SAMPLE: usize = 8;
 /// Candidates within this share and this time of the best are as good as the best.
-const NEAR_SHARE: f64 = 0.15;
+const NEAR_SHARE: f64 = 0.10;
 const NEAR_SECONDS: f64 = 0.010;
 /// Candidates kept in a decision for explanations.
 const EXPLAINED: usize = 8;
@@ -28,7 +28,7 @@
 const STRAGGLER_SECONDS: f64 = 0.05;
 /// Share of the expected time per output token that counts for short and long work: short work
 /// wants its first token, long work its last.
-const SHORT_OUTPUT_WEIGHT: f64 = 0.5;
+const SHORT_OUTPUT_WEIGHT: f64 = 0.1;
 const LONG_OUTPUT_WEIGHT: f64 = 1.0;
 
 usher_types::value_type! {
