usher_policy: long work is confined to its share of the engines

Cause: prefill of long prompts ran on all engines, so short work waited everywhere. Change: each daemon marks as many mixed engines as long work's share of the work, in turn from each region by name; long work elsewhere costs 4 s in the score.

--- a/crates/usher_policy/src/route.rs
+++ b/crates/usher_policy/src/route.rs
@@ -26,6 +26,9 @@
 const BYTES_PER_TOKEN: f64 = 6.0;
 /// Seconds added for each own straggler on a target.
 const STRAGGLER_SECONDS: f64 = 0.05;
+/// Seconds added for long work on an engine that is kept for short work: long work goes there only
+/// when its own engines are this far behind.
+const KEPT_SECONDS: f64 = 4.0;
 /// Share of the expected time per output token that counts for short and long work: short work
 /// wants its first token, long work its last.
 const SHORT_OUTPUT_WEIGHT: f64 = 0.1;
@@ -370,7 +373,9 @@
         0.0
     };
     let crowding = f64::from(state.stragglers) * STRAGGLER_SECONDS;
-    let expected = first_token + output * output_weight(request) + crowding + cost;
+    let kept = request.class == WorkClass::Long && !state.for_long;
+    let reserve = if kept { KEPT_SECONDS } else { 0.0 };
+    let expected = first_token + output * output_weight(request) + crowding + cost + reserve;
     CandidateScore {
         slot,
         first_token: seconds(first_token),
--- a/crates/usher_policy/src/state.rs
+++ b/crates/usher_policy/src/state.rs
@@ -72,6 +72,8 @@
     pub(crate) failed_at: Option<time::Instant>,
     /// Weight from the detector of slow targets.
     pub(crate) weight: f64,
+    /// Whether long work is welcome.
+    pub(crate) for_long: bool,
 }
 
 impl TargetState {
@@ -90,6 +92,7 @@
             failures: 0,
             failed_at: None,
             weight: 1.0,
+            for_long: true,
         }
     }
 
--- a/crates/usher_policy/src/table.rs
+++ b/crates/usher_policy/src/table.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, time};
 
-use usher_types::{RegionName, ServiceName, TargetName, TokenCount, WorkClass};
+use usher_types::{EngineRole, RegionName, ServiceName, TargetName, TokenCount, WorkClass};
 
 use crate::{prefix, request, settings, slot, slow, state, target};
 
@@ -24,6 +24,12 @@
 /// Time that one more running call adds to a batch step, relative to the step of an empty batch.
 const STEP_GROWTH: f64 = 0.02;
 
+/// Time over which the work of each class is averaged, for confining long work.
+const WORK_MEMORY: time::Duration = time::Duration::from_secs(15);
+/// Part of an engine for long work beyond its share of the work, so that long work isn't queued
+/// while short work has room.
+const LONG_MARGIN: f64 = 0.5;
+
 /// How old the weights of targets may be; sorting all targets for each decision costs too much.
 const REFRESH_EVERY: time::Duration = time::Duration::from_millis(20);
 
@@ -58,6 +64,9 @@
     prefixes: prefix::PrefixMap,
     detector: slow::SlowDetector,
     short_share: f64,
+    /// Recent work of short and long calls in engine-seconds, and when it was last faded.
+    work: [f64; 2],
+    work_at: Option<time::Instant>,
     refreshed: collections::BTreeMap<ServiceName, time::Instant>,
 }
 
@@ -74,6 +83,8 @@
             prefixes: prefix::PrefixMap::default(),
             detector: slow::SlowDetector::new(),
             short_share: 0.5,
+            work: [0.0; 2],
+            work_at: None,
             refreshed: collections::BTreeMap::new(),
         }
     }
@@ -173,6 +184,7 @@
             request::WorkPart::Decode => 0.0,
             _ => self.prefill_work(request, slot),
         };
+        self.note_work(request, prefill, now);
         let total = request.prompt.get().saturating_add(request.output.get());
         let load = state::load_of(request.class, prefill, TokenCount::new(total));
         let share = f64::from(u8::from(request.class == WorkClass::Short));
@@ -399,9 +411,47 @@
         for (slot, weight) in groups.iter().flatten().zip(weights.iter().flatten()) {
             self.states[slot.index()].weight = *weight;
         }
+        self.confine_long(&groups);
         self.refreshed.insert(service.clone(), now);
     }
 
+    /// Marks the mixed engines that long work is confined to: its share of the work, taken in
+    /// turn from each region in the order of names, so that all daemons mark nearly the same.
+    fn confine_long(&mut self, groups: &[Vec<slot::TargetSlot>]) {
+        let mixed = |slot: &&slot::TargetSlot| {
+            let state = &self.states[slot.index()];
+            state.takes_work() && state.info.role == EngineRole::Mixed && state.weight > 0.5
+        };
+        let open: Vec<Vec<slot::TargetSlot>> = groups
+            .iter()
+            .map(|group| group.iter().filter(mixed).copied().collect())
+            .collect();
+        let count: usize = open.iter().map(Vec::len).sum();
+        let [short, long] = self.work;
+        let share = long / (short + long).max(f64::MIN_POSITIVE);
+        let wanted = (share * count as f64 + LONG_MARGIN).ceil() as usize;
+        for slot in groups.iter().flatten() {
+            self.states[slot.index()].for_long = false;
+        }
+        let longest = open.iter().map(Vec::len).max().unwrap_or(0);
+        let turns = (0..longest).flat_map(|turn| open.iter().map(move |group| group.get(turn)));
+        let chosen: Vec<slot::TargetSlot> = turns.flatten().take(wanted).copied().collect();
+        for slot in chosen {
+            self.states[slot.index()].for_long = true;
+        }
+    }
+
+    fn note_work(&mut self, request: &request::CallRequest, prefill: f64, now: time::Instant) {
+        let since = self.work_at.replace(now).unwrap_or(now);
+        let elapsed = now.saturating_duration_since(since).as_secs_f64();
+        let factor = (-elapsed / WORK_MEMORY.as_secs_f64()).exp();
+        self.work = self.work.map(|work| work * factor);
+        let token = self.settings.token_time.as_secs_f64()
+            * (1.0 / f64::from(self.settings.batch_limit.max(1)) + STEP_GROWTH);
+        let work = prefill / self.settings.prefill_rate + request.remaining().get() as f64 * token;
+        self.work[usize::from(request.class == WorkClass::Long)] += work;
+    }
+
     /// Returns a slow target of the service whose probe is due.
     pub(crate) fn take_probe(
         &mut self,
