Measure the overhead of the entry against direct calls

Cause: what the entry adds to a short request wasn't known. Change: pimentousher::overhead::measure_overhead compares calls through an entry with calls straight to a fake engine in turns within one run, and tells the processor time of the entry's own threads; an example prints it. Conclusion: the baseline; the largest cost is looked for next.

--- a/crates/pimentousher/src/lib.rs
+++ b/crates/pimentousher/src/lib.rs
@@ -9,3 +9,5 @@
 pub mod error;
 pub mod file;
 pub mod leader;
+pub mod overhead;
+pub mod thread_time;
