--- a/crates/pimentousher/tests/leader.rs
+++ b/crates/pimentousher/tests/leader.rs
@@ -14,6 +14,8 @@
 enum Reply {
     /// Closes the connection after reading the request.
     Lose,
+    /// Names itself as the leader.
+    RedirectToSelf,
     /// Answers with a status line, extra headers and a body.
     Answer(&'static str, String, &'static str),
 }
@@ -35,6 +37,10 @@
                 let (mut socket, _) = listener.accept().await.unwrap();
                 let body = read_body(&mut socket).await;
                 kept.lock().unwrap().push(body);
+                let reply = match reply {
+                    Reply::RedirectToSelf => redirect_to(address),
+                    other => other,
+                };
                 if let Reply::Answer(status, headers, body) = reply {
                     let text = format!(
                         "HTTP/1.1 {status}\r\n{headers}content-length: {}\r\n\r\n{body}",
@@ -125,25 +131,31 @@
     assert_eq!((first.bodies().len(), second.bodies().len()), (2, 2));
 }
 
-/// Guards against two nodes that send a request back and forth for ever.
+/// Guards against nodes that send a request back and forth for ever.
 #[tokio::test]
 async fn redirects_in_a_circle_end() {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
-    drop(listener);
-    let replies = vec![redirect_to(address); 1];
-    let node = StandInNode::start(replies).await;
+    let node = StandInNode::start(vec![Reply::RedirectToSelf; 40]).await;
     let leader = LeaderClient::new(vec![node.address], Duration::from_millis(600));
     let error = leader.get("/v1/config").await.unwrap_err();
+    let text = error.to_string();
     assert!(
-        error
-            .to_string()
-            .contains("no leader answered within 600ms"),
-        "{error}"
+        text.contains("the nodes don't agree on a leader yet"),
+        "{text}"
     );
     assert_eq!(error.exit_code(), 1);
 }
 
+/// Guards against a redirect to a leader that is gone, which the next node would know.
+#[tokio::test]
+async fn redirect_to_a_dead_node_goes_on_with_the_next() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let dead = listener.local_addr().unwrap();
+    drop(listener);
+    let first = StandInNode::start(vec![redirect_to(dead)]).await;
+    let second = StandInNode::start(vec![ok("{}")]).await;
+    post(&[&first, &second]).await.unwrap();
+}
+
 /// Guards against a refusal that is taken for a fault of the node and asked again.
 #[tokio::test]
 async fn refusal_is_returned_at_once() {
