Wire up bench, the pace of orders and gauges of control

Cause: bench had no command; the settings of control named links and metrics that nothing read, and the pace of orders couldn't be set. Change: bench passes its options to usher_bench; [orders] replaces [links] in control settings; the control daemon reports leader, term, commit, applied and violated invariants and flushes them.

--- a/crates/pimentousher/src/args.rs
+++ b/crates/pimentousher/src/args.rs
@@ -192,6 +192,11 @@
         error::CommandError::usage(self.command, message)
     }
 
+    /// Refuses a value for the reason that its type gives.
+    pub(crate) fn wrong(&self, reason: impl std::fmt::Display) -> error::CommandError {
+        error::CommandError::usage(self.command, reason)
+    }
+
     /// Refuses an argument that the command doesn't know.
     pub(crate) fn unexpected(&self, argument: &OwnedArg) -> error::CommandError {
         let shown = match argument {
--- a/crates/pimentousher/src/command/bench.rs
+++ b/crates/pimentousher/src/command/bench.rs
@@ -1,12 +1,113 @@
 //! `bench`: measures routing decisions in virtual time. Not for: real traffic.
 
+use std::{path, str};
+
 use crate::{args, command::CommandOutput, error};
 
-const HELP: &str = "usage: pimentousher bench [OPTIONS]\n\n  --help";
+const HELP: &str = "\
+Measures the routing decisions in virtual time against baselines, with small fake engines.
+A fixed seed gives identical figures.
+
+usage: pimentousher bench EXPERIMENT [OPTIONS]
+
+experiments: mix, crest, blocking, slowdown, drain, region, limits, overhead, scale, all
+
+options:
+  --policy NAME      only this policy (default: the product's and all baselines)
+  --fleet NAME       loo-round or contas-tercos (default: loo-round)
+  --seed N           seed (default: 1)
+  --workload FILE    CSV that replaces the made workload of mix
+  --format FORMAT    table or json (default: table)
+  --plot DIR         write plots into a folder
+  --quick            shorten the phases
+  --help             print this help
+
+exit codes: 0 all goals hold, 1 some goal is missed, 2 wrong command line";
+
+/// What was asked on the command line.
+#[derive(Debug, Default)]
+struct BenchArgs {
+    experiment: Option<String>,
+    policy: Option<String>,
+    fleet: Option<String>,
+    seed: u64,
+    workload: Option<path::PathBuf>,
+    plot: Option<path::PathBuf>,
+    quick: bool,
+    format: args::OutputFormat,
+}
 
 pub(super) fn run(mut reader: args::ArgReader<'_>) -> Result<CommandOutput, error::CommandError> {
-    if reader.next()? == Some(args::OwnedArg::Long("help".to_owned())) {
+    let Some(arguments) = read(&mut reader)? else {
         return Ok(CommandOutput::ok(format!("{HELP}\n")));
+    };
+    let options = options(&reader, &arguments)?;
+    let report = usher_bench::run(&options).map_err(error::CommandError::failed)?;
+    let text = match arguments.format {
+        args::OutputFormat::Json => report.to_json().map_err(error::CommandError::failed)? + "\n",
+        _ => report.to_string(),
+    };
+    let failed = !report.all_hold();
+    Ok(CommandOutput { text, failed })
+}
+
+fn read(reader: &mut args::ArgReader<'_>) -> Result<Option<BenchArgs>, error::CommandError> {
+    let mut found = BenchArgs {
+        seed: 1,
+        ..BenchArgs::default()
+    };
+    while let Some(argument) = reader.next()? {
+        match &argument {
+            args::OwnedArg::Long(name) => match name.as_str() {
+                "help" => return Ok(None),
+                "policy" => found.policy = Some(reader.parse("a policy")?),
+                "fleet" => found.fleet = Some(reader.parse("a fleet")?),
+                "seed" => found.seed = reader.parse("a whole number")?,
+                "workload" => found.workload = Some(reader.value()?.into()),
+                "plot" => found.plot = Some(reader.value()?.into()),
+                "format" => found.format = reader.parse("table or json")?,
+                "quick" => found.quick = true,
+                _ => return Err(reader.unexpected(&argument)),
+            },
+            args::OwnedArg::Value(value) if found.experiment.is_none() => {
+                found.experiment = Some(value.to_string_lossy().into_owned());
+            }
+            args::OwnedArg::Value(_) => return Err(reader.unexpected(&argument)),
+        }
     }
-    Err(error::CommandError::failed("bench is not wired up yet"))
+    Ok(Some(found))
+}
+
+fn options(
+    reader: &args::ArgReader<'_>,
+    arguments: &BenchArgs,
+) -> Result<usher_bench::BenchOptions, error::CommandError> {
+    let Some(experiment) = &arguments.experiment else {
+        return Err(reader.missing("EXPERIMENT"));
+    };
+    let mut options = usher_bench::BenchOptions::new(parse(reader, experiment)?);
+    options = options.with_seed(arguments.seed);
+    if let Some(policy) = &arguments.policy {
+        options = options.with_policy(parse(reader, policy)?);
+    }
+    if let Some(fleet) = &arguments.fleet {
+        options = options.with_fleet(parse(reader, fleet)?);
+    }
+    if let Some(workload) = &arguments.workload {
+        options = options.with_workload(workload.clone());
+    }
+    if let Some(folder) = &arguments.plot {
+        options = options.with_plot(folder.clone());
+    }
+    if arguments.quick {
+        options = options.with_quick();
+    }
+    Ok(options)
+}
+
+fn parse<T>(reader: &args::ArgReader<'_>, text: &str) -> Result<T, error::CommandError>
+where
+    T: str::FromStr<Err = usher_bench::BenchError>,
+{
+    text.parse().map_err(|error| reader.wrong(error))
 }
--- a/crates/pimentousher/src/daemon/control.rs
+++ b/crates/pimentousher/src/daemon/control.rs
@@ -1,6 +1,8 @@
 //! The control daemon from its settings. Not for: what control does.
 
-use std::path;
+use std::{path, time};
+
+use cadence::Gauged as _;
 
 use crate::{daemon, error, file};
 
@@ -42,7 +44,14 @@
         .with_wire_address(member.address)
         .with_operator_address(member.operators)
         .with_peers(peers.collect())
-        .with_voters(voters.len());
+        .with_voters(voters.len())
+        .with_listen(settings.wire_listen, settings.operator_listen)
+        .with_weight_store(
+            settings.orders.weight_store_rate,
+            settings.orders.weight_store_burst,
+        )
+        .with_orders_per_service(usize::try_from(settings.orders.per_service).unwrap_or(1))
+        .with_engine_timeout(settings.orders.engine_timeout);
     Ok(options)
 }
 
@@ -66,6 +75,47 @@
         operators = %node.operator_address(),
         "control is listening"
     );
+    let gauges = tokio::spawn(send_gauges(
+        node.replica().clone(),
+        daemon::metric_client(&settings.metrics, &settings.node.name)?,
+        settings.metrics.interval,
+    ));
+    let ended = serve(node).await;
+    gauges.abort();
+    ended
+}
+
+/// Reports the state of the replica until the task is aborted.
+async fn send_gauges(
+    replica: usher_replica::ReplicaHandle<usher_state::FleetState>,
+    client: cadence::StatsdClient,
+    interval: time::Duration,
+) {
+    let mut ticks = tokio::time::interval(interval);
+    loop {
+        ticks.tick().await;
+        let status = replica.status();
+        let leads = status.role == usher_replica::ReplicaRole::Leader;
+        let gauges = [
+            ("control.leader", u64::from(leads)),
+            ("control.term", status.term.get()),
+            ("control.commit", status.commit.get()),
+            ("control.applied", status.applied.get()),
+            (
+                "control.invariants_violated",
+                usher_types::violation_count(),
+            ),
+        ];
+        for (name, value) in gauges {
+            // A metric that can't be sent must not end the daemon.
+            let _ = client.gauge(name, value);
+        }
+        let _ = client.flush();
+    }
+}
+
+/// Runs until a signal or a failure.
+async fn serve(node: usher_control::RunningControl) -> Result<(), error::CommandError> {
     tokio::select! {
         signal = daemon::wait_for_stop() => {
             tracing::info!(signal = signal?, "control is stopping");
--- a/crates/pimentousher/tests/commands.rs
+++ b/crates/pimentousher/tests/commands.rs
@@ -114,3 +114,29 @@
         "{errors}"
     );
 }
+
+/// Guards against figures that differ between two runs of the same seed.
+#[test]
+fn bench_repeats_for_a_seed() {
+    let run = || {
+        program(&[
+            "bench", "slowdown", "--quick", "--seed", "3", "--format", "json",
+        ])
+    };
+    let first = run();
+    let rows: serde_json::Value = serde_json::from_slice(&first.stdout).unwrap();
+    assert!(!rows["rows"].as_array().unwrap().is_empty());
+    assert_eq!(first.stdout, run().stdout);
+}
+
+/// Guards against a typing error that is answered without the names that are accepted.
+#[test]
+fn unknown_experiment_is_refused() {
+    let output = program(&["bench", "peak"]);
+    let errors = String::from_utf8(output.stderr).unwrap();
+    assert_eq!(output.status.code(), Some(2));
+    assert!(
+        errors.contains("\"peak\"") && errors.contains("mix, crest"),
+        "{errors}"
+    );
+}
--- a/crates/pimentousher/tests/control_process.rs
+++ b/crates/pimentousher/tests/control_process.rs
@@ -18,6 +18,11 @@
 
 impl Group {
     fn start(name: &str) -> Self {
+        Self::start_with(name, "")
+    }
+
+    /// Starts a group whose settings have further sections.
+    fn start_with(name: &str, sections: &str) -> Self {
         let folder = TempFolder::new(name);
         let mut members = String::new();
         let mut operators = Vec::new();
@@ -40,7 +45,7 @@
         for number in 1..=3 {
             let text = format!(
                 "[process]\nkind = control\n\n[node]\ncluster = test\nname = control-{number}\n\
-                 region = south-a\ndomain = south-a-{number}\ndata = {}\n\n{members}",
+                 region = south-a\ndomain = south-a-{number}\ndata = {}\n\n{members}{sections}",
                 group.folder.0.join(format!("control-{number}")).display()
             );
             group.folder.write(&format!("control-{number}.ini"), &text);
@@ -174,3 +179,28 @@
         "{lost:?}"
     );
 }
+
+/// Guards against metrics that stay in a buffer, or name another node.
+#[test]
+fn gauges_reach_the_collector() {
+    let collector = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+    collector
+        .set_read_timeout(Some(support::HANG_LIMIT))
+        .unwrap();
+    let address = collector.local_addr().unwrap();
+    let sections = format!("[metrics]\nstatsd = {address}\ninterval = 1s\n");
+    let _group = Group::start_with("control-metrics", &sections);
+    let mut buffer = [0; 2048];
+    until("a leader's gauge", || {
+        let (count, _) = collector.recv_from(&mut buffer).unwrap();
+        let text = std::str::from_utf8(&buffer[..count]).unwrap();
+        let leads = text
+            .lines()
+            .find(|line| line.contains("control.leader:1|g"))?;
+        assert!(
+            leads.starts_with("pimentousher.control.leader:1|g|#node:control-"),
+            "{leads}"
+        );
+        Some(())
+    });
+}
--- a/crates/usher_config/src/lib.rs
+++ b/crates/usher_config/src/lib.rs
@@ -9,7 +9,7 @@
 pub use settings::{
     setting_keys, AccountSettings, ControlGroup, ControlMember, ControlPart, ControlSettings,
     EntrySettings, FakeEngineSettings, FakeSettings, LimitSettings, LinkSettings, LogFormat,
-    LogSettings, MetricSettings, NodeSettings, ObjectiveSettings, OperatorSettings,
+    LogSettings, MetricSettings, NodeSettings, ObjectiveSettings, OperatorSettings, OrderSettings,
     ProcessSettings, RoutingSettings, SettingKey, SettingsError, SettingsErrors, ShareValue,
     TeamAccount,
 };
--- a/crates/usher_config/src/settings/mod.rs
+++ b/crates/usher_config/src/settings/mod.rs
@@ -8,6 +8,7 @@
 mod links;
 mod node;
 mod objectives;
+mod orders;
 mod output;
 mod process;
 mod reader;
@@ -22,6 +23,7 @@
 pub use links::LinkSettings;
 pub use node::NodeSettings;
 pub use objectives::ObjectiveSettings;
+pub use orders::OrderSettings;
 pub use output::{LogSettings, MetricSettings};
 pub use process::{
     setting_keys, ControlSettings, EntrySettings, OperatorSettings, ProcessSettings, SettingKey,
--- a/crates/usher_config/src/settings/process.rs
+++ b/crates/usher_config/src/settings/process.rs
@@ -3,7 +3,8 @@
 use std::net;
 
 use crate::settings::{
-    accounts, control, error, fake, limits, links, node, objectives, output, reader, routing, value,
+    accounts, control, error, fake, limits, links, node, objectives, orders, output, reader,
+    routing, value,
 };
 
 usher_types::value_type! {
@@ -43,8 +44,8 @@
         pub wire_listen: Option<net::SocketAddr>,
         /// Where to listen for operators when that isn't the address of the own section.
         pub operator_listen: Option<net::SocketAddr>,
-        /// One-way delays.
-        pub links: links::LinkSettings,
+        /// Pace of orders to engines.
+        pub orders: orders::OrderSettings,
         /// Log output.
         pub log: output::LogSettings,
         /// Metrics output.
@@ -190,7 +191,7 @@
         control: control::ControlGroup::read(file),
         wire_listen: file.section("listen").optional("wire"),
         operator_listen: file.section("listen").optional("operators"),
-        links: links::LinkSettings::read(file),
+        orders: orders::OrderSettings::read(file),
         log: output::LogSettings::read(file),
         metrics: output::MetricSettings::read(file),
     };
