Wire up the entry daemon

Cause: the entry library has landed; its daemon and records were missing. Change: settings become options, routing estimates, link delays and account weights; outcomes go through a bounded queue to a thread that keeps the burn records; SIGTERM drains, at most for [limits] drain.

--- a/crates/pimentousher/src/daemon/control.rs
+++ b/crates/pimentousher/src/daemon/control.rs
@@ -110,7 +110,6 @@
             // A metric that can't be sent must not end the daemon.
             let _ = client.gauge(name, value);
         }
-        let _ = client.flush();
     }
 }
 
--- a/crates/pimentousher/src/daemon/entry.rs
+++ b/crates/pimentousher/src/daemon/entry.rs
@@ -1,8 +1,88 @@
 //! The entry daemon from its settings. Not for: what an entry does.
 
-use std::path;
+use std::{net, path, time};
 
-use crate::error;
+use usher_config::{EntrySettings, ProcessSettings};
+
+use crate::{
+    daemon::{self, recorder},
+    error, file,
+};
+
+/// How long the last bytes of answers get to leave after the last request.
+const LAST_BYTES: time::Duration = time::Duration::from_millis(200);
+
+/// Makes the options of an entry from its settings.
+pub fn entry_options(settings: &EntrySettings) -> usher_entry::EntryOptions {
+    let node = &settings.node;
+    let limits = &settings.limits;
+    let body = usize::try_from(limits.body.get()).unwrap_or(usize::MAX);
+    usher_entry::EntryOptions::new(node.name.as_str(), node.region.as_str())
+        .with_domain(node.domain.clone())
+        .with_bind(settings.listen)
+        .with_max_body(body)
+        .with_first_token_timeout(limits.first_token)
+        .with_stall_timeout(limits.stall)
+        .with_plain_timeout(limits.plain)
+        .with_caller_timeout(limits.caller)
+}
+
+/// Returns where an entry connects to control, the nearest nodes first.
+pub fn control_addresses(settings: &EntrySettings) -> Vec<net::SocketAddr> {
+    let node = &settings.node;
+    let mut members: Vec<_> = settings.control.members.iter().collect();
+    // Entries of a region start at different nodes of it, so that each serves a share of them.
+    let turn = usize::try_from(crc_of(node.name.as_str())).unwrap_or(0) % members.len().max(1);
+    members.rotate_left(turn);
+    members.sort_by_key(|member| member.region != node.region);
+    members.iter().map(|member| member.address).collect()
+}
+
+/// Spreads names evenly over the control nodes.
+fn crc_of(name: &str) -> u64 {
+    name.bytes().fold(7, |sum: u64, byte| {
+        sum.wrapping_mul(31).wrapping_add(u64::from(byte))
+    })
+}
+
+/// Makes the policies of an entry from its settings.
+pub fn entry_policy(
+    settings: &EntrySettings,
+    seed: u64,
+    now: time::Instant,
+) -> usher_policy::EntryPolicy {
+    let home = &settings.node.region;
+    let mut route = usher_policy::RouteSettings::new(home.as_str()).with_seed(seed);
+    let members = settings.control.members.iter();
+    for region in members
+        .map(|member| &member.region)
+        .filter(|region| *region != home)
+    {
+        route = route.with_link(region.as_str(), settings.links.between(home, region));
+    }
+    for (one, other) in settings.links.pairs.keys() {
+        for region in [one, other].into_iter().filter(|region| *region != home) {
+            route = route.with_link(region.as_str(), settings.links.between(home, region));
+        }
+    }
+    route.near_delay = settings.links.domain;
+    route.far_delay = settings.links.region;
+    route.far_cost_per_megabyte = settings.routing.megabyte_cost.as_secs_f64();
+    route.prefill_rate = settings.routing.prefill_rate.get();
+    route.token_time = settings.routing.token_time;
+    route.adapter_load = settings.routing.adapter_load;
+    route.batch_limit = settings.routing.batch;
+    route.first_token_goal = settings.objectives.first_token;
+    let mut policy = usher_policy::EntryPolicy::new(route);
+    let shares = policy.admit_mut().shares_mut();
+    for (firm, weight) in &settings.accounts.firms {
+        shares.set_firm_weight(firm, *weight, now);
+    }
+    for (team, account) in &settings.accounts.teams {
+        shares.set_team_weight(&account.firm, team, account.weight, now);
+    }
+    policy
+}
 
 /// Runs the entry daemon until it is told to stop.
 ///
@@ -10,6 +90,66 @@
 ///
 /// Fails when the settings are wrong or the node can't start.
 pub async fn run_entry(settings: &path::Path) -> Result<(), error::CommandError> {
-    let _ = settings;
-    Err(error::CommandError::failed("the entry is not wired up yet"))
+    let ProcessSettings::Entry(settings) = file::read_settings(settings)? else {
+        let message = "the settings are not for an entry: expected [process] kind = entry";
+        return Err(error::CommandError::Usage(message.to_owned()));
+    };
+    daemon::start_log(&settings.log)?;
+    let recorder = start_recorder(&settings)?;
+    let served = serve(&settings, recorder.sink()).await;
+    recorder.finish();
+    served
+}
+
+fn start_recorder(settings: &EntrySettings) -> Result<recorder::BurnRecorder, error::CommandError> {
+    let cooperative = &settings.accounts.cooperative;
+    match &settings.node.data {
+        Some(folder) => recorder::BurnRecorder::start(folder, cooperative),
+        None => Ok(recorder::BurnRecorder::none(cooperative)),
+    }
+}
+
+async fn serve(
+    settings: &EntrySettings,
+    outcomes: recorder::BurnSink,
+) -> Result<(), error::CommandError> {
+    let options = entry_options(settings);
+    let policy = entry_policy(settings, options.incarnation.get(), time::Instant::now());
+    let identity = usher_wire::WireIdentity {
+        cluster: settings.node.cluster.clone(),
+        node: settings.node.name.clone(),
+        incarnation: options.incarnation,
+    };
+    let link = usher_entry::WireLink::new(&control_addresses(settings), &identity);
+    let client = daemon::metric_client(&settings.metrics, &settings.node.name)?;
+    let (stop, signal) = usher_kernel::StopSource::new();
+    let node = usher_entry::EntryBuilder::new(options, link)
+        .with_policy(policy)
+        .with_outcomes(outcomes)
+        .with_metrics(client)
+        .start(signal)
+        .await
+        .map_err(|error| {
+            error::CommandError::Failed(format!(
+                "{} can't be listened on: {error}",
+                settings.listen
+            ))
+        })?;
+    let signal = daemon::wait_for_stop().await?;
+    tracing::info!(signal, "entry is draining");
+    stop.drain();
+    let drained = tokio::select! {
+        () = node.finished() => Ok(()),
+        () = tokio::time::sleep(settings.limits.drain) => Err(error::CommandError::Failed(format!(
+            "requests still ran after [limits] drain = {}",
+            humantime::format_duration(settings.limits.drain)
+        ))),
+        signal = daemon::wait_for_stop() => Err(error::CommandError::Failed(format!(
+            "ended by a second {} while requests still ran",
+            signal?
+        ))),
+    };
+    stop.stop();
+    tokio::time::sleep(LAST_BYTES).await;
+    drained
 }
--- a/crates/pimentousher/src/daemon/metrics.rs
+++ b/crates/pimentousher/src/daemon/metrics.rs
@@ -7,6 +7,9 @@
 /// The prefix of all metrics.
 const PREFIX: &str = "pimentousher";
 
+/// Metrics that may wait for the socket; more are dropped.
+const QUEUE: usize = 4_096;
+
 /// Makes a client for the settings; without an address, metrics go nowhere.
 ///
 /// # Errors
@@ -28,9 +31,9 @@
     socket
         .set_nonblocking(true)
         .map_err(error::CommandError::failed)?;
-    let sink = cadence::BufferedUdpMetricSink::from(address, socket);
+    let sink = cadence::UdpMetricSink::from(address, socket);
     let sink = sink.map_err(error::CommandError::failed)?;
-    let queue = cadence::QueuingMetricSink::from(sink);
+    let queue = cadence::QueuingMetricSink::with_capacity(sink, QUEUE);
     let builder = cadence::StatsdClient::builder(PREFIX, queue);
     Ok(builder.with_tag("node", node.as_str()).build())
 }
--- a/crates/pimentousher/src/daemon/mod.rs
+++ b/crates/pimentousher/src/daemon/mod.rs
@@ -5,11 +5,13 @@
 mod logging;
 mod metrics;
 mod program;
+mod recorder;
 mod signal;
 
 pub use control::{control_options, run_control};
-pub use entry::run_entry;
+pub use entry::{control_addresses, entry_options, entry_policy, run_entry};
 pub use logging::start_log;
 pub use metrics::metric_client;
 pub use program::{daemon_arguments, DaemonArgs};
+pub use recorder::{BurnRecorder, BurnSink};
 pub use signal::wait_for_stop;
--- /dev/null
+++ b/crates/pimentousher/src/daemon/recorder.rs
@@ -0,0 +1,162 @@
+//! Passes outcomes of requests to the burn records on disk. Not for: reports.
+
+use std::{
+    path,
+    sync::{self, atomic, mpsc},
+    thread, time,
+};
+
+use usher_entry::{OutcomeCause, OutcomeEvent, OutcomeSink};
+use usher_report::{BurnCause, BurnEvent, BurnStore, SeriesKey};
+
+use crate::error;
+
+/// Outcomes that may wait for the disk; more are dropped and counted, because a slow disk must
+/// not hold up requests.
+const QUEUE: usize = 16_384;
+/// Time between two flushes; a killed entry loses the counts of at most this time.
+const FLUSH: time::Duration = time::Duration::from_secs(5);
+
+/// What the thread that writes is told.
+#[derive(Debug)]
+enum RecorderMessage {
+    /// Count a request.
+    Count(BurnEvent),
+    /// Write what has been counted and end.
+    Finish,
+}
+
+/// Takes outcomes without blocking.
+#[derive(Clone, Debug)]
+pub struct BurnSink {
+    cooperative: String,
+    events: Option<mpsc::SyncSender<RecorderMessage>>,
+    dropped: sync::Arc<atomic::AtomicU64>,
+}
+
+impl OutcomeSink for BurnSink {
+    fn record(&self, event: OutcomeEvent) {
+        let (Some(events), Some(cause)) = (&self.events, burn_cause(event.cause)) else {
+            return;
+        };
+        let event = BurnEvent {
+            key: SeriesKey {
+                service: event.service,
+                cooperative: self.cooperative.clone(),
+            },
+            at: event.at,
+            cause,
+            first_token: event.first_token,
+        };
+        if events.try_send(RecorderMessage::Count(event)).is_err() {
+            self.dropped.fetch_add(1, atomic::Ordering::Relaxed);
+        }
+    }
+}
+
+/// Returns the cause as it is counted; a caller that goes away says nothing about the service.
+fn burn_cause(cause: OutcomeCause) -> Option<BurnCause> {
+    match cause {
+        OutcomeCause::Ok => Some(BurnCause::Ok),
+        OutcomeCause::Refused => Some(BurnCause::Refused),
+        OutcomeCause::Late => Some(BurnCause::Late),
+        OutcomeCause::SlowTarget => Some(BurnCause::SlowTarget),
+        OutcomeCause::Drain => Some(BurnCause::Drain),
+        OutcomeCause::Region => Some(BurnCause::Region),
+        OutcomeCause::Failed => Some(BurnCause::Failed),
+        OutcomeCause::Cancelled => None,
+    }
+}
+
+/// Writes outcomes to disk in a thread of its own.
+#[derive(Debug)]
+pub struct BurnRecorder {
+    sink: BurnSink,
+    thread: Option<thread::JoinHandle<()>>,
+}
+
+impl BurnRecorder {
+    /// Makes a recorder that keeps nothing, for an entry without a data folder.
+    pub fn none(cooperative: &str) -> Self {
+        let sink = BurnSink {
+            cooperative: cooperative.to_owned(),
+            events: None,
+            dropped: sync::Arc::default(),
+        };
+        Self { sink, thread: None }
+    }
+
+    /// Opens the records of a data folder.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the folder can't be used.
+    pub fn start(folder: &path::Path, cooperative: &str) -> Result<Self, error::CommandError> {
+        let now = time::SystemTime::now();
+        let store = BurnStore::open(folder, now).map_err(|error| {
+            error::CommandError::Failed(format!("{error}\ncheck [node] data and its disk"))
+        })?;
+        let (events, queue) = mpsc::sync_channel(QUEUE);
+        let dropped = sync::Arc::<atomic::AtomicU64>::default();
+        let counter = dropped.clone();
+        let thread = thread::Builder::new()
+            .name("burn-records".to_owned())
+            .spawn(move || run(store, &queue, &counter))
+            .map_err(error::CommandError::failed)?;
+        let sink = BurnSink {
+            cooperative: cooperative.to_owned(),
+            events: Some(events),
+            dropped,
+        };
+        let thread = Some(thread);
+        Ok(Self { sink, thread })
+    }
+
+    /// Returns where outcomes go.
+    pub fn sink(&self) -> BurnSink {
+        self.sink.clone()
+    }
+
+    /// Writes what has been counted and ends; later outcomes are not kept.
+    pub fn finish(mut self) {
+        if let Some(events) = self.sink.events.take() {
+            let _ = events.send(RecorderMessage::Finish);
+        }
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+fn run(mut store: BurnStore, queue: &mpsc::Receiver<RecorderMessage>, dropped: &atomic::AtomicU64) {
+    let mut next_flush = time::Instant::now() + FLUSH;
+    loop {
+        let left = next_flush.saturating_duration_since(time::Instant::now());
+        let ended = match queue.recv_timeout(left) {
+            Ok(RecorderMessage::Count(event)) => {
+                store.record(&event);
+                false
+            }
+            Err(mpsc::RecvTimeoutError::Timeout) => false,
+            Ok(RecorderMessage::Finish) | Err(mpsc::RecvTimeoutError::Disconnected) => true,
+        };
+        if !ended && time::Instant::now() < next_flush {
+            continue;
+        }
+        flush(&mut store, dropped);
+        next_flush = time::Instant::now() + FLUSH;
+        if ended {
+            return;
+        }
+    }
+}
+
+fn flush(store: &mut BurnStore, dropped: &atomic::AtomicU64) {
+    if let Err(error) = store.flush(time::SystemTime::now()) {
+        tracing::warn!(%error, "burn records can't be written; they are kept in memory");
+    }
+    let lost = dropped.swap(0, atomic::Ordering::Relaxed);
+    if lost > 0 {
+        tracing::warn!(lost, "outcomes were not recorded because the disk is slow");
+    }
+}
--- a/crates/usher_config/src/settings/links.rs
+++ b/crates/usher_config/src/settings/links.rs
@@ -16,8 +16,6 @@
         pub domain: time::Duration,
         /// Between regions that have no value of their own.
         pub region: time::Duration,
-        /// Between callers and entries.
-        pub caller: time::Duration,
         /// Between two regions, each pair once, in order.
         pub pairs: collections::BTreeMap<RegionPair, time::Duration>,
     }
@@ -42,14 +40,9 @@
         let settings = Self {
             domain: section.or("domain", time::Duration::from_micros(1_500)),
             region: section.or("region", time::Duration::from_millis(30)),
-            caller: section.or("caller", time::Duration::from_millis(3)),
             pairs: read_pairs(file),
         };
-        let delays = [
-            ("domain", settings.domain),
-            ("region", settings.region),
-            ("caller", settings.caller),
-        ];
+        let delays = [("domain", settings.domain), ("region", settings.region)];
         for (key, delay) in delays {
             section.check(delay <= MAX_DELAY, key, "expected a delay of at most 2s");
         }
