Add the demo: a whole installation under a mixed load

Cause: the guarantees need to be seen with all parts together, and callers need something to try against. Conclusion: the demo runs; that it notices faults is still to be shown.

--- a/crates/pimentousher/src/command/demo.rs
+++ b/crates/pimentousher/src/command/demo.rs
@@ -1,12 +1,66 @@
 //! `demo`: runs a whole installation on loopback. Not for: real traffic.
 
-use crate::{args, command::CommandOutput, error};
+use std::net;
 
-const HELP: &str = "usage: pimentousher demo [OPTIONS]\n\n  --help";
+use crate::{args, command::CommandOutput, daemon, demo, error};
+
+const HELP: &str = "\
+Runs a whole installation inside one process on loopback: three control nodes, three entries, six
+fake engines and a plain service. Sends a mixed load while an engine crashes and an entry stops,
+and checks every answer.
+
+usage: pimentousher demo [OPTIONS]
+
+options:
+  --format FORMAT    table or json (default: table)
+  --serve IP:PORT    send no load; serve callers at this address until SIGTERM, and print the base
+                     URL and the model names
+  --verbose          write the log of all parts to standard error
+  --help             print this help
+
+exit codes: 0 no request was doubled or lost, 1 some was or the demo failed, 2 wrong command line";
+
+#[derive(Debug, Default)]
+struct DemoArgs {
+    format: args::OutputFormat,
+    serve: Option<net::SocketAddr>,
+    verbose: bool,
+}
 
 pub(super) fn run(mut reader: args::ArgReader<'_>) -> Result<CommandOutput, error::CommandError> {
-    if reader.next()? == Some(args::OwnedArg::Long("help".to_owned())) {
+    let Some(arguments) = read(&mut reader)? else {
         return Ok(CommandOutput::ok(format!("{HELP}\n")));
+    };
+    if arguments.verbose {
+        daemon::start_log(&usher_config::LogSettings::default())?;
+    }
+    let runtime = tokio::runtime::Runtime::new().map_err(error::CommandError::failed)?;
+    if let Some(address) = arguments.serve {
+        runtime.block_on(demo::serve(address))?;
+        return Ok(CommandOutput::default());
+    }
+    let count = runtime.block_on(demo::run())?;
+    let text = match arguments.format {
+        args::OutputFormat::Json => demo::demo_json(&count),
+        _ => demo::demo_table(&count),
+    };
+    let failed = !count.is_good();
+    Ok(CommandOutput { text, failed })
+}
+
+fn read(reader: &mut args::ArgReader<'_>) -> Result<Option<DemoArgs>, error::CommandError> {
+    let mut found = DemoArgs::default();
+    while let Some(argument) = reader.next()? {
+        match &argument {
+            args::OwnedArg::Long(name) => match name.as_str() {
+                "help" => return Ok(None),
+                "format" => found.format = reader.parse("table or json")?,
+                "serve" => found.serve = Some(reader.parse("IP:PORT")?),
+                "verbose" => found.verbose = true,
+                _ => return Err(reader.unexpected(&argument)),
+            },
+            args::OwnedArg::Value(_) => return Err(reader.unexpected(&argument)),
+        }
     }
-    Err(error::CommandError::failed("demo is not wired up yet"))
+    Ok(Some(found))
 }
--- /dev/null
+++ b/crates/pimentousher/src/demo/count.rs
@@ -0,0 +1,71 @@
+//! What became of the demo's requests. Not for: sending them.
+
+use std::time;
+
+/// Percentiles of a duration, in ms.
+#[derive(Clone, Copy, Debug, Default, PartialEq, serde::Serialize)]
+pub struct TimeFigures {
+    /// Half of all durations are at most this.
+    pub p50: f64,
+    /// 95 in 100 are at most this.
+    pub p95: f64,
+    /// 99 in 100 are at most this.
+    pub p99: f64,
+}
+
+impl TimeFigures {
+    /// Computes the percentiles by the nearest rank; no durations give zeros.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use pimentousher::demo::TimeFigures;
+    /// let mut times: Vec<_> = (1..=200).map(Duration::from_millis).collect();
+    /// let figures = TimeFigures::of(&mut times);
+    /// assert_eq!((figures.p50, figures.p95, figures.p99), (100.0, 190.0, 198.0));
+    /// ```
+    pub fn of(times: &mut [time::Duration]) -> Self {
+        times.sort_unstable();
+        let at = |percent: usize| {
+            let rank = (times.len() * percent).div_ceil(100).max(1);
+            let found = times.get(rank - 1).copied().unwrap_or_default();
+            (found.as_secs_f64() * 1e5).round() / 1e2
+        };
+        Self {
+            p50: at(50),
+            p95: at(95),
+            p99: at(99),
+        }
+    }
+}
+
+/// What became of all requests.
+#[derive(Clone, Debug, Default, PartialEq, serde::Serialize)]
+pub struct DemoCount {
+    /// Requests of the plan; resends don't count.
+    pub requests: u64,
+    /// Requests with a whole and correct answer.
+    pub whole: u64,
+    /// Requests that were refused as not run until the caller gave up.
+    pub refused: u64,
+    /// Non-idempotent calls that the service ran more than once.
+    pub doubled: u64,
+    /// Accepted requests without a whole and correct answer.
+    pub lost: u64,
+    /// Requests that were sent again after a refusal or a broken connection.
+    pub resent: u64,
+    /// Time from sending to the first token.
+    pub first_token_ms: TimeFigures,
+    /// Time between two tokens of a stream.
+    pub inter_token_ms: TimeFigures,
+    /// Invariants that this process found violated.
+    pub invariants_violated: u64,
+    /// What went wrong, at most a few examples.
+    pub examples: Vec<String>,
+}
+
+impl DemoCount {
+    /// Returns whether no request was doubled or lost and no invariant was violated.
+    pub fn is_good(&self) -> bool {
+        self.doubled == 0 && self.lost == 0 && self.invariants_violated == 0
+    }
+}
--- /dev/null
+++ b/crates/pimentousher/src/demo/fleet.rs
@@ -0,0 +1,273 @@
+//! Starts and stops the parts of the demo. Not for: the load on them.
+
+use std::{net, time};
+
+use usher_entry::{EntryBuilder, EntryNode, EntryOptions, NullOutcomes, PartSet, WireLink};
+use usher_fake::{EngineOptions, FakeEngine, FakeService, ServiceOptions};
+
+use crate::{demo::folder, error, leader};
+
+const CLUSTER: &str = "demo";
+const REGIONS: [&str; 3] = ["south-a", "north-a", "west-a"];
+/// The model of the engines, as callers name it.
+pub(super) const MODEL: &str = "gum-8b";
+/// The plain service.
+pub(super) const SERVICE: &str = "rounds";
+/// How many times faster than the imitated engines the demo's engines run.
+const TIME_SCALE: f64 = 4.0;
+/// How long the parts may take to find each other, also on a busy host.
+const START_LIMIT: time::Duration = time::Duration::from_secs(20);
+/// Time between two announcements of a target.
+const ANNOUNCE: time::Duration = time::Duration::from_millis(500);
+
+/// Two engines per region, and one target of the plain service in the first two regions.
+const SHEET: &str = "\
+service,kind,region,model,version,adapters,prefill,decode,mixed,floor
+assist,engine,south-a,gum-8b,1,,0,0,2,1
+assist,engine,north-a,gum-8b,1,,0,0,2,1
+assist,engine,west-a,gum-8b,1,,0,0,2,1
+rounds,plain,south-a,,,,0,0,1,0
+rounds,plain,north-a,,,,0,0,1,0
+";
+
+type Node =
+    EntryNode<PartSet<WireLink, usher_types::SystemClock, NullOutcomes, usher_policy::EntryPolicy>>;
+
+/// One entry of the demo.
+pub(super) struct DemoEntry {
+    node: Node,
+    stop: usher_kernel::StopSource,
+}
+
+/// All parts of the demo.
+pub(super) struct DemoFleet {
+    control: Vec<usher_control::RunningControl>,
+    pub(super) entries: Vec<DemoEntry>,
+    pub(super) engines: Vec<FakeEngine>,
+    pub(super) services: Vec<FakeService>,
+    // Removed last, after everything that writes into it.
+    _folder: folder::TempFolder,
+}
+
+impl DemoFleet {
+    /// Starts everything and waits until callers are served; `bind` is where the first entry
+    /// listens.
+    pub(super) async fn start(bind: Option<net::SocketAddr>) -> Result<Self, error::CommandError> {
+        let folder = folder::TempFolder::new()?;
+        let control = start_control(&folder).await?;
+        let entries = start_entries(&control, bind).await?;
+        let addresses: Vec<_> = entries.iter().map(|entry| entry.node.address()).collect();
+        let engines = start_engines(&addresses).await?;
+        let services = start_services(&addresses).await?;
+        let fleet = Self {
+            control,
+            entries,
+            engines,
+            services,
+            _folder: folder,
+        };
+        fleet.apply_sheet().await?;
+        fleet.wait_until_ready().await?;
+        Ok(fleet)
+    }
+
+    /// Returns where the entries listen.
+    pub(super) fn addresses(&self) -> Vec<net::SocketAddr> {
+        self.entries
+            .iter()
+            .map(|entry| entry.node.address())
+            .collect()
+    }
+
+    async fn apply_sheet(&self) -> Result<(), error::CommandError> {
+        let operators = self.control.iter().map(|node| node.operator_address());
+        let leader = leader::LeaderClient::new(operators.collect(), START_LIMIT);
+        let body = serde_json::json!({
+            "operator": "demo", "request_id": "demo-1", "base_version": 0, "sheet": SHEET,
+        });
+        let answer = leader
+            .send(&http::Method::POST, "/v1/config", Some(&body))
+            .await?;
+        if answer.status == http::StatusCode::OK {
+            return Ok(());
+        }
+        Err(error::CommandError::Failed(format!(
+            "the demo's sheet was refused: {}",
+            answer.error_text()
+        )))
+    }
+
+    async fn wait_until_ready(&self) -> Result<(), error::CommandError> {
+        let targets = self.engines.len() + self.services.len();
+        let is_ready = || {
+            self.entries.iter().all(|entry| {
+                let status = entry.node.status();
+                status.ready && status.config.get() == 1 && status.targets == targets
+            })
+        };
+        let deadline = tokio::time::Instant::now() + START_LIMIT;
+        while !is_ready() {
+            if tokio::time::Instant::now() >= deadline {
+                let states: Vec<_> = self
+                    .entries
+                    .iter()
+                    .map(|entry| entry.node.status())
+                    .collect();
+                return Err(error::CommandError::Failed(format!(
+                    "the entries were not ready after {}: {states:?}",
+                    humantime::format_duration(START_LIMIT)
+                )));
+            }
+            tokio::time::sleep(time::Duration::from_millis(20)).await;
+        }
+        Ok(())
+    }
+
+    /// Stops everything in the order in which an operator would.
+    pub(super) async fn stop(self) {
+        for entry in &self.entries {
+            entry.stop.drain();
+        }
+        for entry in &self.entries {
+            entry.finish().await;
+        }
+        for engine in &self.engines {
+            engine.stop();
+        }
+        for service in &self.services {
+            service.stop();
+        }
+        for node in self.control {
+            node.stop().await;
+        }
+    }
+}
+
+impl DemoEntry {
+    /// Stops the entry as SIGTERM does: running requests end whole.
+    pub(super) async fn leave(&self) {
+        self.stop.drain();
+        self.finish().await;
+    }
+
+    async fn finish(&self) {
+        self.node.finished().await;
+        self.stop.stop();
+    }
+}
+
+/// Takes ports that are free now, because each control node must know those of the others.
+fn free_addresses(count: usize) -> Result<Vec<net::SocketAddr>, error::CommandError> {
+    let loopback = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0));
+    let listeners: Result<Vec<_>, _> = (0..count)
+        .map(|_| net::TcpListener::bind(loopback))
+        .collect();
+    let listeners = listeners.map_err(error::CommandError::failed)?;
+    let addresses: Result<Vec<_>, _> = listeners.iter().map(net::TcpListener::local_addr).collect();
+    addresses.map_err(error::CommandError::failed)
+}
+
+async fn start_control(
+    folder: &folder::TempFolder,
+) -> Result<Vec<usher_control::RunningControl>, error::CommandError> {
+    let ports = free_addresses(2 * REGIONS.len())?;
+    let (wires, operators) = ports.split_at(REGIONS.len());
+    let peers: Vec<_> = REGIONS
+        .iter()
+        .zip(wires.iter().zip(operators))
+        .enumerate()
+        .map(
+            |(place, (region, (wire, operator)))| usher_control::ControlPeer {
+                node: usher_types::NodeName::new(format!("control-{}", place + 1)),
+                wire_address: *wire,
+                operator_address: *operator,
+                region: usher_types::RegionName::new(*region),
+                domain: usher_types::DomainName::new(format!("{region}-1")),
+            },
+        )
+        .collect();
+    let mut nodes = Vec::new();
+    for peer in &peers {
+        let name = peer.node.as_str();
+        let options = usher_control::ControlOptions::new(name, folder.join(name))
+            .with_cluster(CLUSTER)
+            .with_region(peer.region.as_str())
+            .with_domain(peer.domain.as_str())
+            .with_wire_address(peer.wire_address)
+            .with_operator_address(peer.operator_address)
+            .with_peers(peers.clone())
+            .with_voters(peers.len());
+        let node = usher_control::ControlNode::new(options).start().await;
+        nodes.push(node.map_err(error::CommandError::failed)?);
+    }
+    Ok(nodes)
+}
+
+async fn start_entries(
+    control: &[usher_control::RunningControl],
+    bind: Option<net::SocketAddr>,
+) -> Result<Vec<DemoEntry>, error::CommandError> {
+    let mut entries = Vec::new();
+    for (place, region) in REGIONS.iter().enumerate() {
+        let name = format!("entry-{}", place + 1);
+        let mut options = EntryOptions::new(&name, region)
+            .with_domain(usher_types::DomainName::new(format!("{region}-1")));
+        if let (0, Some(address)) = (place, bind) {
+            options = options.with_bind(address);
+        }
+        let identity = usher_wire::WireIdentity {
+            cluster: CLUSTER.to_owned(),
+            node: options.name.clone(),
+            incarnation: options.incarnation,
+        };
+        // The control node of its own region first.
+        let mut wires: Vec<_> = control.iter().map(|node| node.wire_address()).collect();
+        wires.rotate_left(place);
+        let (stop, signal) = usher_kernel::StopSource::new();
+        let address = options.bind;
+        let node = EntryBuilder::new(options, WireLink::new(&wires, &identity))
+            .start(signal)
+            .await;
+        let node = node.map_err(|error| {
+            error::CommandError::Failed(format!("{address} can't be listened on: {error}"))
+        })?;
+        entries.push(DemoEntry { node, stop });
+    }
+    Ok(entries)
+}
+
+async fn start_engines(
+    entries: &[net::SocketAddr],
+) -> Result<Vec<FakeEngine>, error::CommandError> {
+    let mut engines = Vec::new();
+    for (region, number) in REGIONS.iter().flat_map(|region| [(region, 1), (region, 2)]) {
+        let options = EngineOptions::new(&format!("engine-{region}-{number}"))
+            .with_entries(entries.to_vec())
+            .with_service(usher_types::ServiceName::new("assist"))
+            .with_region(usher_types::RegionName::new(*region))
+            .with_domain(usher_types::DomainName::new(format!("{region}-{number}")))
+            .with_model(MODEL)
+            .with_announce_interval(ANNOUNCE)
+            .with_time_scale(TIME_SCALE);
+        let engine = FakeEngine::start(options).await;
+        engines.push(engine.map_err(error::CommandError::failed)?);
+    }
+    Ok(engines)
+}
+
+async fn start_services(
+    entries: &[net::SocketAddr],
+) -> Result<Vec<FakeService>, error::CommandError> {
+    let mut services = Vec::new();
+    for region in &REGIONS[..2] {
+        let options = ServiceOptions::new(&format!("{SERVICE}-{region}"))
+            .with_entries(entries.to_vec())
+            .with_service(usher_types::ServiceName::new(SERVICE))
+            .with_region(usher_types::RegionName::new(*region))
+            .with_domain(usher_types::DomainName::new(format!("{region}-1")))
+            .with_announce_interval(ANNOUNCE);
+        let service = FakeService::start(options).await;
+        services.push(service.map_err(error::CommandError::failed)?);
+    }
+    Ok(services)
+}
--- /dev/null
+++ b/crates/pimentousher/src/demo/load.rs
@@ -0,0 +1,143 @@
+//! The demo's mixed load and its faults. Not for: judging single answers.
+
+use std::{collections, time};
+
+use futures_util::StreamExt as _;
+
+use crate::demo::{
+    caller::{CallOutcome, CallPlan, CallResult, Caller},
+    count::{DemoCount, TimeFigures},
+    fleet,
+};
+
+/// Requests of the plan.
+const REQUESTS: usize = 600;
+/// Pause between two requests; together about 9 s.
+const SPACING: time::Duration = time::Duration::from_millis(15);
+/// The request before which an engine crashes.
+const CRASH_AT: usize = 200;
+/// The request before which an entry begins to stop.
+const STOP_AT: usize = 400;
+/// Most examples of what went wrong that are shown.
+const MAX_EXAMPLES: usize = 5;
+
+/// Returns request `number` of the plan: short and long streams, whole answers and plain calls.
+fn plan(number: usize) -> CallPlan {
+    let words = |count: usize| {
+        format!(
+            "question {number}: {}",
+            "which crew is free? ".repeat(count)
+        )
+    };
+    match number % 10 {
+        0 => CallPlan::Stream {
+            prompt: words(600),
+            tokens: 160,
+        },
+        1 | 4 | 7 => CallPlan::Stream {
+            prompt: words(4),
+            tokens: 32,
+        },
+        2 | 8 => CallPlan::Whole {
+            prompt: words(8),
+            tokens: 24,
+        },
+        3 => CallPlan::Read {
+            path: format!("crews/{number}"),
+        },
+        place => CallPlan::Write {
+            key: format!("call-out-{number}"),
+            body: format!("{{\"fault\":{number}}}"),
+            drops: place == 6,
+        },
+    }
+}
+
+/// Sends the whole plan, with the faults, and counts.
+pub(super) async fn run(fleet: &mut fleet::DemoFleet) -> DemoCount {
+    let caller = Caller::new(fleet.addresses());
+    let plans: Vec<_> = (0..REQUESTS).map(plan).collect();
+    let mut running = futures_util::stream::FuturesUnordered::new();
+    let mut leaving = None;
+    for (number, plan) in plans.iter().enumerate() {
+        if number == CRASH_AT {
+            if let Some(engine) = fleet.engines.first() {
+                engine.crash();
+            }
+        }
+        if number == STOP_AT {
+            let entry = fleet.entries.pop();
+            leaving = entry.map(|entry| tokio::spawn(async move { entry.leave().await }));
+        }
+        let (caller, plan) = (caller.clone(), plan.clone());
+        running.push(tokio::spawn(
+            async move { caller.call(&plan, number).await },
+        ));
+        tokio::time::sleep(SPACING).await;
+    }
+    let mut results = Vec::new();
+    while let Some(result) = running.next().await {
+        results.push(result.unwrap_or_else(|error| CallResult {
+            outcome: CallOutcome::Lost(format!("the caller ended: {error}")),
+            ..CallResult::default()
+        }));
+    }
+    if let Some(leaving) = leaving {
+        let _ = leaving.await;
+    }
+    let mut count = tally(&results);
+    count_runs(fleet, &plans, &mut count);
+    count.invariants_violated = usher_types::violation_count();
+    count
+}
+
+fn tally(results: &[CallResult]) -> DemoCount {
+    let mut count = DemoCount {
+        requests: results.len() as u64,
+        ..DemoCount::default()
+    };
+    let mut first_tokens = Vec::new();
+    let mut gaps = Vec::new();
+    for result in results {
+        match &result.outcome {
+            CallOutcome::Whole => count.whole += 1,
+            CallOutcome::Refused => count.refused += 1,
+            CallOutcome::Lost(why) => {
+                count.lost += 1;
+                note(&mut count, format!("lost: {why}"));
+            }
+        }
+        count.resent += u64::from(result.sends > 1);
+        first_tokens.extend(result.first_token);
+        gaps.extend(&result.gaps);
+    }
+    count.first_token_ms = TimeFigures::of(&mut first_tokens);
+    count.inter_token_ms = TimeFigures::of(&mut gaps);
+    count
+}
+
+/// Asks the services how often each non-idempotent call had its effect.
+fn count_runs(fleet: &fleet::DemoFleet, plans: &[CallPlan], count: &mut DemoCount) {
+    let mut runs = collections::BTreeMap::new();
+    for service in &fleet.services {
+        for (key, times) in service.calls() {
+            *runs.entry(key).or_insert(0) += times;
+        }
+    }
+    for plan in plans {
+        let CallPlan::Write { key, .. } = plan else {
+            continue;
+        };
+        let times = runs.get(key).copied().unwrap_or_default();
+        if times > 1 {
+            count.doubled += 1;
+            note(count, format!("doubled: {key} ran {times} times"));
+        }
+    }
+}
+
+fn note(count: &mut DemoCount, example: String) {
+    if count.examples.len() < MAX_EXAMPLES {
+        count.examples.push(example);
+    }
+}
--- /dev/null
+++ b/crates/pimentousher/src/demo/mod.rs
@@ -0,0 +1,27 @@
+//! A whole installation inside one process on loopback. Not for: measuring hosts or networks.
+
+mod caller;
+mod count;
+mod fleet;
+mod folder;
+mod load;
+mod output;
+mod serve;
+
+pub use count::{DemoCount, TimeFigures};
+pub use output::{demo_json, demo_table};
+pub use serve::serve;
+
+use crate::error;
+
+/// Runs the load with an engine crash and an entry stop, and counts what became of each request.
+///
+/// # Errors
+///
+/// Fails when the installation can't be started.
+pub async fn run() -> Result<DemoCount, error::CommandError> {
+    let mut fleet = fleet::DemoFleet::start(None).await?;
+    let count = load::run(&mut fleet).await;
+    fleet.stop().await;
+    Ok(count)
+}
--- a/crates/pimentousher/src/lib.rs
+++ b/crates/pimentousher/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod client;
 pub mod command;
 pub mod daemon;
+pub mod demo;
 pub mod error;
 pub mod file;
 pub mod leader;
