Relay loads as cached subsets and share capacity without scans

Cause: with 760 targets and 340 entries in one process the relay took 2.2 cores (0.66% of a core per entry, both sides) and 2,074 bytes a second per entry, above the 2,000 of the budget: each heartbeat ranked all targets again and built a map of regions, and each share summed over all entries. Change: a subset of loads is chosen again only when the targets change, regions are kept per registry version, the sum of shares is kept per service, shares go out once a second, a subset has 900 bytes, and a fleet of about 30 targets still gets all loads. A release that overtakes its claim keeps the late claim from being granted to an attempt that has ended.

--- a/crates/usher_control/src/grant/leader_desk.rs
+++ b/crates/usher_control/src/grant/leader_desk.rs
@@ -7,8 +7,6 @@
 
 use crate::{fleet, plan};
 
-type EntryLife = (String, u64);
-
 /// The leader's memory; it starts again with each leadership.
 #[derive(Debug, Default)]
 pub(crate) struct LeaderDesk {
@@ -89,26 +87,20 @@
     ///
     /// Tokens say more about the work than requests; one request counts as 100 tokens, so that
     /// plain services have a demand too.
-    fn demands(
-        &self,
-        now: time::Instant,
-    ) -> collections::BTreeMap<String, collections::BTreeMap<EntryLife, f64>> {
-        let mut services: collections::BTreeMap<String, collections::BTreeMap<_, _>> =
-            collections::BTreeMap::new();
+    fn demands(&self, now: time::Instant) -> collections::BTreeMap<String, plan::ServiceDemands> {
+        let mut services = collections::BTreeMap::<String, plan::ServiceDemands>::new();
         let present: Vec<_> = self.watch.present(now).collect();
         for (life, entry) in &present {
             for demand in &entry.demands {
                 let amount = demand.prefill_tokens + demand.output_tokens + 100.0 * demand.requests;
-                let by_entry = services.entry(demand.service.clone()).or_default();
-                by_entry.insert((*life).clone(), amount.max(0.0));
+                let demands = services.entry(demand.service.clone()).or_default();
+                demands.set((*life).clone(), amount);
             }
         }
         // Entries without a demand keep their part of the even split.
-        for by_entry in services.values_mut() {
-            for (life, entry) in &present {
-                if !entry.stopping {
-                    by_entry.entry((*life).clone()).or_insert(0.0);
-                }
+        for demands in services.values_mut() {
+            for (life, _) in present.iter().filter(|(_, entry)| !entry.stopping) {
+                demands.set_idle((*life).clone());
             }
         }
         services
--- a/crates/usher_control/src/grant/served_entries.rs
+++ b/crates/usher_control/src/grant/served_entries.rs
@@ -12,6 +12,10 @@
 /// How long an announcement is relayed again until the registry shows it.
 const ANNOUNCE_TIME: time::Duration = time::Duration::from_secs(10);
 
+/// How often shares are sent to an entry; it uses them for as long as the right that they come
+/// with, so that they needn't come with each heartbeat.
+const SHARE_INTERVAL: time::Duration = time::Duration::from_millis(900);
+
 /// How old shares from the leader may be when they are passed on.
 const SHARE_AGE: time::Duration = plan::RELAY_CONFIRM;
 
@@ -24,6 +28,8 @@
     demands: Vec<message::ServiceDemand>,
     stopping: bool,
     loads_seen: u64,
+    subset: plan::LoadSubset,
+    shares_sent: Option<time::Instant>,
 }
 
 /// What this node relays from its entries to the leader and back.
@@ -60,15 +66,19 @@
             self.outgoing.insert(report.target.clone(), (report, now));
         }
         let life = (entry.name, entry.incarnation);
-        let loads_seen = self.entries.get(&life).map_or(0, |known| known.loads_seen);
-        let served = ServedEntry {
-            region: request.region,
+        let served = self.entries.entry(life).or_insert_with(|| ServedEntry {
+            region: String::new(),
             seen: now,
-            demands: request.demands,
-            stopping: request.stopping,
-            loads_seen,
-        };
-        self.entries.insert(life, served);
+            demands: Vec::new(),
+            stopping: false,
+            loads_seen: 0,
+            subset: plan::LoadSubset::default(),
+            shares_sent: None,
+        });
+        served.region = request.region;
+        served.seen = now;
+        served.demands = request.demands;
+        served.stopping = request.stopping;
     }
 
     /// Returns the loads that an entry gets, and notes that it got them.
@@ -82,12 +92,14 @@
             return Vec::new();
         };
         let seen = std::mem::replace(&mut served.loads_seen, self.board.number());
-        self.board.for_entry(&entry.name, &served.region, seen, now)
+        let subset = &mut served.subset;
+        self.board
+            .for_entry(&entry.name, &served.region, subset, seen, now)
     }
 
-    /// Returns the shares that the leader gave an entry, while they are fresh.
+    /// Returns the shares that the leader gave an entry, when they are fresh and due.
     pub(crate) fn shares_for(
-        &self,
+        &mut self,
         entry: &message::NodeIdentity,
         now: time::Instant,
     ) -> Vec<message::CapacityShare> {
@@ -96,7 +108,17 @@
             .shares
             .get(&life)
             .filter(|(_, given)| now.saturating_duration_since(*given) < SHARE_AGE);
-        fresh.map(|(shares, _)| shares.clone()).unwrap_or_default()
+        let (Some((shares, _)), Some(served)) = (fresh, self.entries.get_mut(&life)) else {
+            return Vec::new();
+        };
+        let due = served
+            .shares_sent
+            .is_none_or(|sent| now.saturating_duration_since(sent) >= SHARE_INTERVAL);
+        if !due {
+            return Vec::new();
+        }
+        served.shares_sent = Some(now);
+        shares.clone()
     }
 
     /// Returns how many entries are served.
--- a/crates/usher_control/src/grant/sync_service.rs
+++ b/crates/usher_control/src/grant/sync_service.rs
@@ -11,9 +11,20 @@
 pub(crate) struct SyncService<C> {
     access: fleet::FleetAccess,
     served: sync::Mutex<grant::ServedEntries>,
+    regions: sync::Mutex<RegionCache>,
     clock: C,
 }
 
+/// Regions of the targets in one version of the registry.
+#[derive(Debug, Default)]
+struct RegionCache {
+    version: u64,
+    regions: RegionMap,
+}
+
+/// Region by target; shared, because it is used at each heartbeat and rarely changes.
+pub(crate) type RegionMap = sync::Arc<collections::HashMap<String, String>>;
+
 /// What an entry doesn't know yet.
 struct StateDelta {
     index: u64,
@@ -31,6 +42,7 @@
         Self {
             access,
             served: sync::Mutex::default(),
+            regions: sync::Mutex::default(),
             clock,
         }
     }
@@ -43,12 +55,20 @@
     }
 
     /// Returns the region of each target, for the choice of loads.
-    pub(crate) fn regions(&self) -> collections::HashMap<String, String> {
+    pub(crate) fn regions(&self) -> RegionMap {
         self.access.view(|state| {
-            let targets = state.targets().present();
-            targets
-                .map(|target| (target.name.clone(), target.region.clone()))
-                .collect()
+            let mut cache = self
+                .regions
+                .lock()
+                .unwrap_or_else(sync::PoisonError::into_inner);
+            let version = state.targets().version();
+            if cache.version != version {
+                let targets = state.targets().present();
+                let regions = targets.map(|one| (one.name.clone(), one.region.clone()));
+                cache.regions = sync::Arc::new(regions.collect());
+                cache.version = version;
+            }
+            cache.regions.clone()
         })
     }
 
@@ -62,11 +82,7 @@
         let Some(entry) = request.entry.clone() else {
             return message::SyncReply::default();
         };
-        let regions = if request.loads.is_empty() {
-            collections::HashMap::new()
-        } else {
-            self.regions()
-        };
+        let regions = self.regions();
         let (config_known, registry_known) = (request.config_version, request.registry_version);
         let sequence = request.sequence;
         let (loads, shares, issuer) = {
--- a/crates/usher_control/src/plan/load_board.rs
+++ b/crates/usher_control/src/plan/load_board.rs
@@ -5,10 +5,13 @@
 use prost::Message as _;
 use usher_wire::message;
 
-/// How many bytes of loads an entry gets per report interval of 1 s. A larger fleet is relayed
-/// as a subset per entry: with 760 targets all loads would take about 38 KB/s per entry, the
-/// budget is 2 KB/s for everything.
-pub const SUBSET_BYTES: usize = 1_200;
+/// How many bytes all loads may take, per report interval of 1 s, for an entry to get all of
+/// them: about 30 targets, the size of a fleet today.
+pub const WHOLE_BYTES: usize = 1_600;
+
+/// How many bytes of loads an entry gets in a larger fleet. With 760 targets all loads would take
+/// about 40 KB/s per entry, and the budget is 2 KB/s for everything.
+pub const SUBSET_BYTES: usize = 900;
 
 /// Loads older than this are dropped.
 const KEEP: time::Duration = time::Duration::from_secs(10);
@@ -31,6 +34,22 @@
     loads: collections::BTreeMap<String, BoardLoad>,
     number: u64,
     total_bytes: usize,
+    /// Goes up when a target comes, goes or moves, so that subsets are chosen only then.
+    targets_number: u64,
+}
+
+/// The targets whose loads an entry gets, kept between its heartbeats.
+#[derive(Clone, Debug, Default)]
+pub struct LoadSubset {
+    chosen_at: Option<u64>,
+    targets: Vec<String>,
+}
+
+impl LoadSubset {
+    /// Returns the names of the targets.
+    pub fn names(&self) -> &[String] {
+        &self.targets
+    }
 }
 
 impl LoadBoard {
@@ -67,15 +86,20 @@
         };
         self.total_bytes += load.bytes;
         let target = load.report.target.clone();
-        if let Some(before) = self.loads.insert(target, load) {
-            self.total_bytes -= before.bytes;
+        let region = load.region.clone();
+        let before = self.loads.insert(target, load);
+        self.total_bytes -= before.as_ref().map_or(0, |before| before.bytes);
+        if before.is_none_or(|before| before.region != region) {
+            self.targets_number += 1;
         }
     }
 
     /// Drops reports that are too old to be of use.
     pub fn forget_old(&mut self, now: time::Instant) {
+        let before = self.loads.len();
         self.loads
             .retain(|_, load| now.saturating_duration_since(load.made_at) < KEEP);
+        self.targets_number += u64::from(self.loads.len() != before);
         self.total_bytes = self.loads.values().map(|load| load.bytes).sum();
     }
 
@@ -87,30 +111,31 @@
 
     /// Returns the reports for one entry that are newer than `seen`.
     ///
-    /// When all loads fit the budget the entry gets all; otherwise it gets those of a subset of
-    /// targets that stays the same while the fleet does, mostly of its region, and that differs
-    /// from the subsets of other entries.
+    /// In a small fleet the entry gets all; otherwise it gets those of a subset of targets that
+    /// stays the same while the fleet does, mostly of its region, and that differs from the
+    /// subsets of other entries.
     pub fn for_entry(
         &self,
         entry: &str,
         region: &str,
+        subset: &mut LoadSubset,
         seen: u64,
         now: time::Instant,
     ) -> Vec<message::LoadReport> {
-        if self.total_bytes <= SUBSET_BYTES {
+        if self.total_bytes <= WHOLE_BYTES {
             return self.since(seen, now);
         }
-        let subset = self.subset(entry, region);
-        let newer = subset.into_iter().filter(|load| load.number > seen);
+        if subset.chosen_at != Some(self.targets_number) {
+            subset.chosen_at = Some(self.targets_number);
+            let chosen = self.subset(entry, region).into_iter();
+            subset.targets = chosen.map(|load| load.report.target.clone()).collect();
+        }
+        let loads = subset.targets.iter();
+        let loads = loads.filter_map(|target| self.loads.get(target));
+        let newer = loads.filter(|load| load.number > seen);
         newer.map(|load| load.aged(now)).collect()
     }
 
-    /// Returns the names of the targets whose loads an entry gets.
-    pub fn subset_names(&self, entry: &str, region: &str) -> Vec<&str> {
-        let subset = self.subset(entry, region).into_iter();
-        subset.map(|load| load.report.target.as_str()).collect()
-    }
-
     fn subset(&self, entry: &str, region: &str) -> Vec<&BoardLoad> {
         let mut ranked: Vec<_> = self
             .loads
--- a/crates/usher_control/src/plan/mod.rs
+++ b/crates/usher_control/src/plan/mod.rs
@@ -12,11 +12,11 @@
 
 pub use entry_watch::{EntryWatch, WatchedEntry};
 pub use fleet_plan::{plan_fleet, FleetView, PlanRules, PlannedOrder};
-pub use load_board::{LoadBoard, SUBSET_BYTES};
+pub use load_board::{LoadBoard, LoadSubset, SUBSET_BYTES, WHOLE_BYTES};
 pub use load_bucket::LoadBucket;
 pub use order_desk::{correction, next_step, EngineReading, OrderAction, OrderStep, SendState};
 pub use right_issuer::RightIssuer;
-pub use share_table::ShareTable;
+pub use share_table::{ServiceDemands, ShareTable};
 pub use target_sight::TargetSight;
 pub use timing::{
     CLOCK_DRIFT, DRAIN_WAIT, ENTRY_GONE, ORDER_WAIT, READ_BACK, RELAY_CONFIRM, RELAY_INTERVAL,
--- a/crates/usher_state/src/claim_table.rs
+++ b/crates/usher_state/src/claim_table.rs
@@ -4,7 +4,7 @@
 
 use usher_wire::message;
 
-use crate::{audit, claim_holder, claim_key, mechanism, snapshot};
+use crate::{audit, claim_holder, claim_key, claim_pack, mechanism, snapshot};
 
 /// The longest recorded answer, in bytes; a longer one is recorded as truncated.
 pub const MAX_ANSWER_BYTES: usize = 64 * 1_024;
@@ -203,8 +203,11 @@
     ) -> Result<(), String> {
         let holder = claim_holder::ClaimHolder::of(finish.entry.as_ref(), &finish.request_id)
             .ok_or("an end of a claim needs an entry and a request id")?;
-        let key = claim_key::ClaimKey::parse(&finish.key).digest;
-        let record = self.claims.get(&key).ok_or("the key is not claimed")?;
+        let parsed = claim_key::ClaimKey::parse(&finish.key);
+        let key = parsed.digest;
+        let Some(record) = self.claims.get(&key) else {
+            return self.finish_unclaimed(parsed, &holder, finish.kind(), now_ms);
+        };
         let held = record.holder == holder.digest();
         if !held && mechanism::in_place(removed, mechanism::StateMechanism::ClaimHolderCheck) {
             return Err("another attempt holds the claim".to_owned());
@@ -241,6 +244,32 @@
         Ok(())
     }
 
+    /// Takes an end that overtook its claim: a release keeps the late claim from being granted to
+    /// an attempt that has ended.
+    fn finish_unclaimed(
+        &mut self,
+        key: claim_key::ClaimKey,
+        holder: &claim_holder::ClaimHolder,
+        kind: message::FinishKind,
+        now_ms: u64,
+    ) -> Result<(), String> {
+        let closed = self.closed.contains(&key.digest) || key.is_old(now_ms);
+        if kind != message::FinishKind::Released || closed || key.is_ahead(now_ms) {
+            return Err("the key is not claimed".to_owned());
+        }
+        let record = ClaimRecord {
+            time_ms: key.time_ms,
+            fingerprint: [0; 16],
+            holder: holder.digest(),
+            status: ClaimStatus::Released,
+            due_ms: key.time_ms.unwrap_or(now_ms).saturating_add(keep_ms()),
+            answer: None,
+        };
+        self.due.insert((record.due_ms, key.digest));
+        self.claims.insert(key.digest, record);
+        Ok(())
+    }
+
     fn drop_running(&mut self, life: &EntryLife, key: &KeyDigest) {
         if let Some(keys) = self.running.get_mut(life) {
             keys.remove(key);
@@ -359,30 +388,36 @@
         let claims = self
             .claims
             .iter()
-            .map(|(key, record)| snapshot::ClaimRecordPart {
-                key: key.to_vec(),
+            .map(|(key, record)| claim_pack::PackedClaim {
+                key: *key,
+                fingerprint: record.fingerprint,
+                holder: record.holder,
+                status: record.status as u8,
                 time_ms: record.time_ms,
-                fingerprint: record.fingerprint.to_vec(),
-                holder: record.holder.to_vec(),
-                status: record.status as u32,
                 due_ms: record.due_ms,
-                answer: record.answer.as_deref().cloned(),
             });
+        let answers = self.claims.iter().filter_map(|(key, record)| {
+            Some(snapshot::ClaimAnswerPart {
+                key: key.to_vec(),
+                answer: Some(record.answer.as_deref()?.clone()),
+            })
+        });
         let running =
             self.running
                 .iter()
                 .map(|((entry, incarnation), keys)| snapshot::RunningPart {
                     entry: entry.clone(),
                     incarnation: *incarnation,
-                    keys: keys.iter().map(|key| key.to_vec()).collect(),
+                    keys: claim_pack::pack_digests(keys.iter()),
                 });
         snapshot::ClaimPart {
-            claims: claims.collect(),
-            closed: self.closed.iter().map(|key| key.to_vec()).collect(),
+            claims: claim_pack::pack_claims(claims),
+            closed: claim_pack::pack_digests(self.closed.iter()),
             closed_total: self.closed_total,
             forgotten_ms: self.forgotten_ms,
             running: running.collect(),
-            answer_order: self.answer_order.iter().map(|key| key.to_vec()).collect(),
+            answer_order: claim_pack::pack_digests(self.answer_order.iter()),
+            answers: answers.collect(),
         }
     }
 
@@ -391,34 +426,35 @@
         let mut table = Self {
             closed_total: part.closed_total,
             forgotten_ms: part.forgotten_ms,
+            closed: claim_pack::unpack_digests(&part.closed)?,
+            answer_order: claim_pack::unpack_digests(&part.answer_order)?,
             ..Self::default()
         };
-        for claim in part.claims {
-            let key = snapshot::fixed(&claim.key)?;
+        for claim in claim_pack::unpack_claims(&part.claims)? {
             let record = ClaimRecord {
                 time_ms: claim.time_ms,
-                fingerprint: snapshot::fixed(&claim.fingerprint)?,
-                holder: snapshot::fixed(&claim.holder)?,
+                fingerprint: claim.fingerprint,
+                holder: claim.holder,
                 status: read_status(claim.status)?,
                 due_ms: claim.due_ms,
-                answer: claim.answer.map(Box::new),
+                answer: None,
             };
             if record.status != ClaimStatus::Running {
-                table.due.insert((record.due_ms, key));
+                table.due.insert((record.due_ms, claim.key));
             }
-            table.answer_bytes += record.answer.as_ref().map_or(0, |answer| answer.body.len());
-            table.claims.insert(key, record);
-        }
-        for key in part.closed {
-            table.closed.insert(snapshot::fixed(&key)?);
+            table.claims.insert(claim.key, record);
         }
-        for key in part.answer_order {
-            table.answer_order.push_back(snapshot::fixed(&key)?);
+        for part in part.answers {
+            let key: KeyDigest = snapshot::fixed(&part.key)?;
+            let record = table.claims.get_mut(&key).ok_or("an answer has no claim")?;
+            let answer = part.answer.unwrap_or_default();
+            table.answer_bytes += answer.body.len();
+            record.answer = Some(Box::new(answer));
         }
         for running in part.running {
-            let keys = running.keys.iter().map(|key| snapshot::fixed(key));
             let life = (running.entry, running.incarnation);
-            table.running.insert(life, keys.collect::<Result<_, _>>()?);
+            let keys = claim_pack::unpack_digests(&running.keys)?;
+            table.running.insert(life, keys);
         }
         Ok(table)
     }
@@ -449,7 +485,7 @@
     claim_holder::first_half(hasher)
 }
 
-fn read_status(number: u32) -> Result<ClaimStatus, String> {
+fn read_status(number: u8) -> Result<ClaimStatus, String> {
     let all = [
         ClaimStatus::Running,
         ClaimStatus::Finished,
@@ -457,6 +493,6 @@
         ClaimStatus::Released,
     ];
     all.into_iter()
-        .find(|status| *status as u32 == number)
+        .find(|status| *status as u8 == number)
         .ok_or_else(|| format!("{number} is no status of a claim"))
 }
--- a/crates/usher_state/src/lib.rs
+++ b/crates/usher_state/src/lib.rs
@@ -6,6 +6,7 @@
 mod audit;
 mod claim_holder;
 mod claim_key;
+mod claim_pack;
 mod claim_table;
 mod config_book;
 mod fleet_state;
--- a/crates/usher_state/src/snapshot.rs
+++ b/crates/usher_state/src/snapshot.rs
@@ -58,35 +58,29 @@
 
 #[derive(Clone, PartialEq, Message)]
 pub(crate) struct ClaimPart {
-    #[prost(message, repeated, tag = "1")]
-    pub(crate) claims: Vec<ClaimRecordPart>,
-    #[prost(bytes = "vec", repeated, tag = "2")]
-    pub(crate) closed: Vec<Vec<u8>>,
+    /// See `claim_pack`.
+    #[prost(bytes = "vec", tag = "1")]
+    pub(crate) claims: Vec<u8>,
+    #[prost(bytes = "vec", tag = "2")]
+    pub(crate) closed: Vec<u8>,
     #[prost(uint64, tag = "3")]
     pub(crate) closed_total: u64,
     #[prost(uint64, tag = "4")]
     pub(crate) forgotten_ms: u64,
     #[prost(message, repeated, tag = "5")]
     pub(crate) running: Vec<RunningPart>,
-    #[prost(bytes = "vec", repeated, tag = "6")]
-    pub(crate) answer_order: Vec<Vec<u8>>,
+    /// Keys of answers with a body, oldest first.
+    #[prost(bytes = "vec", tag = "6")]
+    pub(crate) answer_order: Vec<u8>,
+    #[prost(message, repeated, tag = "7")]
+    pub(crate) answers: Vec<ClaimAnswerPart>,
 }
 
 #[derive(Clone, PartialEq, Message)]
-pub(crate) struct ClaimRecordPart {
+pub(crate) struct ClaimAnswerPart {
     #[prost(bytes = "vec", tag = "1")]
     pub(crate) key: Vec<u8>,
-    #[prost(uint64, optional, tag = "2")]
-    pub(crate) time_ms: Option<u64>,
-    #[prost(bytes = "vec", tag = "3")]
-    pub(crate) fingerprint: Vec<u8>,
-    #[prost(bytes = "vec", tag = "4")]
-    pub(crate) holder: Vec<u8>,
-    #[prost(uint32, tag = "5")]
-    pub(crate) status: u32,
-    #[prost(uint64, tag = "6")]
-    pub(crate) due_ms: u64,
-    #[prost(message, optional, tag = "7")]
+    #[prost(message, optional, tag = "2")]
     pub(crate) answer: Option<message::RecordedAnswer>,
 }
 
@@ -96,8 +90,8 @@
     pub(crate) entry: String,
     #[prost(uint64, tag = "2")]
     pub(crate) incarnation: u64,
-    #[prost(bytes = "vec", repeated, tag = "3")]
-    pub(crate) keys: Vec<Vec<u8>>,
+    #[prost(bytes = "vec", tag = "3")]
+    pub(crate) keys: Vec<u8>,
 }
 
 #[derive(Clone, PartialEq, Message)]
--- a/crates/usher_state/tests/edges.rs
+++ b/crates/usher_state/tests/edges.rs
@@ -134,6 +134,17 @@
     assert_eq!(bench.claim("k", "q2"), Some(ClaimState::Claimed));
 }
 
+/// Guards against a claim that its release overtook, which nobody would ever end.
+#[test]
+fn claim_that_comes_after_its_release_is_refused() {
+    let mut bench = StateBench::new();
+    assert!(bench.finish("k", "q1", message::FinishKind::Released));
+    assert!(!bench.finish("m", "q1", message::FinishKind::Answered));
+    assert_eq!(bench.claim("k", "q1"), None);
+    assert_eq!(bench.claim("k", "q2"), Some(ClaimState::Claimed));
+    assert_eq!(bench.claim("m", "q1"), Some(ClaimState::Claimed));
+}
+
 /// Guards against an unknown call that is released and run again, and against a lost answer.
 #[test]
 fn unknown_call_may_be_answered_but_not_released() {
