--- a/crates/usher_entry/src/health.rs
+++ b/crates/usher_entry/src/health.rs
@@ -4,6 +4,17 @@
 
 use crate::{core, parts};
 
+/// The answer to `GET /readyz`.
+#[derive(Debug, serde::Serialize)]
+struct ReadyBody {
+    ready: bool,
+    /// Why the entry isn't ready.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    reason: Option<&'static str>,
+    /// Version of the configuration that the entry acts on.
+    config_version: usher_types::ConfigVersion,
+}
+
 /// Answers `GET /healthz`: the process runs.
 pub(crate) async fn healthz() -> &'static str {
     "ok\n"
@@ -15,13 +26,22 @@
     P: parts::EntryParts,
 {
     let reason = if core.stop.is_draining() {
-        "draining\n"
+        Some("draining")
     } else if !core.config.is_known() {
-        "configuration is not known yet\n"
+        Some("configuration is not known yet")
     } else if !core.has_right() {
-        "no routing right\n"
+        Some("no routing right")
     } else {
-        return "ready\n".into_response();
+        None
+    };
+    let status = match reason {
+        None => http::StatusCode::OK,
+        Some(_) => http::StatusCode::SERVICE_UNAVAILABLE,
+    };
+    let body = ReadyBody {
+        ready: reason.is_none(),
+        reason,
+        config_version: core.config.current().version,
     };
-    (http::StatusCode::SERVICE_UNAVAILABLE, reason).into_response()
+    (status, axum::Json(body)).into_response()
 }
--- a/crates/usher_scenario/src/caller.rs
+++ b/crates/usher_scenario/src/caller.rs
@@ -5,9 +5,13 @@
 use http_body_util::BodyExt as _;
 use hyper_util::{client::legacy, rt};
 
-/// How long a call may take in all.
+/// How long a caller's call may take in all.
 const CALL_LIMIT: time::Duration = time::Duration::from_secs(30);
 
+/// How long an operator waits for one answer before turning to the next node; a frozen process
+/// accepts connections and never answers.
+const OPERATOR_LIMIT: time::Duration = time::Duration::from_secs(3);
+
 /// An answer with its whole body.
 #[derive(Clone, Debug)]
 pub(crate) struct CallAnswer {
@@ -53,6 +57,19 @@
         path: &str,
         headers: &[(&str, &str)],
         body: String,
+    ) -> Option<CallAnswer> {
+        self.call_within(CALL_LIMIT, method, address, path, headers, body)
+            .await
+    }
+
+    async fn call_within(
+        &self,
+        limit: time::Duration,
+        method: http::Method,
+        address: net::SocketAddr,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: String,
     ) -> Option<CallAnswer> {
         let mut request = http::Request::builder()
             .method(method)
@@ -72,11 +89,24 @@
                 body,
             })
         };
-        tokio::time::timeout(CALL_LIMIT, exchange).await.ok()?
+        tokio::time::timeout(limit, exchange).await.ok()?
     }
 
     pub(crate) async fn get(&self, address: net::SocketAddr, path: &str) -> Option<CallAnswer> {
-        self.call(http::Method::GET, address, path, &[], String::new())
+        let method = http::Method::GET;
+        self.call_within(OPERATOR_LIMIT, method, address, path, &[], String::new())
+            .await
+    }
+
+    /// Sends an operator's change.
+    pub(crate) async fn post(
+        &self,
+        address: net::SocketAddr,
+        path: &str,
+        body: String,
+    ) -> Option<CallAnswer> {
+        let method = http::Method::POST;
+        self.call_within(OPERATOR_LIMIT, method, address, path, &[], body)
             .await
     }
 }
--- a/crates/usher_scenario/src/load.rs
+++ b/crates/usher_scenario/src/load.rs
@@ -27,7 +27,7 @@
     pub(crate) unknown: u64,
     /// Attempts in all.
     pub(crate) attempts: u64,
-    /// First wrong answer, for the report of a failed expectation.
+    /// First wrong answer or last refusal, for the report of a failed expectation.
     pub(crate) example: String,
 }
 
@@ -50,7 +50,7 @@
     Whole,
     Wrong(String),
     Unknown,
-    Again,
+    Again(String),
 }
 
 /// Sends one call until it is answered, each attempt through the next entry.
@@ -78,7 +78,8 @@
                 totals.wrong += 1;
                 totals.example = example;
             }
-            AttemptEnd::Again => {
+            AttemptEnd::Again(refusal) => {
+                totals.example = refusal;
                 tokio::time::sleep(RESEND_PAUSE).await;
                 continue;
             }
@@ -102,10 +103,10 @@
         .await;
     // The entry may have been killed: the caller sends an idempotent call again.
     let Some(answer) = answer else {
-        return AttemptEnd::Again;
+        return AttemptEnd::Again("connection broke".to_owned());
     };
     if answer.status != 200 {
-        return AttemptEnd::Again;
+        return AttemptEnd::Again(describe(&answer));
     }
     let expected = usher_fake::reply_text(answer.header("x-request-id"), ANSWER_TOKENS);
     let (text, done) = join_events(&answer.body);
@@ -142,14 +143,22 @@
         .call(http::Method::POST, entry, &path, &headers, body.clone())
         .await;
     let Some(answer) = answer else {
-        return AttemptEnd::Again;
+        return AttemptEnd::Again("connection broke".to_owned());
     };
     match (answer.status, answer.header("x-run")) {
         (200, _) if answer.json()["body"].as_str() == Some(&body) => AttemptEnd::Whole,
         (200, _) => AttemptEnd::Wrong(String::from_utf8_lossy(&answer.body).into_owned()),
         // Still running elsewhere, or not run: the caller sends it again.
-        (409, _) | (_, "not-run") => AttemptEnd::Again,
+        (409, _) | (_, "not-run") => AttemptEnd::Again(describe(&answer)),
         (_, "unknown") => AttemptEnd::Unknown,
-        _ => AttemptEnd::Again,
+        _ => AttemptEnd::Again(describe(&answer)),
     }
 }
+
+fn describe(answer: &caller::CallAnswer) -> String {
+    format!(
+        "{}: {}",
+        answer.status,
+        String::from_utf8_lossy(&answer.body)
+    )
+}
--- a/crates/usher_scenario/src/managed_process.rs
+++ b/crates/usher_scenario/src/managed_process.rs
@@ -54,16 +54,15 @@
         Ok(())
     }
 
-    /// Returns whether a process runs or is suspended.
-    pub(crate) fn is_running(&mut self) -> bool {
-        match self.child.as_mut().map(process::Child::try_wait) {
-            Some(Ok(None)) => true,
-            Some(_) => {
-                self.child = None;
-                false
-            }
-            None => false,
-        }
+    /// Returns whether the script wants the process to run.
+    pub(crate) fn is_wanted(&self) -> bool {
+        self.child.is_some()
+    }
+
+    /// Returns whether the process ended although the script wants it to run.
+    pub(crate) fn has_failed(&mut self) -> bool {
+        let ended = self.child.as_mut().map(process::Child::try_wait);
+        matches!(ended, Some(Ok(Some(_)) | Err(_)))
     }
 
     /// Sends a signal to the process, if it runs.
--- a/crates/usher_scenario/src/runner.rs
+++ b/crates/usher_scenario/src/runner.rs
@@ -42,6 +42,7 @@
     changes: usize,
     version: u64,
     race: Vec<u16>,
+    frozen: Option<step::ProcessName>,
 }
 
 impl ScenarioRunner {
@@ -63,6 +64,7 @@
             changes: 0,
             version: 0,
             race: Vec::new(),
+            frozen: None,
         }
     }
 
@@ -74,7 +76,9 @@
     pub async fn run(&mut self, script: &str) -> Result<(), error::ScenarioError> {
         for line in parser::parse_script(script)? {
             tracing::info!(line = line.line, step = ?line.step, "scenario step");
+            let number = line.line;
             self.run_step(line).await?;
+            self.expect_running(number)?;
         }
         Ok(())
     }
@@ -100,7 +104,9 @@
             }
             Step::Freeze(name) => {
                 let stop = signal::Signal::SIGSTOP;
-                self.with_process(number, &name, |process| process.signal(stop))
+                self.frozen = self.resolve(&name).await;
+                let frozen = step::ProcessName::new("frozen");
+                self.with_process(number, &frozen, |process| process.signal(stop))
                     .await
             }
             Step::Thaw(name) => {
@@ -187,7 +193,7 @@
     ) -> Result<(), error::ScenarioError> {
         let file = self.folder.join(format!("{name}.ini"));
         fs::write(&file, settings).map_err(|source| io_error("settings file", source))?;
-        let arguments = vec![file.to_string_lossy().into_owned()];
+        let arguments = words(&["--settings", &file.to_string_lossy()]);
         self.spawn(program, name, arguments)
     }
 
@@ -259,8 +265,12 @@
         }
     }
 
-    /// Finds a process by its name; `leader` is the control process that leads now.
+    /// Finds a process by its name; `leader` is the control process that leads now, `frozen` the
+    /// one that was frozen last.
     async fn resolve(&self, name: &step::ProcessName) -> Option<step::ProcessName> {
+        if name.as_str() == "frozen" {
+            return self.frozen.clone();
+        }
         if name.as_str() != "leader" {
             return Some(name.clone());
         }
@@ -316,7 +326,7 @@
 
     fn wipe(&mut self, line: usize, name: &step::ProcessName) -> Result<(), error::ScenarioError> {
         let process = self.processes.get_mut(name);
-        let stopped = process.is_some_and(|process| !process.is_running());
+        let stopped = process.is_some_and(|process| !process.is_wanted());
         expect(line, stopped, "a process that does not run", || {
             name.to_string()
         })?;
@@ -365,7 +375,7 @@
         // The same request is sent again until it is answered, also after lost answers.
         for attempt in 0.. {
             let control = self.control[attempt % self.control.len()].operators;
-            let answer = self.post_change(control, &body).await;
+            let answer = self.caller.post(control, "/v1/config", body.clone()).await;
             if let Some(answer) = answer.filter(|answer| answer.status == 200) {
                 self.version = answer.json()["version"].as_u64().unwrap_or_default();
                 return Ok(());
@@ -382,28 +392,22 @@
         })
     }
 
-    async fn post_change(
-        &self,
-        control: net::SocketAddr,
-        body: &str,
-    ) -> Option<caller::CallAnswer> {
-        self.caller
-            .call(
-                http::Method::POST,
-                control,
-                "/v1/config",
-                &[],
-                body.to_owned(),
-            )
-            .await
-    }
-
     /// Sends two changes on the same base version at once until each has a definite answer.
     async fn run_race(&mut self, line: usize) -> Result<(), error::ScenarioError> {
         let (one, two) = (self.next_sheet(), self.next_sheet());
         let bodies = [
-            change_body("ana", "race-a", self.version, &one),
-            change_body("bruno", "race-b", self.version, &two),
+            change_body(
+                "ana",
+                &format!("race-a-{}", self.changes),
+                self.version,
+                &one,
+            ),
+            change_body(
+                "bruno",
+                &format!("race-b-{}", self.changes),
+                self.version,
+                &two,
+            ),
         ];
         let (first, second) = tokio::join!(
             self.definite_answer(&bodies[0], 0),
@@ -421,7 +425,10 @@
         let start = time::Instant::now();
         for attempt in first.. {
             let control = self.control[attempt % self.control.len()].operators;
-            let answer = self.post_change(control, body).await;
+            let answer = self
+                .caller
+                .post(control, "/v1/config", body.to_owned())
+                .await;
             match answer.map(|answer| answer.status) {
                 Some(status @ (200 | 409)) => return status,
                 _ if start.elapsed() > CHANGE_LIMIT => return 0,
@@ -440,10 +447,11 @@
         let entries: Vec<_> = self.entries.clone().into_iter().collect();
         let start = time::Instant::now();
         for (name, address) in entries {
-            if !self.is_running(&name) {
+            if !self.is_wanted(&name) {
                 continue;
             }
             while !self.is_ready(address).await {
+                self.expect_running(line)?;
                 if start.elapsed() > limit {
                     return Err(error::ScenarioError::Timeout {
                         line,
@@ -468,9 +476,19 @@
         ready.is_some_and(|ready| ready.status == 200) && listed
     }
 
-    fn is_running(&mut self, name: &step::ProcessName) -> bool {
-        let process = self.processes.get_mut(name);
-        process.is_some_and(managed_process::ManagedProcess::is_running)
+    fn is_wanted(&self, name: &step::ProcessName) -> bool {
+        let process = self.processes.get(name);
+        process.is_some_and(managed_process::ManagedProcess::is_wanted)
+    }
+
+    fn expect_running(&mut self, line: usize) -> Result<(), error::ScenarioError> {
+        let failed = self
+            .processes
+            .iter_mut()
+            .find_map(|(name, process)| process.has_failed().then(|| name.clone()));
+        expect(line, failed.is_none(), "all processes running", || {
+            format!("{failed:?} ended")
+        })
     }
 
     async fn await_load(
@@ -569,7 +587,7 @@
         let entries: Vec<_> = self.entries.clone().into_iter().collect();
         let mut versions = Vec::new();
         for (name, address) in entries {
-            if !self.is_running(&name) {
+            if !self.is_wanted(&name) {
                 continue;
             }
             let answer = self.caller.get(address, "/readyz").await;
--- a/crates/usher_scenario/src/settings_file.rs
+++ b/crates/usher_scenario/src/settings_file.rs
@@ -52,6 +52,7 @@
 ) -> String {
     let mut text = node_sections("entry", name, index, None);
     let _ = write!(text, "[listen]\ncallers = {callers}\n\n");
+    let _ = write!(text, "[accounts]\ncooperative = {CLUSTER}\n\n");
     text + &group_sections(group)
 }
 
