--- a/crates/usher_consensus/src/core/change.rs
+++ b/crates/usher_consensus/src/core/change.rs
@@ -36,7 +36,7 @@
         }
         self.lead.promotion = None;
         let index = self.append_own(message::EntryKind::Membership, table.encode());
-        self.track_members();
+        self.track_members(now);
         Ok(index)
     }
 
@@ -81,10 +81,9 @@
         if self.role != CoreRole::Leader || !settled {
             return None;
         }
-        let since = self.lead.since.unwrap_or(now);
         let members = self.members().iter().map(|(node, member)| {
             let peer = self.lead.progress.get(node);
-            let contact = peer.and_then(|peer| peer.contact).unwrap_or(since);
+            let contact = peer.map_or(now, |peer| peer.contact);
             let own = *node == self.id;
             repair::RepairMember {
                 node: node.clone(),
--- a/crates/usher_consensus/src/core/election.rs
+++ b/crates/usher_consensus/src/core/election.rs
@@ -7,12 +7,15 @@
 use super::{ConsensusCore, CoreRole};
 use crate::identity;
 
+/// How many election timeouts a learner waits for a voter to lead.
+const LEARNER_PATIENCE: u32 = 3;
+
 impl ConsensusCore {
     /// Asks whether an election could be won; without a quorum the term stays as it is, so that
     /// a node that was cut off doesn't depose the leader when it returns.
     pub(super) fn start_pre_vote(&mut self, now: time::Instant) {
         self.reset_election(now);
-        if !self.is_voter() {
+        if !self.is_voter() && !self.learner_may_lead(now) {
             return;
         }
         self.follow(now);
@@ -26,6 +29,17 @@
         self.ask_for_votes(true);
     }
 
+    /// Whether a learner may ask for votes: nobody has led for long.
+    ///
+    /// When a leader's disk is lost, only learners may hold its last entries, and a voter with an
+    /// uncommitted membership may count one of them as a voter. Nobody else can win then. Such a
+    /// leader gives up once its log is committed; it never counts as a part of the quorum.
+    fn learner_may_lead(&self, now: time::Instant) -> bool {
+        let patience = self.settings.election_max * LEARNER_PATIENCE;
+        let silent = now.saturating_duration_since(self.leader_seen.unwrap_or(self.started));
+        self.members().get(&self.id).is_some() && silent >= patience
+    }
+
     fn start_vote(&mut self, now: time::Instant) {
         self.reset_election(now);
         self.enter_term(self.hard.term + 1);
@@ -44,8 +58,7 @@
             last_index: self.log.last_index(),
             last_term: self.log.last_term(),
         };
-        let voters: Vec<_> = self.members().voters().cloned().collect();
-        for voter in voters.iter().filter(|voter| **voter != self.id) {
+        for voter in self.deciders().iter().filter(|voter| **voter != self.id) {
             let kind = message::consensus_message::Kind::VoteRequest(request);
             let mut message = self.message(voter, kind);
             if pre_vote {
@@ -56,15 +69,12 @@
     }
 
     pub(super) fn has_vote_quorum(&self) -> bool {
-        let granted = self
-            .members()
-            .voters()
-            .filter(|voter| self.votes.contains(*voter))
-            .count();
+        let deciders = self.deciders();
+        let granted = deciders.iter().filter(|voter| self.votes.contains(*voter));
         if self.is_founding() {
-            return granted == self.members().voters().count();
+            return granted.count() == deciders.len();
         }
-        granted >= self.members().quorum()
+        granted.count() >= self.members().quorum()
     }
 
     pub(super) fn on_vote_request(
--- a/crates/usher_consensus/src/core/follow.rs
+++ b/crates/usher_consensus/src/core/follow.rs
@@ -45,12 +45,17 @@
     ) {
         if !self.accept_leader(now, from, term) {
             // The higher term in the refusal deposes the old leader.
-            self.answer_append(from, false, 0, request.round);
+            self.refuse_append(from, &request, 0);
             return;
         }
         let previous = request.previous_index;
+        if previous < self.log.base_index() {
+            // Everything up to the commit index is the same on both sides.
+            self.accept_append(from, self.commit, request.round);
+            return;
+        }
         if let Some(retry) = self.mismatch(previous, request.previous_term) {
-            self.answer_append(from, false, retry, request.round);
+            self.refuse_append(from, &request, retry);
             return;
         }
         let last_new = previous + request.entries.len() as u64;
@@ -70,10 +75,11 @@
                 accepted: true,
                 index: last_new.min(self.durable),
                 round: request.round,
+                refused_index: 0,
             };
             self.send(from, message::consensus_message::Kind::AppendReply(reply));
         } else {
-            self.answer_append(from, true, last_new, request.round);
+            self.accept_append(from, last_new, request.round);
         }
     }
 
@@ -84,10 +90,6 @@
 
     /// Returns where the leader should retry when the logs differ at an index.
     fn mismatch(&self, previous: u64, previous_term: u64) -> Option<u64> {
-        if previous < self.log.base_index() {
-            // Everything up to the commit index is the same on both sides.
-            return Some(self.commit);
-        }
         match self.log.term(previous) {
             Some(term) if term == previous_term => None,
             Some(_) => Some(self.log.term_start(previous).saturating_sub(1)),
@@ -128,18 +130,36 @@
         true
     }
 
-    pub(super) fn answer_append(
+    fn accept_append(&mut self, to: &identity::NodeId, index: u64, round: u64) {
+        self.answer_append(
+            to,
+            message::AppendReply {
+                accepted: true,
+                index,
+                round,
+                refused_index: 0,
+            },
+        );
+    }
+
+    fn refuse_append(
         &mut self,
         to: &identity::NodeId,
-        accepted: bool,
+        request: &message::AppendRequest,
         index: u64,
-        round: u64,
     ) {
-        let reply = message::AppendReply {
-            accepted,
-            index,
-            round,
-        };
+        self.answer_append(
+            to,
+            message::AppendReply {
+                accepted: false,
+                index,
+                round: request.round,
+                refused_index: request.previous_index,
+            },
+        );
+    }
+
+    pub(super) fn answer_append(&mut self, to: &identity::NodeId, reply: message::AppendReply) {
         let kind = message::consensus_message::Kind::AppendReply(reply);
         if self.settings.faults.acknowledge_before_write {
             self.send(to, kind);
--- a/crates/usher_consensus/src/core/lead.rs
+++ b/crates/usher_consensus/src/core/lead.rs
@@ -16,7 +16,7 @@
             term_start: self.log.last_index() + 1,
             ..LeaderState::default()
         };
-        self.track_members();
+        self.track_members(now);
         if self.provisional {
             let payload = self.members().encode();
             self.append_own(message::EntryKind::Membership, payload);
@@ -27,7 +27,7 @@
     }
 
     /// Keeps progress for exactly the other members.
-    pub(super) fn track_members(&mut self) {
+    pub(super) fn track_members(&mut self, now: time::Instant) {
         let members = self.members().clone();
         let next = self.log.last_index() + 1;
         self.lead
@@ -37,7 +37,7 @@
             self.lead
                 .progress
                 .entry(node.clone())
-                .or_insert_with(|| progress::PeerProgress::new(next));
+                .or_insert_with(|| progress::PeerProgress::new(next, now));
         }
     }
 
@@ -47,9 +47,12 @@
     ///
     /// # Errors
     ///
-    /// Fails when this node doesn't lead; nothing was appended.
+    /// Fails when this node doesn't lead, or the group is still being founded; nothing was
+    /// appended.
     pub fn propose(&mut self, payload: Vec<u8>) -> Result<(u64, u64), error::NotLeaderError> {
-        if self.role != CoreRole::Leader {
+        // A command accepted while all first voters must agree to everything would be out of
+        // reach once one of them is lost.
+        if self.role != CoreRole::Leader || self.is_founding() {
             return Err(error::NotLeaderError);
         }
         let index = self.append_own(message::EntryKind::Command, payload);
@@ -87,12 +90,13 @@
         self.is_voter() && self.members().voters().count() == 1
     }
 
-    /// Sends again what may have been lost to peers that made no progress.
+    /// Looks again for the place where the logs agree with peers that didn't answer.
     fn recover_peers(&mut self) {
         for peer in self.lead.progress.values_mut() {
-            if !std::mem::take(&mut peer.answered) {
+            peer.silent = !std::mem::take(&mut peer.answered);
+            if peer.silent && peer.streaming {
                 peer.streaming = false;
-                peer.next = peer.next.min(peer.matched + 1).max(1);
+                peer.next = peer.matched + 1;
             }
         }
     }
@@ -135,47 +139,86 @@
 
     /// Sends the next entries to a peer; with `heartbeat` also when there are none.
     pub(super) fn send_append(&mut self, node: &identity::NodeId, heartbeat: bool) {
+        let Some(peer) = self.lead.progress.get(node) else {
+            return;
+        };
+        if !peer.streaming {
+            if heartbeat {
+                self.send_probe(node);
+            }
+            return;
+        }
+        let through = peer.matched + self.settings.append_window;
+        let mut sent_any = false;
+        let mut next = peer.next;
         loop {
-            let Some(peer) = self.lead.progress.get(node) else {
-                return;
-            };
-            let previous = peer.next - 1;
-            let Some(previous_term) = self.log.term(previous) else {
-                self.send_piece(node);
+            let Some(previous_term) = self.log.term(next - 1) else {
+                // The peer fell behind what is kept in memory.
+                self.look_behind(node);
                 return;
             };
-            let through = peer.matched + self.settings.append_window;
-            let entries = self
-                .log
-                .slice(peer.next, through, self.settings.append_bytes);
-            if entries.is_empty() && !heartbeat {
-                return;
+            let entries = self.log.slice(next, through, self.settings.append_bytes);
+            if entries.is_empty() && (sent_any || !heartbeat) {
+                break;
             }
-            let streaming = peer.streaming;
-            let sent = entries.len() as u64;
-            let request = message::AppendRequest {
-                previous_index: previous,
-                previous_term,
-                entries,
-                commit: self.commit,
-                round: self.lead.round,
-            };
-            self.send(
-                node,
-                message::consensus_message::Kind::AppendRequest(request),
-            );
-            if !streaming || sent == 0 {
-                return;
+            sent_any = true;
+            let count = entries.len() as u64;
+            self.send_request(node, next - 1, previous_term, entries);
+            next += count;
+            if count == 0 {
+                break;
             }
-            if let Some(peer) = self.lead.progress.get_mut(node) {
-                peer.next += sent;
-            }
-            if heartbeat {
-                return;
+        }
+        if let Some(peer) = self.lead.progress.get_mut(node) {
+            peer.next = next;
+        }
+    }
+
+    fn look_behind(&mut self, node: &identity::NodeId) {
+        if let Some(peer) = self.lead.progress.get_mut(node) {
+            peer.streaming = false;
+            peer.next = peer.matched + 1;
+        }
+        self.send_probe(node);
+    }
+
+    /// Asks a peer whether the logs agree where it is expected to be, or sends a snapshot.
+    fn send_probe(&mut self, node: &identity::NodeId) {
+        let Some(peer) = self.lead.progress.get(node) else {
+            return;
+        };
+        let previous = peer.next - 1;
+        match self.log.term(previous) {
+            Some(term) => self.send_request(node, previous, term, Vec::new()),
+            None if peer.silent => {
+                let base = self.log.base_index();
+                let term = self.log.term(base).unwrap_or_default();
+                self.send_request(node, base, term, Vec::new());
             }
+            None => self.send_piece(node),
         }
     }
 
+    fn send_request(
+        &mut self,
+        node: &identity::NodeId,
+        previous_index: u64,
+        previous_term: u64,
+        entries: Vec<message::LogEntry>,
+    ) {
+        let request = message::AppendRequest {
+            previous_index,
+            previous_term,
+            entries,
+            commit: self.commit,
+            round: self.lead.round,
+        };
+        self.send(
+            node,
+            message::consensus_message::Kind::AppendRequest(request),
+        );
+    }
+
     pub(super) fn on_append_reply(
         &mut self,
         now: time::Instant,
@@ -192,21 +235,28 @@
         };
         if reply.accepted {
             peer.matched = peer.matched.max(reply.index.min(last));
-            peer.next = peer.next.max(peer.matched + 1);
             if !peer.streaming {
                 peer.streaming = true;
                 peer.next = peer.matched + 1;
             }
+            peer.next = peer.next.max(peer.matched + 1);
             peer.transfer = None;
+            self.advance_commit(now);
+            if self.role == CoreRole::Leader {
+                self.send_append(from, false);
+            }
+            return;
+        }
+        // A late refusal must neither undo later progress nor start a second search.
+        let current = if peer.streaming {
+            reply.refused_index >= peer.matched
         } else {
+            reply.refused_index + 1 == peer.next
+        };
+        if current && reply.refused_index > reply.index {
             peer.streaming = false;
-            // A late refusal never moves back behind what the peer holds durably.
-            peer.next = (reply.index + 1).min(peer.next).max(peer.matched + 1);
-        }
-        let behind = peer.next <= last;
-        self.advance_commit(now);
-        if behind && self.role == CoreRole::Leader {
-            self.send_append(from, !reply.accepted);
+            peer.next = (reply.index + 1).max(peer.matched + 1);
+            self.send_probe(from);
         }
     }
 
@@ -226,8 +276,9 @@
             return false;
         };
         peer.acked_round = peer.acked_round.max(round);
-        peer.contact = Some(now);
+        peer.contact = now;
         peer.answered = true;
+        peer.silent = false;
         self.resolve_reads(now);
         true
     }
--- a/crates/usher_consensus/src/core/mod.rs
+++ b/crates/usher_consensus/src/core/mod.rs
@@ -96,6 +96,7 @@
     hard: batch::HardState,
     leader: Option<identity::NodeId>,
     leader_seen: Option<time::Instant>,
+    started: time::Instant,
     /// No vote is granted before this time, because this node may have confirmed a lease before
     /// it was restarted.
     quiet_until: time::Instant,
@@ -206,21 +207,35 @@
         &self.settings
     }
 
-    /// Whether the first membership isn't known to be on all its voters.
+    /// Whether the first membership isn't known to be on all its members.
     ///
-    /// Until then all of them must agree to everything. Were a majority enough, a founder that
-    /// was paused and replaced could win one of the others, and two groups would found.
+    /// Until then all of them must agree to everything, learners as well. Were a majority enough,
+    /// a founder that was paused and replaced could win one of the others, and two groups would
+    /// found. Were the voters enough, they could found again once each of them had been replaced
+    /// with an empty disk, while the group goes on with other nodes.
     fn is_founding(&self) -> bool {
         self.members_index() <= FOUNDING_INDEX && self.image.is_none()
     }
 
+    /// Who is asked for votes and counted: the voters, and all members while founding.
+    fn deciders(&self) -> Vec<identity::NodeId> {
+        if self.is_founding() {
+            return self
+                .members()
+                .iter()
+                .map(|(node, _)| node.clone())
+                .collect();
+        }
+        self.members().voters().cloned().collect()
+    }
+
     /// Returns the highest value that enough voters reached.
     fn quorum_value<F>(&self, value: F) -> u64
     where
         F: FnMut(&identity::NodeId) -> u64,
     {
         if self.is_founding() {
-            return self.members().voters().map(value).min().unwrap_or(0);
+            return self.deciders().iter().map(value).min().unwrap_or(0);
         }
         self.members().quorum_value(value)
     }
--- a/crates/usher_consensus/src/core/start.rs
+++ b/crates/usher_consensus/src/core/start.rs
@@ -48,6 +48,7 @@
             hard: state.hard,
             leader: None,
             leader_seen: None,
+            started: now,
             quiet_until: now + quiet,
             election_at: now,
             log: log::EntryLog::new(base, base_term),
@@ -131,9 +132,9 @@
     /// Takes the first membership from the settings, and asks for votes at once.
     ///
     /// Only one node of a new group may do this. Until the membership is in the log every member
-    /// must vote for the first leader: should the node lose its disk and start a second group
-    /// with the same peers, none that holds an entry of the first one agrees. Does nothing when
-    /// the node isn't blank.
+    /// must vote for the first leader, learners as well: should the node lose its disk and start a
+    /// second group, none that holds an entry of the first one agrees. Does nothing when the node
+    /// isn't blank.
     pub fn bootstrap(
         &mut self,
         now: time::Instant,
@@ -148,29 +149,34 @@
         self.election_at = now;
     }
 
-    /// Starts a group with the named nodes as its first voters, if this node is the first of them
-    /// and has heard from all others, all without a log, since `after`.
+    /// Starts a group with the named voters, if this node is the first of them and has heard from
+    /// all nodes, all without a log, since `after`.
     ///
-    /// `own` is this node as a member. See [`bootstrap`](Self::bootstrap).
+    /// `own` is this node as a member; the nodes that aren't voters become learners. All nodes
+    /// that may hold a log must be named, or a second group could be founded beside an existing
+    /// one. See [`bootstrap`](Self::bootstrap).
     pub fn try_bootstrap(
         &mut self,
         now: time::Instant,
         own: &message::Member,
-        names: &[usher_types::NodeName],
+        voters: &[usher_types::NodeName],
+        nodes: &[usher_types::NodeName],
         after: time::Instant,
     ) {
-        if !self.is_blank() || names.first() != Some(&self.id.name) {
+        if !self.is_blank() || voters.first() != Some(&self.id.name) {
             return;
         }
         let mut members = vec![own.clone()];
-        for name in names.iter().skip(1) {
+        let names: collections::BTreeSet<_> = voters.iter().chain(nodes).collect();
+        for name in names.into_iter().filter(|name| **name != self.id.name) {
             match self.known_spare(name, after) {
                 Some((member, 0)) => members.push(member.clone()),
                 _ => return,
             }
         }
         for member in &mut members {
-            member.voter = true;
+            let name = membership::identity_of(member).name;
+            member.voter = voters.contains(&name);
         }
         self.bootstrap(now, members);
     }
--- a/crates/usher_consensus/src/core/transfer.rs
+++ b/crates/usher_consensus/src/core/transfer.rs
@@ -69,11 +69,11 @@
         if !reply.durable {
             let wanted =
                 usize::try_from(reply.next_offset).map_or(total, |offset| offset.min(total));
-            // An offset behind the current one is an answer to a repeated piece, or the peer was
-            // restarted; the next heartbeat sends from there.
-            let moved = wanted != transfer.offset;
+            // A lower offset comes from a peer that was restarted, or is a late answer. The next
+            // heartbeat sends from there; sending at once could never end with late answers.
+            let forward = wanted > transfer.offset;
             transfer.offset = wanted;
-            if moved {
+            if forward {
                 self.send_piece(from);
             }
             return;
@@ -94,7 +94,12 @@
         piece: message::SnapshotPiece,
     ) {
         if !self.accept_leader(now, from, term) {
-            self.answer_append(from, false, 0, piece.round);
+            // The higher term deposes the old leader.
+            let refusal = message::AppendReply {
+                round: piece.round,
+                ..Default::default()
+            };
+            self.answer_append(from, refusal);
             return;
         }
         let (index, round) = (piece.last_index, piece.round);
--- a/crates/usher_consensus/src/progress.rs
+++ b/crates/usher_consensus/src/progress.rs
@@ -22,22 +22,26 @@
     pub(crate) streaming: bool,
     /// Highest round that the peer answered.
     pub(crate) acked_round: u64,
-    /// When the peer last answered.
-    pub(crate) contact: Option<time::Instant>,
+    /// When the peer last answered, or was first tracked.
+    pub(crate) contact: time::Instant,
     /// Whether the peer has answered since the last heartbeat.
     pub(crate) answered: bool,
+    /// Whether it answered nothing between the last two heartbeats; it then gets only small
+    /// messages, which don't pile up on a cut connection.
+    pub(crate) silent: bool,
     pub(crate) transfer: Option<SnapshotTransfer>,
 }
 
 impl PeerProgress {
-    pub(crate) fn new(next: u64) -> Self {
+    pub(crate) fn new(next: u64, now: time::Instant) -> Self {
         Self {
             matched: 0,
             next,
             streaming: false,
             acked_round: 0,
-            contact: None,
+            contact: now,
             answered: false,
+            silent: false,
             transfer: None,
         }
     }
--- a/crates/usher_consensus/src/repair.rs
+++ b/crates/usher_consensus/src/repair.rs
@@ -64,6 +64,7 @@
     /// ```
     pub fn decide(&self, view: &RepairView) -> Option<membership::MembershipChange> {
         self.remove_learner(view)
+            .or_else(|| Self::remove_replaced(view))
             .or_else(|| self.promote(view))
             .or_else(|| self.remove_voter(view))
             .or_else(|| self.add_learner(view))
@@ -75,12 +76,25 @@
         if member.node == view.leader {
             return false;
         }
-        let replaced = view.spares.iter().chain(&view.members).any(|other| {
+        Self::is_replaced(view, member) || member.silent >= self.lost_after
+    }
+
+    /// Whether the name has returned with another disk.
+    fn is_replaced(view: &RepairView, member: &RepairMember) -> bool {
+        view.spares.iter().chain(&view.members).any(|other| {
             other.node.name == member.node.name
                 && other.node != member.node
                 && other.silent < member.silent
-        });
-        replaced || member.silent >= self.lost_after
+        })
+    }
+
+    /// A voter whose disk is known to be lost is removed before its replacement is promoted: it
+    /// never votes again, and with both in the group a second loss would stop it.
+    fn remove_replaced(view: &RepairView) -> Option<membership::MembershipChange> {
+        let replaced = view.members.iter().find(|member| {
+            member.member.voter && member.node != view.leader && Self::is_replaced(view, member)
+        })?;
+        Some(membership::MembershipChange::Remove(replaced.node.clone()))
     }
 
     fn remove_learner(&self, view: &RepairView) -> Option<membership::MembershipChange> {
@@ -105,7 +119,7 @@
             .count()
     }
 
-    /// Replaces a lost voter before it is removed, so that the quorum never shrinks.
+    /// Replaces a silent voter before it is removed, because it may come back.
     fn promote(&self, view: &RepairView) -> Option<membership::MembershipChange> {
         let healthy = self.healthy_voters(view);
         if healthy.len() >= self.voters || Self::voter_count(view) > self.voters {
--- a/crates/usher_consensus/tests/core_cases.rs
+++ b/crates/usher_consensus/tests/core_cases.rs
@@ -57,6 +57,7 @@
         accepted: true,
         index,
         round,
+        refused_index: 0,
     })
 }
 
@@ -99,6 +100,7 @@
         accepted: false,
         index: 0,
         round,
+        refused_index: 2,
     })
 }
 
--- a/crates/usher_replica/src/driver/mod.rs
+++ b/crates/usher_replica/src/driver/mod.rs
@@ -206,8 +206,14 @@
         self.peers.announce(&notice);
         let own = self.settings.member(self.core.id());
         let after = now.checked_sub(NOTICE_AGE).unwrap_or(now);
-        let names = &self.settings.initial_members;
-        self.core.try_bootstrap(now, &own, names, after);
+        let voters = &self.settings.initial_members;
+        let nodes: Vec<_> = self
+            .settings
+            .peers
+            .iter()
+            .map(|(name, _)| name.clone())
+            .collect();
+        self.core.try_bootstrap(now, &own, voters, &nodes, after);
         self.core.tick(now);
     }
 
--- a/crates/usher_replica/src/driver/output.rs
+++ b/crates/usher_replica/src/driver/output.rs
@@ -106,7 +106,13 @@
             let index = usher_types::LogIndex::new(entry.index);
             let outcome = match entry.kind() {
                 message::EntryKind::Command => state.machine.apply(index, &entry.payload),
-                message::EntryKind::Membership | message::EntryKind::Noop => Vec::new(),
+                message::EntryKind::Membership => {
+                    // The next step of a repair is due at once: until a lost voter is removed a
+                    // second loss may stop the group.
+                    self.next_repair = usher_types::ClockSource::now(&usher_types::SystemClock);
+                    Vec::new()
+                }
+                message::EntryKind::Noop => Vec::new(),
             };
             self.applied = entry.index;
             state.index = entry.index;
--- a/crates/usher_replica/src/settings.rs
+++ b/crates/usher_replica/src/settings.rs
@@ -19,10 +19,13 @@
     pub domain: String,
     /// Data folder; used by one process at a time.
     pub folder: path::PathBuf,
-    /// Names and addresses of other nodes, to make this node known to.
+    /// Names and addresses of all other nodes, voters and spares. The group is founded only once
+    /// all of them are up with empty folders: a second group could be founded otherwise, when the
+    /// first voters have been replaced one by one. A node that is added later makes itself known,
+    /// and belongs into this list of all nodes by their next restart.
     pub peers: Vec<(usher_types::NodeName, net::SocketAddr)>,
-    /// Names of the first voters, the same list on all nodes. It is used once, while the group
-    /// has no log; the node named first then starts the group when it has heard from the others.
+    /// Names of the first voters, the same list on all nodes. It is used once, while no node has
+    /// a log; the node named first then founds the group, and the other peers become learners.
     pub initial_members: Vec<usher_types::NodeName>,
     /// Timings and limits of consensus.
     pub consensus: usher_consensus::ConsensusSettings,
@@ -75,7 +78,7 @@
         self
     }
 
-    /// Sets the other nodes, also those that aren't members yet.
+    /// Sets all other nodes, also those that aren't voters; see [`peers`](Self::peers).
     #[must_use]
     pub fn with_peers(
         mut self,
