Show that the schedules catch six removed mechanisms

Cause: a check that never fails shows nothing.

Change: tests/removed_mechanisms.rs removes one mechanism of the pure core at a time and requires that the schedules find the violation that it prevents.

--- /dev/null
+++ b/crates/usher_replica/tests/removed_mechanisms.rs
@@ -0,0 +1,117 @@
+//! With a mechanism of the core removed, the schedules find the violation that it prevents.
+
+mod sim;
+
+use sim::{run_schedules, FaultProfile};
+use usher_consensus::CoreFaults;
+
+/// Runs schedules until one shows a violation that contains the text.
+fn expect_violation(profile: &FaultProfile, schedules: u64, expected: &str) {
+    let (counts, violations) = run_schedules(1, schedules, profile, true);
+    println!(
+        "{} schedules, first violations: {violations:#?}",
+        counts.schedules
+    );
+    let found = violations
+        .iter()
+        .any(|violation| violation.contains(expected));
+    assert!(found, "no {expected:?} in {} schedules", counts.schedules);
+}
+
+/// Many crashes, few other faults.
+fn crashes(core: CoreFaults) -> FaultProfile {
+    FaultProfile {
+        weights: [12, 0, 1, 2, 1, 0, 4],
+        fault_every_ms: 400,
+        spares: 0,
+        repair: false,
+        core,
+        ..FaultProfile::default()
+    }
+}
+
+/// Guards against a check of elections that can't fail: votes leave before they are durable.
+#[test]
+fn vote_before_write_elects_two_leaders() {
+    let core = CoreFaults {
+        vote_before_write: true,
+        ..CoreFaults::default()
+    };
+    expect_violation(&crashes(core), 6_000, "election safety");
+}
+
+/// Guards against a check of durability that can't fail: entries are acknowledged too early.
+#[test]
+fn acknowledge_before_write_loses_accepted_commands() {
+    let core = CoreFaults {
+        acknowledge_before_write: true,
+        ..CoreFaults::default()
+    };
+    expect_violation(&crashes(core), 6_000, "leader completeness");
+}
+
+/// Guards against a check of promotions that can't fail: learners are promoted while behind.
+#[test]
+fn promotion_of_a_learner_that_is_behind_is_found() {
+    let core = CoreFaults {
+        promote_behind: true,
+        ..CoreFaults::default()
+    };
+    let profile = FaultProfile {
+        core,
+        ..FaultProfile::default()
+    };
+    expect_violation(&profile, 6_000, "promotion");
+}
+
+/// Guards against a check of leases that can't fail: the lease ignores the drift of clocks.
+#[test]
+fn lease_without_drift_bound_overlaps() {
+    let core = CoreFaults {
+        lease_without_drift: true,
+        ..CoreFaults::default()
+    };
+    let profile = FaultProfile {
+        weights: [1, 0, 2, 8, 4, 0, 0],
+        spares: 0,
+        repair: false,
+        core,
+        ..FaultProfile::default()
+    };
+    expect_violation(&profile, 6_000, "lease exclusivity");
+}
+
+/// Guards against a check of leases that can't fail: votes are given although a leader was heard.
+#[test]
+fn vote_under_a_lease_overlaps() {
+    let core = CoreFaults {
+        vote_under_lease: true,
+        ..CoreFaults::default()
+    };
+    let profile = FaultProfile {
+        weights: [1, 0, 1, 4, 8, 0, 0],
+        spares: 0,
+        repair: false,
+        core,
+        ..FaultProfile::default()
+    };
+    expect_violation(&profile, 6_000, "lease exclusivity");
+}
+
+/// Guards against a check of identities that can't fail: a wiped node votes under its old name.
+#[test]
+fn identity_by_name_only_loses_accepted_commands() {
+    let core = CoreFaults {
+        name_only: true,
+        ..CoreFaults::default()
+    };
+    let profile = FaultProfile {
+        weights: [4, 8, 1, 3, 2, 0, 0],
+        fault_every_ms: 500,
+        spares: 0,
+        repair: false,
+        core,
+        ..FaultProfile::default()
+    };
+    expect_violation(&profile, 6_000, "leader completeness");
+}
