Bound bytes in flight: user timeout of 2 s, reset on close

Cause: the wait after a leader change counts on sent bytes to arrive or be lost within 2 s (design, section 9); a silent cut was seen only when the kernel gave up after many minutes.

Change: every connection of usher_wire has a TCP user timeout of 2 s, and the calling side closes with a reset.

The answering side still closes in order, so that its last replies arrive. Order connections to engines are HTTP and need the same two options there (usher_wire::UNANSWERED_LIMIT).

--- a/crates/usher_wire/src/stream.rs
+++ b/crates/usher_wire/src/stream.rs
@@ -14,6 +14,10 @@
 /// How long connecting and the hello may take.
 const HELLO_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 
+/// How long sent bytes may stay without an answer of the peer's kernel before the connection
+/// breaks; bounds how late bytes in flight can still arrive, and how long a silent cut is unseen.
+pub const UNANSWERED_LIMIT: time::Duration = time::Duration::from_secs(2);
+
 /// The longest hello, in bytes; a stranger can't make this side reserve more.
 const MAX_HELLO_BYTES: usize = 1_024;
 
@@ -73,6 +77,8 @@
 ) -> Result<(WireStream, WireIdentity), error::WireError> {
     let dial = async {
         let socket = tokio_net::TcpStream::connect(address).await?;
+        // The side that calls closes with a reset: what it gave up on must not arrive later.
+        socket2::SockRef::from(&socket).set_linger(Some(time::Duration::ZERO))?;
         exchange(socket, identity).await
     };
     tokio::time::timeout(HELLO_TIMEOUT, dial)
@@ -106,6 +112,7 @@
 ) -> Result<(WireStream, WireIdentity), error::WireError> {
     use prost::Message as _;
     socket.set_nodelay(true)?;
+    socket2::SockRef::from(&socket).set_tcp_user_timeout(Some(UNANSWERED_LIMIT))?;
     let mut frames = codec::Framed::new(socket, hello_codec());
     frames
         .send(bytes::Bytes::from(identity.hello().encode_to_vec()))
--- a/crates/usher_wire/tests/calls.rs
+++ b/crates/usher_wire/tests/calls.rs
@@ -108,6 +108,33 @@
     assert!(matches!(error, CallError::Unknown(_)), "{error}");
 }
 
+/// Guards against bytes that arrive after the caller gave up: the peer must see a reset at once,
+/// and a cut connection must break within 2 s.
+#[tokio::test]
+async fn caller_closes_with_a_reset() {
+    use futures_util::StreamExt as _;
+    let listener = tokio_net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let peer = tokio::spawn(async move {
+        let (socket, _) = listener.accept().await.unwrap();
+        let (stream, _) = usher_wire::accept(socket, &identity("one", "server"))
+            .await
+            .unwrap();
+        stream.into_future().await.0
+    });
+    let (stream, _) = usher_wire::connect(address, &identity("one", "client"))
+        .await
+        .unwrap();
+    let limit = socket2::SockRef::from(stream.get_ref()).tcp_user_timeout();
+    assert_eq!(limit.unwrap(), Some(usher_wire::UNANSWERED_LIMIT));
+    drop(stream);
+    let seen = peer.await.unwrap();
+    let Some(Err(WireError::Io(error))) = seen else {
+        panic!("closed without a reset: {seen:?}");
+    };
+    assert_eq!(error.kind(), std::io::ErrorKind::ConnectionReset);
+}
+
 /// Guards against two installations on one network that exchange messages by mistake.
 #[tokio::test]
 async fn peer_of_another_cluster_is_refused() {
