--- /dev/null
+++ b/crates/usher_replica/tests/repair.rs
@@ -0,0 +1,137 @@
+//! Replicas over loopback repair their membership and stop when their disk fails.
+
+mod common;
+
+use std::time;
+
+use common::{leader_of, propose, wait_for, Group, Handle, ListMachine, Node};
+use usher_replica::{RepairPolicy, ReplicaNode, ReplicaRole};
+
+fn handles(nodes: &[Option<Node>]) -> Vec<&Handle> {
+    nodes.iter().flatten().map(|node| &node.handle).collect()
+}
+
+fn voters(handle: &Handle) -> Vec<(String, u64)> {
+    let membership = handle.status().membership;
+    let voters = membership.members.into_iter().filter(|member| member.voter);
+    voters
+        .filter_map(|member| member.identity)
+        .map(|identity| (identity.name, identity.incarnation))
+        .collect()
+}
+
+fn quick_repair(settings: usher_replica::ReplicaSettings) -> usher_replica::ReplicaSettings {
+    settings
+        .with_snapshot_entries(20)
+        .with_repair(Some(RepairPolicy {
+            lost_after: time::Duration::from_millis(1_500),
+            ..RepairPolicy::default()
+        }))
+}
+
+/// Guards against a lost voter that nobody replaces, a node that returns with an empty disk and
+/// still counts as a voter, and accepted commands that a second loss right after the repair takes
+/// away.
+#[tokio::test(flavor = "multi_thread")]
+async fn spare_replaces_a_lost_voter_before_a_second_loss() {
+    let mut group = Group::new("repair", 4, 3);
+    group.adjust = quick_repair;
+    let mut nodes: Vec<_> = group.start_all().await.into_iter().map(Some).collect();
+    for number in 0..100_u8 {
+        propose(&handles(&nodes), &[number]).await;
+    }
+    let spare = nodes[3].as_ref().unwrap().handle.clone();
+    let first = usize::from(leader_of(&handles(&nodes)).await == 0);
+    let old = nodes[first].as_ref().unwrap().handle.identity().clone();
+    nodes[first].take().unwrap().stop().await;
+    std::fs::remove_dir_all(group.node_folder(first)).unwrap();
+    let lost = (old.name.to_string(), old.incarnation.get());
+    wait_for("the spare as a voter in place of the lost one", || {
+        let voters = voters(&spare);
+        voters.len() == 3 && !voters.contains(&lost) && voters.iter().any(|(name, _)| name == "c4")
+    })
+    .await;
+    // The second loss; the spare is a part of every quorum now.
+    let second = (0..3).find(|place| nodes[*place].is_some()).unwrap();
+    nodes[second].take().unwrap().stop().await;
+    propose(&handles(&nodes), b"after both").await;
+    let leader = leader_of(&handles(&nodes)).await;
+    let leader = handles(&nodes)[leader].clone();
+    leader.read().await.unwrap();
+    let expected: Vec<Vec<u8>> = (0..100_u8).map(|number| vec![number]).collect();
+    assert_eq!(
+        leader.view(|machine| machine.commands[..100].to_vec()),
+        expected
+    );
+    // The first one returns with an empty folder: another identity, and no voter.
+    nodes[first] = Some(group.start(first).await);
+    let back = nodes[first].as_ref().unwrap().handle.clone();
+    assert_ne!(back.identity().incarnation, old.incarnation);
+    assert_eq!(back.status().role, ReplicaRole::Learner);
+    wait_for("the state on the node that returned", || {
+        back.view(|machine| machine.commands.len() >= 101)
+    })
+    .await;
+    for node in nodes.into_iter().flatten() {
+        node.stop().await;
+    }
+}
+
+/// Guards against a node that goes on after a failed fsync, and against success for a command
+/// that isn't durable.
+#[tokio::test(flavor = "multi_thread")]
+async fn failed_fsync_stops_the_replica() {
+    let group = Group::new("fsync", 1, 1);
+    let folder = usher_log::MemoryFolder::default();
+    let node = ReplicaNode::new(group.settings(0), ListMachine::default());
+    let handle = node.start_on(folder.clone()).await.unwrap();
+    propose(&[&handle], b"durable").await;
+    folder.fail_syncs_after(Some(0));
+    let outcome = handle.propose(b"lost".to_vec()).await;
+    assert!(matches!(
+        outcome,
+        Err(usher_replica::ProposeError::Unknown(_))
+    ));
+    let reason = handle.stopped().await.unwrap();
+    assert!(reason.contains("fsync"), "{reason}");
+    assert!(handle.read().await.is_err());
+    let refused = handle.propose(b"more".to_vec()).await;
+    assert!(matches!(refused, Err(usher_replica::ProposeError::Stopped)));
+}
+
+/// Guards against a follower that claims to serve linearizable reads or accepts commands, and
+/// against a leader that does so alone.
+#[tokio::test(flavor = "multi_thread")]
+async fn only_a_leader_with_a_quorum_serves() {
+    let group = Group::new("quorum", 3, 3);
+    let mut nodes: Vec<_> = group.start_all().await.into_iter().map(Some).collect();
+    propose(&handles(&nodes), b"first").await;
+    let leader = leader_of(&handles(&nodes)).await;
+    let follower = nodes[(leader + 1) % 3].as_ref().unwrap();
+    wait_for("the leader's name", || {
+        follower.handle.status().leader.is_some()
+    })
+    .await;
+    let refused = follower.handle.read().await.unwrap_err();
+    let usher_replica::ReadError::NotLeader {
+        leader: Some((name, address)),
+    } = refused
+    else {
+        panic!("{refused}");
+    };
+    assert_eq!(
+        (name, address),
+        (group.names[leader].clone(), group.addresses[leader])
+    );
+    for place in [(leader + 1) % 3, (leader + 2) % 3] {
+        nodes[place].take().unwrap().stop().await;
+    }
+    let alone = nodes[leader].as_ref().unwrap().handle.clone();
+    wait_for("the end of the lease", || {
+        !alone.holds_lease(time::Instant::now())
+    })
+    .await;
+    assert!(alone.read().await.is_err());
+    assert!(alone.propose(b"alone".to_vec()).await.is_err());
+    nodes[leader].take().unwrap().stop().await;
+}
