--- a/crates/usher_config/src/lib.rs
+++ b/crates/usher_config/src/lib.rs
@@ -2,9 +2,19 @@
 //!
 //! For: reading, checking, comparing and writing both files. Not for: acting on them.
 
+mod settings;
 mod sheet;
+mod together;
 
+pub use settings::{
+    setting_keys, AccountSettings, ControlGroup, ControlMember, ControlPart, ControlSettings,
+    EntrySettings, FakeEngineSettings, FakeSettings, LimitSettings, LinkSettings, LogFormat,
+    LogSettings, MetricSettings, NodeSettings, ObjectiveSettings, OperatorSettings, OrderSettings,
+    ProcessSettings, RoutingSettings, SettingKey, SettingsError, SettingsErrors, ShareValue,
+    TeamAccount,
+};
 pub use sheet::{
     CellChange, CountRange, FleetSheet, ParseCountError, RowChange, SheetDifference, SheetError,
     SheetErrors, SheetRow, MAX_SHEET_BYTES, SHEET_COLUMNS,
 };
+pub use together::{check_together, CheckedFile, FileContent};
--- a/crates/usher_consensus/src/core/start.rs
+++ b/crates/usher_consensus/src/core/start.rs
@@ -48,6 +48,7 @@
             hard: state.hard,
             leader: None,
             leader_seen: None,
+            started: now,
             quiet_until: now + quiet,
             election_at: now,
             log: log::EntryLog::new(base, base_term),
@@ -62,6 +63,8 @@
             write_from: base + 1,
             handed_last: base,
             hard_changed: false,
+            hard_sequence: 0,
+            persisted_sequence: 0,
             installing: None,
             installing_keeps_log: false,
             incoming: None,
@@ -129,9 +132,9 @@
     /// Takes the first membership from the settings, and asks for votes at once.
     ///
     /// Only one node of a new group may do this. Until the membership is in the log every member
-    /// must vote for the first leader: should the node lose its disk and start a second group
-    /// with the same peers, none that holds an entry of the first one agrees. Does nothing when
-    /// the node isn't blank.
+    /// must vote for the first leader, learners as well: should the node lose its disk and start a
+    /// second group, none that holds an entry of the first one agrees. Does nothing when the node
+    /// isn't blank.
     pub fn bootstrap(
         &mut self,
         now: time::Instant,
@@ -146,6 +149,38 @@
         self.election_at = now;
     }
 
+    /// Starts a group with the named voters, if this node is the first of them and has heard from
+    /// all nodes, all without a log, since `after`.
+    ///
+    /// `own` is this node as a member; the nodes that aren't voters become learners. All nodes
+    /// that may hold a log must be named, or a second group could be founded beside an existing
+    /// one. See [`bootstrap`](Self::bootstrap).
+    pub fn try_bootstrap(
+        &mut self,
+        now: time::Instant,
+        own: &message::Member,
+        voters: &[usher_types::NodeName],
+        nodes: &[usher_types::NodeName],
+        after: time::Instant,
+    ) {
+        if !self.is_blank() || voters.first() != Some(&self.id.name) {
+            return;
+        }
+        let mut members = vec![own.clone()];
+        let names: collections::BTreeSet<_> = voters.iter().chain(nodes).collect();
+        for name in names.into_iter().filter(|name| **name != self.id.name) {
+            match self.known_spare(name, after) {
+                Some((member, 0)) => members.push(member.clone()),
+                _ => return,
+            }
+        }
+        for member in &mut members {
+            let name = membership::identity_of(member).name;
+            member.voter = voters.contains(&name);
+        }
+        self.bootstrap(now, members);
+    }
+
     /// Returns the message by which this node makes itself known to peers.
     pub fn join_notice(&self, member: message::Member) -> message::ConsensusMessage {
         let notice = message::JoinNotice {
--- a/crates/usher_consensus/src/core/transfer.rs
+++ b/crates/usher_consensus/src/core/transfer.rs
@@ -66,13 +66,14 @@
             return;
         }
         let total = transfer.image.data.len();
-        let wanted = usize::try_from(reply.next_offset).unwrap_or(total);
-        if wanted <= total {
-            // An offset behind the current one is an answer to a repeated piece, or the peer was
-            // restarted; the next heartbeat sends from there.
-            let moved = wanted != transfer.offset;
+        if !reply.durable {
+            let wanted =
+                usize::try_from(reply.next_offset).map_or(total, |offset| offset.min(total));
+            // A lower offset comes from a peer that was restarted, or is a late answer. The next
+            // heartbeat sends from there; sending at once could never end with late answers.
+            let forward = wanted > transfer.offset;
             transfer.offset = wanted;
-            if moved {
+            if forward {
                 self.send_piece(from);
             }
             return;
@@ -93,13 +94,17 @@
         piece: message::SnapshotPiece,
     ) {
         if !self.accept_leader(now, from, term) {
-            self.answer_append(from, false, 0, piece.round);
+            // The higher term deposes the old leader.
+            let refusal = message::AppendReply {
+                round: piece.round,
+                ..Default::default()
+            };
+            self.answer_append(from, refusal);
             return;
         }
         let (index, round) = (piece.last_index, piece.round);
         let next_offset = if index <= self.commit {
-            // Nothing is missing; one past the total says that it is durable.
-            piece.total + 1
+            piece.total
         } else {
             self.take_piece(piece)
         };
@@ -107,6 +112,8 @@
             last_index: index,
             next_offset,
             round,
+            // The reply leaves once everything up to now is written.
+            durable: index <= self.commit,
         };
         self.send_after_write(from, message::consensus_message::Kind::SnapshotReply(reply));
     }
@@ -147,7 +154,7 @@
             membership: membership::MemberTable::new(members),
             data,
         });
-        piece.total + 1
+        piece.total
     }
 
     /// Replaces the state and the log up to the snapshot's index.
