End a replica whose last handle was dropped

Cause: the queue of peers' messages closes with the last handle and is looked at before the queue of commands, so that the driver spun on it and never reached the command queue that would have ended it: three such drivers took 2.7 cores. Change: a closed message queue ends the driver too. Conclusion: dropped nodes in tests and in the demo no longer cost CPU time.

--- a/crates/usher_replica/src/driver/mod.rs
+++ b/crates/usher_replica/src/driver/mod.rs
@@ -152,8 +152,14 @@
     }
 
     fn on_messages(&mut self, first: Option<message::ConsensusMessage>) {
+        // The last handle was dropped; this queue is looked at before that of commands, so that
+        // going on would spin here.
+        let Some(first) = first else {
+            self.stopping = Some(String::new());
+            return;
+        };
         let now = usher_types::SystemClock.now();
-        let mut next = first;
+        let mut next = Some(first);
         let mut taken = 0;
         while let Some(message) = next {
             self.core.receive(now, message);
--- a/crates/usher_replica/tests/common/mod.rs
+++ b/crates/usher_replica/tests/common/mod.rs
@@ -66,7 +66,7 @@
 /// One node: its replica and the server that feeds it.
 pub struct Node {
     pub handle: Handle,
-    server: tokio::task::JoinHandle<()>,
+    pub server: tokio::task::JoinHandle<()>,
 }
 
 impl Node {
