usher_policy: exact slow detection, deadline in the score, engine rates as settings

Cause: short work was refused at 80% load because the expected time per token held the prefill of the moment; healthy engines in long prefill were judged slow. Change: time per token averaged over 2 s; the least ratio in 400 ms with an allowance for prefill decides slowness; lateness weighs 5 in the score; short work expects full chunks beside long prefill; long work is kept off other engines by 20 s instead of 4 s; hedges after 3 times the expected time; engine rates of the data sheet as a start.

--- a/crates/usher_bench/src/experiments/common.rs
+++ b/crates/usher_bench/src/experiments/common.rs
@@ -110,6 +110,15 @@
         } else {
             sim::run(plan)
         };
+        if !result.totals.refused.is_empty() {
+            let reasons = result.totals.refused.iter();
+            let reasons: Vec<String> = reasons.map(|(why, n)| format!("{why} {n}")).collect();
+            let reasons = reasons.join(", ");
+            let experiment = self.experiment;
+            report.notes.push(format!(
+                "{experiment} {scenario}: {policy} refused: {reasons}"
+            ));
+        }
         let name = (self.experiment, scenario);
         report
             .rows
--- a/crates/usher_bench/src/router.rs
+++ b/crates/usher_bench/src/router.rs
@@ -141,7 +141,12 @@
             PolicyName::Oracle => Self::Oracle(split),
             PolicyName::Usher => {
                 let home = fleet.regions[fleet.entries[entry]];
-                let settings = RouteSettings::new(home).with_seed(seed);
+                // The operators set what the data sheet of the engines says.
+                let mut settings = RouteSettings::new(home)
+                    .with_seed(seed)
+                    .with_prefill_rate(fleet.rates.mixed_prefill_per_second);
+                settings.token_time = time::Duration::from_secs_f64(fleet.rates.step_base);
+                settings.batch_limit = fleet.rates.batch_limit as u32;
                 Self::Usher(Box::new(EntryPolicy::new(settings)))
             }
         }
--- a/crates/usher_policy/src/admit.rs
+++ b/crates/usher_policy/src/admit.rs
@@ -7,9 +7,6 @@
 
 use crate::{lease, request, route, settings, share};
 
-/// Expected times are multiplied by this before they are compared with the deadline, because a
-/// call that is accepted and late has cost capacity for nothing.
-const DEADLINE_MARGIN: f64 = 1.15;
 /// Share of the slack to the deadline beyond which the system counts as congested.
 const CONGESTED_SHARE: f64 = 0.5;
 /// Longest Retry-After before jitter.
@@ -147,7 +144,7 @@
         return (time::Duration::ZERO, congestion);
     };
     let left = deadline.saturating_duration_since(now);
-    let finish = decision.finish.as_secs_f64() * DEADLINE_MARGIN;
+    let finish = decision.finish.as_secs_f64() * route::DEADLINE_MARGIN;
     let late = finish - left.as_secs_f64();
     let late_by = time::Duration::try_from_secs_f64(late.max(0.0)).unwrap_or(time::Duration::MAX);
     let output = decision.finish.saturating_sub(decision.first_token);
--- a/crates/usher_policy/src/retry.rs
+++ b/crates/usher_policy/src/retry.rs
@@ -14,9 +14,9 @@
 /// Attempts of one call, the first included.
 const MAX_ATTEMPTS: u32 = 4;
 /// A hedge is sent when the first token is later than the expected time by this factor.
-const HEDGE_FACTOR: f64 = 2.0;
+const HEDGE_FACTOR: f64 = 3.0;
 /// Earliest hedge after sending.
-const HEDGE_MIN: time::Duration = time::Duration::from_millis(100);
+const HEDGE_MIN: time::Duration = time::Duration::from_millis(150);
 
 /// Counts calls and the extra attempts that they may cause.
 ///
--- a/crates/usher_policy/src/route.rs
+++ b/crates/usher_policy/src/route.rs
@@ -26,9 +26,15 @@
 const BYTES_PER_TOKEN: f64 = 6.0;
 /// Seconds added for each own straggler on a target.
 const STRAGGLER_SECONDS: f64 = 0.05;
-/// Seconds added for long work on an engine that is kept for short work: long work goes there only
-/// when its own engines are this far behind.
-const KEPT_SECONDS: f64 = 4.0;
+/// Seconds added for long work on an engine that is kept for short work. Long work ends sooner
+/// there, because the batch isn't slowed by other prefill; it goes there only when it would miss
+/// its deadline on its own engines.
+const KEPT_SECONDS: f64 = 20.0;
+/// How much a second beyond the deadline weighs against a second before it.
+const LATE_WEIGHT: f64 = 5.0;
+/// Expected times are multiplied by this before they are compared with the deadline, because a
+/// call that is accepted and late has cost capacity for nothing.
+pub(crate) const DEADLINE_MARGIN: f64 = 1.15;
 /// Share of the expected time per output token that counts for short and long work: short work
 /// wants its first token, long work its last.
 const SHORT_OUTPUT_WEIGHT: f64 = 0.1;
@@ -153,7 +159,7 @@
                 }
                 Standing::Available => {}
             }
-            let score = score(request, table, slot);
+            let score = score(request, table, slot, now);
             match role_of(table, slot) {
                 EngineRole::Mixed => whole.push(score),
                 EngineRole::Prefill => prefill.push(score),
@@ -336,6 +342,7 @@
     request: &request::CallRequest,
     table: &table::RouteTable,
     slot: slot::TargetSlot,
+    now: time::Instant,
 ) -> CandidateScore {
     let settings = table.settings();
     let Some(state) = table.state(slot) else {
@@ -375,7 +382,8 @@
     let crowding = f64::from(state.stragglers) * STRAGGLER_SECONDS;
     let kept = request.class == WorkClass::Long && !state.for_long;
     let reserve = if kept { KEPT_SECONDS } else { 0.0 };
-    let expected = first_token + output * output_weight(request) + crowding + cost + reserve;
+    let late = lateness(request, first_token + output, now) * LATE_WEIGHT;
+    let expected = first_token + output * output_weight(request) + crowding + cost + reserve + late;
     CandidateScore {
         slot,
         first_token: seconds(first_token),
@@ -387,6 +395,15 @@
     }
 }
 
+/// Returns by how many seconds the call is expected to miss its deadline, with a margin.
+fn lateness(request: &request::CallRequest, finish: f64, now: time::Instant) -> f64 {
+    let Some(deadline) = request.deadline else {
+        return 0.0;
+    };
+    let left = deadline.saturating_duration_since(now).as_secs_f64();
+    (finish * DEADLINE_MARGIN - left).max(0.0)
+}
+
 fn unusable(slot: slot::TargetSlot) -> CandidateScore {
     CandidateScore {
         slot,
--- a/crates/usher_policy/src/settings.rs
+++ b/crates/usher_policy/src/settings.rs
@@ -25,7 +25,7 @@
     pub far_cost_per_megabyte: f64,
     /// Prefill rate assumed before anything was observed, in tokens per second.
     pub prefill_rate: f64,
-    /// Time per output token assumed before anything was observed.
+    /// Time per output token of a call alone on an engine, assumed before anything was observed.
     pub token_time: time::Duration,
     /// Time to load an adapter that isn't resident.
     pub adapter_load: time::Duration,
@@ -50,7 +50,7 @@
             // Cross-region traffic is billed by volume: a 1 MB prompt is worth 200 ms.
             far_cost_per_megabyte: 0.2,
             prefill_rate: 8_000.0,
-            token_time: time::Duration::from_millis(40),
+            token_time: time::Duration::from_millis(15),
             adapter_load: time::Duration::from_millis(1_500),
             kv_move_rate: 100_000.0,
             batch_limit: 64,
--- a/crates/usher_policy/src/slow.rs
+++ b/crates/usher_policy/src/slow.rs
@@ -4,15 +4,16 @@
 
 use crate::slot;
 
-/// Weight of a new observation; high, because a slow target must lose its weight within a few
-/// tokens.
-const GAIN: f64 = 0.25;
+/// The least ratio within this time counts: prefill makes some steps long, a slow target all.
+const WINDOW: time::Duration = time::Duration::from_millis(400);
+/// Weight of a new window; high, because a slow target must lose its weight within a few tokens.
+const GAIN: f64 = 0.6;
 /// A target this many times slower than the median of its peers is slow.
-const SLOW_RATIO: f64 = 2.0;
+const SLOW_RATIO: f64 = 2.5;
 /// A slow target whose ratio falls below this is normal again.
-const NORMAL_RATIO: f64 = 1.4;
-/// Observations before a verdict, so that one odd step isn't enough.
-const MIN_OBSERVATIONS: u32 = 3;
+const NORMAL_RATIO: f64 = 1.6;
+/// Windows before a verdict.
+const MIN_OBSERVATIONS: u32 = 1;
 /// Peers needed for a median that means something.
 const MIN_PEERS: usize = 3;
 /// Share of the weight of a region that may be taken away: a region that is slow as a whole must
@@ -32,6 +33,12 @@
     pace: f64,
     seen: u32,
     seen_at: time::Instant,
+    /// Least ratio since the start of the window.
+    least: f64,
+    /// Whether all ratios of the window were exact, and whether those of the last one were.
+    exact: bool,
+    comparable: bool,
+    window_at: time::Instant,
     slow: bool,
     probe_at: time::Instant,
     probe_pause: time::Duration,
@@ -49,19 +56,34 @@
         Self::default()
     }
 
-    /// Takes the time per token of a target relative to what its load makes expect.
-    pub fn observe(&mut self, slot: slot::TargetSlot, ratio: f64, now: time::Instant) {
+    /// Takes the time per token of a target relative to what its load makes expect; `exact` is
+    /// false when an allowance for prefill was taken off, which says little about the peers.
+    pub fn observe(&mut self, slot: slot::TargetSlot, ratio: f64, exact: bool, now: time::Instant) {
         let record = self.records.entry(slot).or_insert_with(|| PaceRecord {
             pace: ratio,
             seen: 0,
             seen_at: now,
+            least: ratio,
+            exact,
+            comparable: false,
+            window_at: now,
             slow: false,
             probe_at: now,
             probe_pause: PROBE_FIRST,
         });
-        record.pace += GAIN * (ratio - record.pace);
-        record.seen = record.seen.saturating_add(1);
         record.seen_at = now;
+        record.least = record.least.min(ratio);
+        record.exact &= exact;
+        if now.saturating_duration_since(record.window_at) < WINDOW {
+            return;
+        }
+        let gain = if record.seen == 0 { 1.0 } else { GAIN };
+        record.pace += gain * (record.least - record.pace);
+        record.seen = record.seen.saturating_add(1);
+        record.least = f64::INFINITY;
+        record.comparable = record.exact;
+        record.exact = true;
+        record.window_at = now;
     }
 
     /// Forgets a target.
@@ -144,7 +166,7 @@
         let slots = regions.iter().flatten();
         let seen = slots.filter_map(|slot| self.records.get(slot));
         let mut paces: Vec<f64> = seen
-            .filter(|record| record.seen >= MIN_OBSERVATIONS)
+            .filter(|record| record.seen >= MIN_OBSERVATIONS && record.comparable)
             .map(|record| record.pace)
             .collect();
         if paces.len() < MIN_PEERS {
--- a/crates/usher_policy/src/state.rs
+++ b/crates/usher_policy/src/state.rs
@@ -14,6 +14,14 @@
 /// Own load points closer together than this are merged.
 const HISTORY_STEP: time::Duration = time::Duration::from_millis(20);
 
+/// Time over which the pace of output is averaged; many streams see the same steps, so counting
+/// observations would let one step with prefill decide.
+const TOKEN_MEMORY: time::Duration = time::Duration::from_secs(2);
+
+/// Bounds of the pace, so that one odd observation doesn't make a target unusable.
+pub(crate) const PACE_MIN: f64 = 0.2;
+pub(crate) const PACE_MAX: f64 = 10.0;
+
 usher_types::value_type! {
     /// Work on a target at some moment.
     #[derive(Copy, Default)]
@@ -65,6 +73,9 @@
     /// Observed time per token relative to the expected one.
     pub(crate) decode_pace: f64,
     pub(crate) last_progress: Option<time::Instant>,
+    /// Sum and number of the ratios since `token_at`.
+    token_ratios: (f64, u32),
+    token_at: Option<time::Instant>,
     /// Own calls that run far beyond their estimated output.
     pub(crate) stragglers: u32,
     /// Failures in a row without a success.
@@ -88,6 +99,8 @@
             prefill_pace: 1.0,
             decode_pace: 1.0,
             last_progress: None,
+            token_ratios: (0.0, 0),
+            token_at: None,
             stragglers: 0,
             failures: 0,
             failed_at: None,
@@ -133,6 +146,23 @@
         }
     }
 
+    /// Takes a time per token relative to that of a step without prefill.
+    pub(crate) fn learn_token(&mut self, ratio: f64, now: time::Instant) {
+        self.token_ratios.0 += ratio;
+        self.token_ratios.1 += 1;
+        let since = *self.token_at.get_or_insert(now);
+        let elapsed = now.saturating_duration_since(since);
+        if elapsed < HISTORY_STEP {
+            return;
+        }
+        let mean = self.token_ratios.0 / f64::from(self.token_ratios.1);
+        let gain = 1.0 - (-elapsed.as_secs_f64() / TOKEN_MEMORY.as_secs_f64()).exp();
+        let pace = self.decode_pace + gain * (mean - self.decode_pace);
+        self.decode_pace = pace.clamp(PACE_MIN, PACE_MAX);
+        self.token_ratios = (0.0, 0);
+        self.token_at = Some(now);
+    }
+
     /// Returns own load as it was at `at`.
     fn own_at(&self, at: time::Instant) -> TargetLoad {
         // Each point holds the load before the change at its time.
--- a/crates/usher_policy/src/table.rs
+++ b/crates/usher_policy/src/table.rs
@@ -10,9 +10,6 @@
 const PACE_GAIN: f64 = 0.15;
 /// Weight of a new observation in the share of short work.
 const SHARE_GAIN: f64 = 0.02;
-/// Bounds of the pace, so that one odd observation doesn't make a target unusable.
-const PACE_MIN: f64 = 0.2;
-const PACE_MAX: f64 = 10.0;
 /// A call is a straggler when its output exceeds its estimate this many times.
 const STRAGGLER_FACTOR: u64 = 4;
 /// A target that failed this often in a row is avoided for a while.
@@ -26,9 +23,9 @@
 
 /// Time over which the work of each class is averaged, for confining long work.
 const WORK_MEMORY: time::Duration = time::Duration::from_secs(15);
-/// Part of an engine for long work beyond its share of the work, so that long work isn't queued
-/// while short work has room.
-const LONG_MARGIN: f64 = 0.5;
+/// Part of an engine that is rounded up to a whole one for long work; more of them would leave too
+/// little room for short work, whose deadlines are closer.
+const LONG_MARGIN: f64 = 0.4;
 
 /// How old the weights of targets may be; sorting all targets for each decision costs too much.
 const REFRESH_EVERY: time::Duration = time::Duration::from_millis(20);
@@ -243,7 +240,7 @@
         // The first token of a call that decodes here was made elsewhere.
         if part != request::WorkPart::Decode {
             let pace = state.prefill_pace * (1.0 + PACE_GAIN * (ratio - 1.0));
-            state.prefill_pace = pace.clamp(PACE_MIN, PACE_MAX);
+            state.prefill_pace = pace.clamp(state::PACE_MIN, state::PACE_MAX);
         }
     }
 
@@ -259,7 +256,7 @@
         let became_straggler = !attempt.straggler
             && attempt.tokens > attempt.estimate.saturating_mul(STRAGGLER_FACTOR);
         attempt.straggler |= became_straggler;
-        let expected = self.expect_token(slot);
+        let (plain, allowance) = self.step_bounds(slot);
         let state = &mut self.states[slot.index()];
         state.stragglers += u32::from(became_straggler);
         state.last_progress = Some(now);
@@ -267,12 +264,25 @@
             return;
         };
         let observed = now.duration_since(since).as_secs_f64() / tokens as f64;
-        // The expected time holds the pace already; the detector compares without it.
-        let plain = expected / state.decode_pace;
-        let ratio = observed / plain.max(0.000_1);
-        let pace = state.decode_pace + PACE_GAIN * (ratio - state.decode_pace);
-        state.decode_pace = pace.clamp(PACE_MIN, PACE_MAX);
-        self.detector.observe(slot, ratio, now);
+        state.learn_token(observed / plain, now);
+        let ratio = (observed - allowance).max(0.0) / plain;
+        self.detector.observe(slot, ratio, allowance <= 0.0, now);
+    }
+
+    /// Returns the expected seconds of a step without prefill, and of the prefill that may be in it;
+    /// without what was learned of the target.
+    fn step_bounds(&self, slot: slot::TargetSlot) -> (f64, f64) {
+        let Some(state) = self.state(slot) else {
+            return (1.0, 1.0);
+        };
+        let load = state.load();
+        let plain = self.plain_step(&load);
+        let prefill = if state.for_long {
+            CHUNK_TOKENS
+        } else {
+            CHUNK_TOKENS.min(load.prefill())
+        };
+        (plain, prefill / self.settings.prefill_rate)
     }
 
     /// Notes that an attempt ended with its whole answer.
@@ -429,7 +439,7 @@
         let count: usize = open.iter().map(Vec::len).sum();
         let [short, long] = self.work;
         let share = long / (short + long).max(f64::MIN_POSITIVE);
-        let wanted = (share * count as f64 + LONG_MARGIN).ceil() as usize;
+        let wanted = ((share * count as f64 + LONG_MARGIN) as usize).max(1);
         for slot in groups.iter().flatten() {
             self.states[slot.index()].for_long = false;
         }
@@ -510,15 +520,26 @@
             return f64::INFINITY;
         };
         let load = state.load();
-        let chunk = CHUNK_TOKENS.min(load.long_prefill);
-        let ahead = match request.class {
-            // Short work has the higher priority and waits only for the chunk that runs.
-            WorkClass::Short => load.short_prefill + chunk * 0.5,
-            WorkClass::Long => load.prefill(),
-        };
-        let work = ahead + self.prefill_work(request, slot);
+        let work = self.prefill_work(request, slot);
         let step = self.plain_step(&load);
-        (step + work / self.settings.prefill_rate) * state.prefill_pace
+        let seconds = match request.class {
+            WorkClass::Short => {
+                // Short work has the higher priority, but waits for the step that runs, and its
+                // own steps are filled up with long prefill.
+                let crowded = state.for_long || load.long_prefill >= 1.0;
+                let chunk = if crowded { CHUNK_TOKENS } else { 0.0 };
+                let own = (load.short_prefill + work).max(chunk);
+                let prefill = (0.5 * chunk + own) / self.settings.prefill_rate;
+                let steps = 0.5 + (work / CHUNK_TOKENS).ceil();
+                steps * step + prefill
+            }
+            WorkClass::Long => {
+                let tokens = load.prefill() + work;
+                let steps = (tokens / CHUNK_TOKENS).ceil();
+                steps * step + tokens / self.settings.prefill_rate
+            }
+        };
+        seconds * state.prefill_pace
     }
 
     /// Returns the expected seconds for one more output token.
@@ -526,10 +547,7 @@
         let Some(state) = self.state(slot) else {
             return f64::INFINITY;
         };
-        let load = state.load();
-        let chunk = CHUNK_TOKENS.min(load.prefill());
-        let step = self.plain_step(&load) + chunk / self.settings.prefill_rate;
-        step * state.decode_pace
+        self.plain_step(&state.load()) * state.decode_pace
     }
 
     fn plain_step(&self, load: &state::TargetLoad) -> f64 {
