--- a/crates/usher_policy/src/route.rs
+++ b/crates/usher_policy/src/route.rs
@@ -5,7 +5,7 @@
 use rand::{Rng as _, SeedableRng as _};
 use usher_types::{EngineRole, TargetKind, WorkClass};
 
-use crate::{request, slot, table};
+use crate::{request, slot, state, table};
 
 /// Candidates scored in the home region, and in all others together. Beyond these numbers a
 /// random sample is scored, so that the cost of a decision doesn't grow with the fleet; the best
@@ -35,6 +35,8 @@
 /// Expected times are multiplied by this before they are compared with the deadline, because a
 /// call that is accepted and late has cost capacity for nothing.
 pub(crate) const DEADLINE_MARGIN: f64 = 1.15;
+/// Calls by which the load of a target is typically misjudged, because reports are late.
+const CALLS_UNSURE: f64 = 4.0;
 /// Share of the expected time per output token that counts for short and long work: short work
 /// wants its first token, long work its last.
 const SHORT_OUTPUT_WEIGHT: f64 = 0.1;
@@ -362,14 +364,7 @@
     let needed = request.pieces().get() as f64;
     let counted = info.pieces.get() > 0;
     let fits_now = !counted || load.pieces + needed <= info.pieces.get() as f64;
-    let waiting = if fits_now && load.calls < f64::from(settings.batch_limit) {
-        0.0
-    } else {
-        // Room appears as running calls end; about one in a batch ends in an output's share.
-        let output = request.output.get().max(1) as f64;
-        let over = (load.calls - f64::from(settings.batch_limit)).max(0.0) + 1.0;
-        per_token * output * over / load.calls.max(1.0)
-    };
+    let waiting = slot_wait(request, table, slot, &load, fits_now);
     let first_token = link + loading + waiting + table.expect_first(request, slot);
     let output = per_token * request.remaining().get() as f64;
     let far = info.region != settings.home;
@@ -395,6 +390,28 @@
     }
 }
 
+/// Returns the expected seconds until the batch and the memory have room.
+fn slot_wait(
+    request: &request::CallRequest,
+    table: &table::RouteTable,
+    slot: slot::TargetSlot,
+    load: &state::TargetLoad,
+    fits_now: bool,
+) -> f64 {
+    let limit = f64::from(table.settings().batch_limit);
+    // The calls of other daemons are known late, so a batch may be full before it seems so.
+    let over = (load.calls + 1.0 - limit) / CALLS_UNSURE;
+    let ahead = CALLS_UNSURE * over.exp().ln_1p().max(over);
+    let ahead = if fits_now { ahead } else { ahead.max(1.0) };
+    let each = table.expect_token(slot) * table.mean_output() / limit;
+    let wait = ahead * each;
+    match request.class {
+        WorkClass::Short => wait,
+        // Long work waits behind the short work that arrives in the meantime.
+        WorkClass::Long => 2.0 * wait,
+    }
+}
+
 /// Returns by how many seconds the call is expected to miss its deadline, with a margin.
 fn lateness(request: &request::CallRequest, finish: f64, now: time::Instant) -> f64 {
     let Some(deadline) = request.deadline else {
--- a/crates/usher_policy/src/table.rs
+++ b/crates/usher_policy/src/table.rs
@@ -61,6 +61,7 @@
     prefixes: prefix::PrefixMap,
     detector: slow::SlowDetector,
     short_share: f64,
+    mean_output: f64,
     /// Recent work of short and long calls in engine-seconds, and when it was last faded.
     work: [f64; 2],
     work_at: Option<time::Instant>,
@@ -80,6 +81,7 @@
             prefixes: prefix::PrefixMap::default(),
             detector: slow::SlowDetector::new(),
             short_share: 0.5,
+            mean_output: 128.0,
             work: [0.0; 2],
             work_at: None,
             refreshed: collections::BTreeMap::new(),
@@ -186,6 +188,8 @@
         let load = state::load_of(request.class, prefill, TokenCount::new(total));
         let share = f64::from(u8::from(request.class == WorkClass::Short));
         self.short_share += SHARE_GAIN * (share - self.short_share);
+        let output = request.output.get() as f64;
+        self.mean_output += SHARE_GAIN * (output - self.mean_output);
         if let Some(state) = self.states.get_mut(slot.index()) {
             state.change_own(&load, 1.0, now);
         }
@@ -550,6 +554,11 @@
         self.plain_step(&state.load()) * state.decode_pace
     }
 
+    /// Returns the usual output of a call, in tokens.
+    pub(crate) fn mean_output(&self) -> f64 {
+        self.mean_output
+    }
+
     fn plain_step(&self, load: &state::TargetLoad) -> f64 {
         let batch = load.calls.min(f64::from(self.settings.batch_limit));
         self.settings.token_time.as_secs_f64() * (1.0 + STEP_GROWTH * batch)
