usher_policy: load from own calls and reports together

Cause: under a slowdown the daemons followed the same late reports and ran together to the few engines that seemed to be in time; others' long prefill counted as short. Change: 70% of others' calls are inferred from own calls, which are known at once (tried: 0.3, 0.6, 0.7, 0.9); a weight of 0.3 instead of 5 for lateness; long work costs the calls of the batch that it delays, and 2 s instead of 20 s elsewhere (tried: 0, 1, 2, 5, 20).

--- a/crates/usher_policy/src/route.rs
+++ b/crates/usher_policy/src/route.rs
@@ -5,7 +5,7 @@
 use rand::{Rng as _, SeedableRng as _};
 use usher_types::{EngineRole, TargetKind, WorkClass};
 
-use crate::{request, slot, state, table};
+use crate::{request, slot, table};
 
 /// Candidates scored in the home region, and in all others together. Beyond these numbers a
 /// random sample is scored, so that the cost of a decision doesn't grow with the fleet; the best
@@ -16,7 +16,7 @@
 const HOLDER_SAMPLE: usize = 8;
 /// Candidates within this share and this time of the best are as good as the best.
 const NEAR_SHARE: f64 = 0.10;
-const NEAR_SECONDS: f64 = 0.010;
+const NEAR_SECONDS: f64 = 0.020;
 /// Candidates kept in a decision for explanations.
 const EXPLAINED: usize = 8;
 /// Highest and lowest priority that an engine knows.
@@ -26,17 +26,17 @@
 const BYTES_PER_TOKEN: f64 = 6.0;
 /// Seconds added for each own straggler on a target.
 const STRAGGLER_SECONDS: f64 = 0.05;
-/// Seconds added for long work on an engine that is kept for short work. Long work ends sooner
-/// there, because the batch isn't slowed by other prefill; it goes there only when it would miss
-/// its deadline on its own engines.
-const KEPT_SECONDS: f64 = 20.0;
-/// How much a second beyond the deadline weighs against a second before it.
-const LATE_WEIGHT: f64 = 5.0;
+/// Seconds added for long work on an engine that is kept for short work: more of them leave the
+/// batches of the engines for long work empty at high load.
+const KEPT_SECONDS: f64 = 2.0;
+/// How much a second by which the calls of a batch are delayed weighs in the score of long work.
+const HARM_WEIGHT: f64 = 0.1;
+/// How much a second beyond the deadline weighs against a second before it. With a large weight
+/// all daemons run to the few targets that seem to be in time, and fill their batches.
+const LATE_WEIGHT: f64 = 0.3;
 /// Expected times are multiplied by this before they are compared with the deadline, because a
 /// call that is accepted and late has cost capacity for nothing.
 pub(crate) const DEADLINE_MARGIN: f64 = 1.15;
-/// Calls by which the load of a target is typically misjudged, because reports are late.
-const CALLS_UNSURE: f64 = 4.0;
 /// Share of the expected time per output token that counts for short and long work: short work
 /// wants its first token, long work its last.
 const SHORT_OUTPUT_WEIGHT: f64 = 0.1;
@@ -351,7 +351,6 @@
         return unusable(slot);
     };
     let info = &state.info;
-    let load = state.load();
     let link = 2.0 * settings.delay_to(&info.region).as_secs_f64();
     let adapter = request.adapter.as_ref();
     let resident = adapter.is_none_or(|adapter| info.adapters.contains(adapter));
@@ -361,10 +360,7 @@
         settings.adapter_load.as_secs_f64()
     };
     let per_token = table.expect_token(slot);
-    let needed = request.pieces().get() as f64;
-    let counted = info.pieces.get() > 0;
-    let fits_now = !counted || load.pieces + needed <= info.pieces.get() as f64;
-    let waiting = slot_wait(request, table, slot, &load, fits_now);
+    let waiting = table.slot_wait(request, slot);
     let first_token = link + loading + waiting + table.expect_first(request, slot);
     let output = per_token * request.remaining().get() as f64;
     let far = info.region != settings.home;
@@ -376,7 +372,12 @@
     };
     let crowding = f64::from(state.stragglers) * STRAGGLER_SECONDS;
     let kept = request.class == WorkClass::Long && !state.for_long;
-    let reserve = if kept { KEPT_SECONDS } else { 0.0 };
+    let mut reserve = if kept { KEPT_SECONDS } else { 0.0 };
+    if request.class == WorkClass::Long {
+        // Prefill of long work delays every call in the batch by as long as it takes.
+        let prefill = table.prefill_work(request, slot) / settings.prefill_rate;
+        reserve += HARM_WEIGHT * prefill * state.load().calls;
+    }
     let late = lateness(request, first_token + output, now) * LATE_WEIGHT;
     let expected = first_token + output * output_weight(request) + crowding + cost + reserve + late;
     CandidateScore {
@@ -385,33 +386,11 @@
         finish: seconds(first_token + output),
         hit_tokens: table.prefixes().hit_tokens(slot, &request.prefixes),
         weight: state.weight,
-        fits_now,
+        fits_now: table.fits_now(request, slot),
         score: expected / state.weight,
     }
 }
 
-/// Returns the expected seconds until the batch and the memory have room.
-fn slot_wait(
-    request: &request::CallRequest,
-    table: &table::RouteTable,
-    slot: slot::TargetSlot,
-    load: &state::TargetLoad,
-    fits_now: bool,
-) -> f64 {
-    let limit = f64::from(table.settings().batch_limit);
-    // The calls of other daemons are known late, so a batch may be full before it seems so.
-    let over = (load.calls + 1.0 - limit) / CALLS_UNSURE;
-    let ahead = CALLS_UNSURE * over.exp().ln_1p().max(over);
-    let ahead = if fits_now { ahead } else { ahead.max(1.0) };
-    let each = table.expect_token(slot) * table.mean_output() / limit;
-    let wait = ahead * each;
-    match request.class {
-        WorkClass::Short => wait,
-        // Long work waits behind the short work that arrives in the meantime.
-        WorkClass::Long => 2.0 * wait,
-    }
-}
-
 /// Returns by how many seconds the call is expected to miss its deadline, with a margin.
 fn lateness(request: &request::CallRequest, finish: f64, now: time::Instant) -> f64 {
     let Some(deadline) = request.deadline else {
--- a/crates/usher_policy/src/slow.rs
+++ b/crates/usher_policy/src/slow.rs
@@ -40,6 +40,7 @@
     comparable: bool,
     window_at: time::Instant,
     slow: bool,
+    ratio: f64,
     probe_at: time::Instant,
     probe_pause: time::Duration,
 }
@@ -68,6 +69,7 @@
             comparable: false,
             window_at: now,
             slow: false,
+            ratio: 1.0,
             probe_at: now,
             probe_pause: PROBE_FIRST,
         });
@@ -157,6 +159,12 @@
         slots.into_iter().map(|(_, slot)| slot).collect()
     }
 
+    /// Returns how many times slower than its peers a target is judged; 1 when it isn't slow.
+    pub fn slowness(&self, slot: slot::TargetSlot) -> f64 {
+        let record = self.records.get(&slot).filter(|record| record.slow);
+        record.map_or(1.0, |record| record.ratio)
+    }
+
     /// Returns whether a target is judged slow.
     pub fn is_slow(&self, slot: slot::TargetSlot) -> bool {
         self.records.get(&slot).is_some_and(|record| record.slow)
@@ -195,6 +203,7 @@
             record.probe_pause = PROBE_FIRST;
         }
         record.slow = slow;
+        record.ratio = ratio;
         slow.then_some(ratio)
     }
 }
--- a/crates/usher_policy/src/state.rs
+++ b/crates/usher_policy/src/state.rs
@@ -11,6 +11,10 @@
 /// are older than this are compared with the oldest remembered load.
 const HISTORY: time::Duration = time::Duration::from_secs(4);
 
+/// Prompt tokens of others' short work that may wait; it has the higher priority, so what waits
+/// beyond about one short call is long work.
+const SHORT_WAITING: f64 = 256.0;
+
 /// Own load points closer together than this are merged.
 const HISTORY_STEP: time::Duration = time::Duration::from_millis(20);
 
@@ -51,6 +55,9 @@
     }
 }
 
+/// Part of the others' calls that is taken from own calls instead of reports.
+const OWN_SHARE: f64 = 0.7;
+
 /// Whether a target may get new work.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum TargetStanding {
@@ -83,6 +90,10 @@
     pub(crate) failed_at: Option<time::Instant>,
     /// Weight from the detector of slow targets.
     pub(crate) weight: f64,
+    /// Calls of others for each own call, over all targets of the service.
+    pub(crate) others_ratio: f64,
+    /// Factor on its times while it is judged slow, else 1.
+    pub(crate) slowness: f64,
     /// Whether long work is welcome.
     pub(crate) for_long: bool,
 }
@@ -105,6 +116,8 @@
             failures: 0,
             failed_at: None,
             weight: 1.0,
+            others_ratio: 0.0,
+            slowness: 1.0,
             for_long: true,
         }
     }
@@ -117,9 +130,17 @@
     pub(crate) fn load(&self) -> TargetLoad {
         let mut load = self.own;
         load.add(&self.others, 1.0);
+        // Reports are late, and daemons that all follow them move together. Own calls are known
+        // at once and are a sample of all calls, so they stand for a part of the others'.
+        let implied = self.own.calls * self.others_ratio;
+        load.calls += OWN_SHARE * (implied - self.others.calls);
         load
     }
 
+    pub(crate) fn others(&self) -> &TargetLoad {
+        &self.others
+    }
+
     pub(crate) fn own(&self) -> &TargetLoad {
         &self.own
     }
@@ -171,16 +192,17 @@
     }
 
     /// Takes a late report: what it shows beyond own load at that time is the work of others.
-    pub(crate) fn take_report(&mut self, report: &target::LoadReport, short_share: f64) {
+    pub(crate) fn take_report(&mut self, report: &target::LoadReport) {
         if self.reported_at.is_some_and(|at| at > report.taken_at) {
             return;
         }
         self.reported_at = Some(report.taken_at);
         let own = self.own_at(report.taken_at);
         let prefill = (report.prefill_waiting.get() as f64 - own.prefill()).max(0.0);
+        let short_prefill = prefill.min(SHORT_WAITING);
         self.others = TargetLoad {
-            short_prefill: prefill * short_share,
-            long_prefill: prefill * (1.0 - short_share),
+            short_prefill,
+            long_prefill: prefill - short_prefill,
             calls: (f64::from(report.running) + f64::from(report.waiting) - own.calls).max(0.0),
             pieces: (report.pieces_used.get() as f64 - own.pieces).max(0.0),
         };
--- a/crates/usher_policy/src/table.rs
+++ b/crates/usher_policy/src/table.rs
@@ -6,10 +6,15 @@
 
 use crate::{prefix, request, settings, slot, slow, state, target};
 
-/// Weight of a new observation in a target's pace.
-const PACE_GAIN: f64 = 0.15;
-/// Weight of a new observation in the share of short work.
-const SHARE_GAIN: f64 = 0.02;
+/// Weight of a new observation in the prefill pace of a target and of all targets. A first token
+/// that waited for others' work says little about the target, so the weight is small.
+const PACE_GAIN: f64 = 0.05;
+const COMMON_GAIN: f64 = 0.01;
+/// Bounds of the prefill pace of a target relative to all targets; a slow target shows in its
+/// output sooner than in its prefill.
+const PREFILL_PACE: (f64, f64) = (0.7, 1.5);
+/// Weight of a new observation in the usual output.
+const OUTPUT_GAIN: f64 = 0.02;
 /// A call is a straggler when its output exceeds its estimate this many times.
 const STRAGGLER_FACTOR: u64 = 4;
 /// A target that failed this often in a row is avoided for a while.
@@ -18,6 +23,8 @@
 const FAILURE_PAUSE: time::Duration = time::Duration::from_secs(2);
 /// Prompt tokens that an engine prefills in one batch step, as most engines do by default.
 const CHUNK_TOKENS: f64 = 512.0;
+/// Calls by which the load of a target is typically misjudged, because reports are late.
+const CALLS_UNSURE: f64 = 8.0;
 /// Time that one more running call adds to a batch step, relative to the step of an empty batch.
 const STEP_GROWTH: f64 = 0.02;
 
@@ -60,8 +67,9 @@
     next_attempt: u64,
     prefixes: prefix::PrefixMap,
     detector: slow::SlowDetector,
-    short_share: f64,
     mean_output: f64,
+    /// Observed prefill time of all targets relative to the expected one.
+    common_pace: f64,
     /// Recent work of short and long calls in engine-seconds, and when it was last faded.
     work: [f64; 2],
     work_at: Option<time::Instant>,
@@ -80,8 +88,8 @@
             next_attempt: 1,
             prefixes: prefix::PrefixMap::default(),
             detector: slow::SlowDetector::new(),
-            short_share: 0.5,
             mean_output: 128.0,
+            common_pace: 1.0,
             work: [0.0; 2],
             work_at: None,
             refreshed: collections::BTreeMap::new(),
@@ -178,7 +186,7 @@
     ) -> slot::AttemptId {
         let id = slot::AttemptId(self.next_attempt);
         self.next_attempt += 1;
-        let expected_first = self.expect_first(request, slot);
+        let expected_first = self.expect_first(request, slot) + self.slot_wait(request, slot);
         let prefill = match part {
             request::WorkPart::Decode => 0.0,
             _ => self.prefill_work(request, slot),
@@ -186,10 +194,8 @@
         self.note_work(request, prefill, now);
         let total = request.prompt.get().saturating_add(request.output.get());
         let load = state::load_of(request.class, prefill, TokenCount::new(total));
-        let share = f64::from(u8::from(request.class == WorkClass::Short));
-        self.short_share += SHARE_GAIN * (share - self.short_share);
         let output = request.output.get() as f64;
-        self.mean_output += SHARE_GAIN * (output - self.mean_output);
+        self.mean_output += OUTPUT_GAIN * (output - self.mean_output);
         if let Some(state) = self.states.get_mut(slot.index()) {
             state.change_own(&load, 1.0, now);
         }
@@ -243,8 +249,11 @@
         state.last_progress = Some(now);
         // The first token of a call that decodes here was made elsewhere.
         if part != request::WorkPart::Decode {
+            let ratio = ratio.clamp(state::PACE_MIN, state::PACE_MAX);
             let pace = state.prefill_pace * (1.0 + PACE_GAIN * (ratio - 1.0));
-            state.prefill_pace = pace.clamp(state::PACE_MIN, state::PACE_MAX);
+            state.prefill_pace = pace.clamp(PREFILL_PACE.0, PREFILL_PACE.1);
+            let common = self.common_pace * (1.0 + COMMON_GAIN * (ratio - 1.0));
+            self.common_pace = common.clamp(state::PACE_MIN, state::PACE_MAX);
         }
     }
 
@@ -328,9 +337,8 @@
 
     /// Takes a late load report.
     pub fn on_report(&mut self, name: &TargetName, report: &target::LoadReport) {
-        let share = self.short_share;
         if let Some(state) = self.state_mut_of(name) {
-            state.take_report(report, share);
+            state.take_report(report);
         }
     }
 
@@ -423,12 +431,31 @@
         let groups: Vec<Vec<slot::TargetSlot>> = regions.values().cloned().collect();
         let weights = self.detector.weights(&groups, now);
         for (slot, weight) in groups.iter().flatten().zip(weights.iter().flatten()) {
-            self.states[slot.index()].weight = *weight;
+            let state = &mut self.states[slot.index()];
+            state.weight = *weight;
+            state.slowness = self.detector.slowness(*slot);
         }
+        self.compare_calls(&groups);
         self.confine_long(&groups);
         self.refreshed.insert(service.clone(), now);
     }
 
+    /// Compares own calls with those of other daemons over all targets of the service.
+    fn compare_calls(&mut self, groups: &[Vec<slot::TargetSlot>]) {
+        let states = || {
+            groups
+                .iter()
+                .flatten()
+                .map(|slot| &self.states[slot.index()])
+        };
+        let own: f64 = states().map(|state| state.own().calls).sum();
+        let others: f64 = states().map(|state| state.others().calls).sum();
+        let ratio = if own > 0.0 { others / own } else { 0.0 };
+        for slot in groups.iter().flatten() {
+            self.states[slot.index()].others_ratio = ratio;
+        }
+    }
+
     /// Marks the mixed engines that long work is confined to: its share of the work, taken in
     /// turn from each region in the order of names, so that all daemons mark nearly the same.
     fn confine_long(&mut self, groups: &[Vec<slot::TargetSlot>]) {
@@ -543,7 +570,7 @@
                 steps * step + tokens / self.settings.prefill_rate
             }
         };
-        seconds * state.prefill_pace
+        seconds * state.prefill_pace * self.common_pace * state.slowness
     }
 
     /// Returns the expected seconds for one more output token.
@@ -554,9 +581,36 @@
         self.plain_step(&state.load()) * state.decode_pace
     }
 
-    /// Returns the usual output of a call, in tokens.
-    pub(crate) fn mean_output(&self) -> f64 {
-        self.mean_output
+    /// Returns the expected seconds until the batch and the memory of a target have room.
+    pub(crate) fn slot_wait(&self, request: &request::CallRequest, slot: slot::TargetSlot) -> f64 {
+        let Some(state) = self.state(slot) else {
+            return f64::INFINITY;
+        };
+        let load = state.load();
+        let limit = f64::from(self.settings.batch_limit);
+        // The calls of other daemons are known late, so a batch may be full before it seems so.
+        let over = (load.calls + 1.0 - limit) / CALLS_UNSURE;
+        let ahead = CALLS_UNSURE * over.exp().ln_1p().max(over);
+        let ahead = if self.fits_now(request, slot) {
+            ahead
+        } else {
+            ahead.max(1.0)
+        };
+        let wait = ahead * self.expect_token(slot) * self.mean_output / limit;
+        match request.class {
+            WorkClass::Short => wait,
+            // Long work waits behind the short work that arrives in the meantime.
+            WorkClass::Long => 2.0 * wait,
+        }
+    }
+
+    /// Returns whether the memory of a target is expected to hold the call at once.
+    pub(crate) fn fits_now(&self, request: &request::CallRequest, slot: slot::TargetSlot) -> bool {
+        self.state(slot).is_some_and(|state| {
+            let pieces = state.info.pieces.get();
+            let needed = request.pieces().get() as f64;
+            pieces == 0 || state.load().pieces + needed <= pieces as f64
+        })
     }
 
     fn plain_step(&self, load: &state::TargetLoad) -> f64 {
