usher_policy: refusals by waiting, fair shares and classes

Change: admission compares the wait with the slack to the deadline; the allowed wait falls with use above the fair share of firm, team and class; a call that would be late at the chosen target goes to one where it is in time; long work isn't kept apart when batches are full.

--- a/crates/usher_policy/src/admit.rs
+++ b/crates/usher_policy/src/admit.rs
@@ -7,8 +7,20 @@
 
 use crate::{lease, request, route, settings, share};
 
-/// Share of the slack to the deadline beyond which the system counts as congested.
-const CONGESTED_SHARE: f64 = 0.5;
+/// Share of the slack to the deadline that waiting for the first token may take. Above a half, the
+/// queue grows during the lag of the reports until calls are late.
+pub(crate) const MAX_PRESSURE: f64 = 0.6;
+/// How steeply the allowed pressure falls for accounts above their fair share, so that there is
+/// room left for those below.
+const SHARE_STEEPNESS: i32 = 3;
+/// Part of its fair share above which an account's allowed pressure begins to fall.
+const SHARE_START: f64 = 0.9;
+/// Goals for the first token that a call without a deadline may wait, and how many times longer
+/// long work may.
+const PATIENCE: f64 = 10.0;
+const LONG_PATIENCE: f64 = 5.0;
+/// Part of the goal for the first token that a call without a prompt takes on an idle engine.
+const IDLE_FIRST: f64 = 0.1;
 /// Longest Retry-After before jitter.
 const RETRY_LONGEST: time::Duration = time::Duration::from_secs(30);
 /// Shortest Retry-After before jitter.
@@ -76,15 +88,33 @@
         self.shares
             .on_asked(&request.firm, &request.team, work, now);
         self.lease.on_asked(work, now);
+        let verdict = self.judge(request, decision, settings, work, now);
+        let accepted = verdict.is_accepted();
+        self.shares.on_class(request.class, work, accepted, now);
+        verdict
+    }
+
+    fn judge(
+        &mut self,
+        request: &request::CallRequest,
+        decision: &route::RouteDecision,
+        settings: &settings::RouteSettings,
+        work: f64,
+        now: time::Instant,
+    ) -> AdmitDecision {
         if decision.target.is_err() {
             return self.refuse(RefuseReason::NoTarget, RETRY_SHORTEST);
         }
-        let (late_by, congestion) = pressure(request, decision, settings, now);
-        if late_by > time::Duration::ZERO {
-            return self.refuse(RefuseReason::Deadline, late_by);
+        let first = decision.first_token.as_secs_f64();
+        let output = decision.finish.as_secs_f64() - first;
+        let pressure = pressure(request, first, output, settings, now);
+        if pressure > MAX_PRESSURE {
+            return self.refuse(RefuseReason::Deadline, decision.first_token);
         }
-        let congested = congestion > CONGESTED_SHARE;
-        if congested && self.shares.is_over(&request.firm, &request.team, now) {
+        let over = self.shares.over(&request.firm, &request.team, now);
+        let over = over.max(self.shares.class_over(request.class));
+        let allowed = (SHARE_START / over.max(SHARE_START)).powi(SHARE_STEEPNESS);
+        if pressure > MAX_PRESSURE * allowed {
             return self.refuse(RefuseReason::FairShare, decision.first_token);
         }
         if !self.lease.take(work, now) {
@@ -122,32 +152,34 @@
 /// Returns the work of a call in engine-seconds.
 pub fn work_of(request: &request::CallRequest, settings: &settings::RouteSettings) -> f64 {
     let prefill = request.prompt.get() as f64 / settings.prefill_rate;
-    let token = settings.token_time.as_secs_f64() / f64::from(settings.batch_limit.max(1));
-    prefill + request.remaining().get() as f64 * token * 2.0
+    // In a full batch, the step is a little more than twice that of a call alone.
+    let token = 2.3 * settings.token_time.as_secs_f64() / f64::from(settings.batch_limit.max(1));
+    prefill + request.remaining().get() as f64 * token
 }
 
-/// Returns by how much the call would be late, and how much of its slack waiting takes.
-fn pressure(
+/// Returns the part of the slack to the deadline that waiting for the first token takes; above 1
+/// the call would be late. Without a deadline the slack is the goal for the first token.
+pub(crate) fn pressure(
     request: &request::CallRequest,
-    decision: &route::RouteDecision,
+    first: f64,
+    output: f64,
     settings: &settings::RouteSettings,
     now: time::Instant,
-) -> (time::Duration, f64) {
-    let first = decision.first_token.as_secs_f64();
+) -> f64 {
     let goal = settings.first_token_goal.as_secs_f64();
-    let Some(deadline) = request.deadline else {
-        let congestion = if request.class == WorkClass::Short {
-            first / goal
-        } else {
-            first / (goal * 10.0)
-        };
-        return (time::Duration::ZERO, congestion);
+    let slack = match (request.deadline, request.class) {
+        (Some(deadline), _) => {
+            let left = deadline.saturating_duration_since(now).as_secs_f64();
+            left - output * route::DEADLINE_MARGIN
+        }
+        // Without a deadline nothing is late, but a queue this long helps nobody.
+        (None, WorkClass::Short) => goal * PATIENCE,
+        (None, WorkClass::Long) => goal * PATIENCE * LONG_PATIENCE,
     };
-    let left = deadline.saturating_duration_since(now);
-    let finish = decision.finish.as_secs_f64() * route::DEADLINE_MARGIN;
-    let late = finish - left.as_secs_f64();
-    let late_by = time::Duration::try_from_secs_f64(late.max(0.0)).unwrap_or(time::Duration::MAX);
-    let output = decision.finish.saturating_sub(decision.first_token);
-    let slack = left.saturating_sub(output).as_secs_f64().max(0.001);
-    (late_by, first / slack)
+    // What the call takes on an idle engine isn't waiting.
+    let own = request.prompt.get() as f64 / settings.prefill_rate + IDLE_FIRST * goal;
+    if slack <= own {
+        return f64::INFINITY;
+    }
+    (first - own).max(0.0) / (slack - own)
 }
--- a/crates/usher_policy/src/route.rs
+++ b/crates/usher_policy/src/route.rs
@@ -5,7 +5,7 @@
 use rand::{Rng as _, SeedableRng as _};
 use usher_types::{EngineRole, TargetKind, WorkClass};
 
-use crate::{request, slot, table};
+use crate::{admit, request, slot, table};
 
 /// Candidates scored in the home region, and in all others together. Beyond these numbers a
 /// random sample is scored, so that the cost of a decision doesn't grow with the fleet; the best
@@ -26,9 +26,9 @@
 const BYTES_PER_TOKEN: f64 = 6.0;
 /// Seconds added for each own straggler on a target.
 const STRAGGLER_SECONDS: f64 = 0.05;
-/// Seconds added for long work on an engine that is kept for short work: more of them leave the
-/// batches of the engines for long work empty at high load.
-const KEPT_SECONDS: f64 = 2.0;
+/// Seconds added for long work on an engine that is kept for short work, while batches are empty.
+/// The fuller they are, the less: full batches of mixed work do the most work per step.
+const KEPT_SECONDS: f64 = 8.0;
 /// How much a second by which the calls of a batch are delayed weighs in the score of long work.
 const HARM_WEIGHT: f64 = 0.1;
 /// How much a second beyond the deadline weighs against a second before it. With a large weight
@@ -36,7 +36,7 @@
 const LATE_WEIGHT: f64 = 0.3;
 /// Expected times are multiplied by this before they are compared with the deadline, because a
 /// call that is accepted and late has cost capacity for nothing.
-pub(crate) const DEADLINE_MARGIN: f64 = 1.15;
+pub(crate) const DEADLINE_MARGIN: f64 = 1.1;
 /// Share of the expected time per output token that counts for short and long work: short work
 /// wants its first token, long work its last.
 const SHORT_OUTPUT_WEIGHT: f64 = 0.1;
@@ -70,6 +70,8 @@
         pub weight: f64,
         /// Whether the memory is expected to hold the call at once.
         pub fits_now: bool,
+        /// Whether the call is expected to be accepted and in time here.
+        pub in_time: bool,
         /// Score that the choice was made by, in seconds.
         pub score: f64,
     }
@@ -190,7 +192,7 @@
     ) -> RouteDecision {
         let mut decision = RouteDecision::refused(NoRoute::NoneAvailable);
         decision.priority = priority(request);
-        let single = self.near_best(&whole);
+        let single = self.pick_whole(&whole);
         let pair = self.pair(request, table, &prefill, &decode);
         let pair_wins = match (&single, &pair) {
             (Some(single), Some((_, joined))) => joined.score < single.score,
@@ -216,6 +218,17 @@
         decision
     }
 
+    /// Chooses among engines that run whole calls; when the choice would be late, among those that
+    /// would be in time, so that no call is refused while one of them has room.
+    fn pick_whole(&mut self, whole: &[CandidateScore]) -> Option<CandidateScore> {
+        let chosen = self.near_best(whole)?;
+        if chosen.in_time {
+            return Some(chosen);
+        }
+        let in_time: Vec<CandidateScore> = whole.iter().filter(|c| c.in_time).copied().collect();
+        Some(self.near_best(&in_time).unwrap_or(chosen))
+    }
+
     /// Joins the best prefill engine with the best decode engine.
     fn pair(
         &mut self,
@@ -372,7 +385,11 @@
     };
     let crowding = f64::from(state.stragglers) * STRAGGLER_SECONDS;
     let kept = request.class == WorkClass::Long && !state.for_long;
-    let mut reserve = if kept { KEPT_SECONDS } else { 0.0 };
+    let mut reserve = if kept {
+        KEPT_SECONDS * table.room()
+    } else {
+        0.0
+    };
     if request.class == WorkClass::Long {
         // Prefill of long work delays every call in the batch by as long as it takes.
         let prefill = table.prefill_work(request, slot) / settings.prefill_rate;
@@ -387,6 +404,8 @@
         hit_tokens: table.prefixes().hit_tokens(slot, &request.prefixes),
         weight: state.weight,
         fits_now: table.fits_now(request, slot),
+        in_time: admit::pressure(request, first_token, output, settings, now)
+            <= admit::MAX_PRESSURE,
         score: expected / state.weight,
     }
 }
@@ -408,6 +427,7 @@
         hit_tokens: 0.0,
         weight: 0.0,
         fits_now: false,
+        in_time: false,
         score: f64::INFINITY,
     }
 }
--- a/crates/usher_policy/src/share.rs
+++ b/crates/usher_policy/src/share.rs
@@ -2,13 +2,15 @@
 
 use std::{collections, time};
 
-use usher_types::{FirmName, TeamName};
+use usher_types::{FirmName, TeamName, WorkClass};
 
 /// Time over which recent use fades to a third.
 const USE_MEMORY: time::Duration = time::Duration::from_secs(5);
-/// Use above its share that an account may have before it is held back, so that noise in the
-/// arrivals isn't refused.
-const SHARE_SLACK: f64 = 1.02;
+/// Calls of usual size that an account may have had above its share: one entry sees only a few calls
+/// of a team, and one more or less must not count as unfair.
+const ALLOWED_CALLS: f64 = 4.0;
+/// Weight of a new call in the usual work of a call.
+const WORK_GAIN: f64 = 0.02;
 /// Firms and teams idle for longer than this are forgotten.
 const IDLE_FORGOTTEN: time::Duration = time::Duration::from_secs(120);
 
@@ -39,6 +41,15 @@
     parts
 }
 
+/// Use relative to a share; nothing used is never over.
+fn relative(used: f64, part: f64) -> f64 {
+    if used <= 0.0 {
+        0.0
+    } else {
+        used / part.max(f64::MIN_POSITIVE)
+    }
+}
+
 #[derive(Clone, Debug)]
 struct UseMeter {
     asked: f64,
@@ -77,6 +88,10 @@
 #[derive(Clone, Debug, Default)]
 pub struct FairShare {
     firms: collections::BTreeMap<FirmName, FirmMeter>,
+    /// Work of short and long calls.
+    classes: [Option<UseMeter>; 2],
+    /// Usual work of a call.
+    mean_work: f64,
 }
 
 impl FairShare {
@@ -105,6 +120,7 @@
 
     /// Notes that work was asked for.
     pub fn on_asked(&mut self, firm: &FirmName, team: &TeamName, work: f64, now: time::Instant) {
+        self.mean_work += WORK_GAIN * (work - self.mean_work);
         let (firm_meter, team_meter) = self.meters(firm, team, now);
         firm_meter.asked += work;
         team_meter.asked += work;
@@ -117,42 +133,60 @@
         team_meter.used += work;
     }
 
-    /// Returns whether the firm, or the team within its firm, uses more than its fair share.
+    /// Returns the use of the firm, or of the team within its firm, relative to its fair share:
+    /// the larger of both.
     ///
     /// The capacity divided is what all firms together used recently.
-    pub fn is_over(&mut self, firm: &FirmName, team: &TeamName, now: time::Instant) -> bool {
+    pub fn over(&mut self, firm: &FirmName, team: &TeamName, now: time::Instant) -> f64 {
         self.fade(now);
-        let demands = self.firms.values().map(|f| (f.meter.asked, f.weight));
-        let demands: Vec<(f64, f64)> = demands.collect();
         let capacity: f64 = self.firms.values().map(|f| f.meter.used).sum();
-        let parts = max_min(capacity, &demands);
+        let demands = self.firms.values().map(|f| (f.meter.asked, f.weight));
+        let parts = max_min(capacity, &demands.collect::<Vec<_>>());
         let position = self.firms.keys().position(|name| name == firm);
-        let Some((meter, part)) =
-            position.and_then(|at| Some((self.firms.get(firm)?, *parts.get(at)?)))
-        else {
-            return false;
+        let part = position.and_then(|at| parts.get(at).copied());
+        let (Some(meter), Some(part)) = (self.firms.get(firm), part) else {
+            return 0.0;
         };
-        if meter.meter.used > part * SHARE_SLACK {
-            return true;
-        }
-        Self::is_team_over(meter, team)
+        let allowed = self.mean_work * ALLOWED_CALLS;
+        let firm_over = relative(meter.meter.used - allowed, part);
+        firm_over.max(Self::team_over(meter, team, allowed))
     }
 
-    fn is_team_over(firm: &FirmMeter, team: &TeamName) -> bool {
-        let demands = firm
-            .teams
-            .values()
-            .map(|(meter, weight)| (meter.asked, *weight));
-        let demands: Vec<(f64, f64)> = demands.collect();
-        let parts = max_min(firm.meter.used, &demands);
+    fn team_over(firm: &FirmMeter, team: &TeamName, allowed: f64) -> f64 {
+        let teams = firm.teams.values();
+        let demands = teams.map(|(meter, weight)| (meter.asked, *weight));
+        let parts = max_min(firm.meter.used, &demands.collect::<Vec<_>>());
         let position = firm.teams.keys().position(|name| name == team);
         let part = position.and_then(|at| parts.get(at).copied());
         match (firm.teams.get(team), part) {
-            (Some((meter, _)), Some(part)) => meter.used > part * SHARE_SLACK,
-            _ => false,
+            (Some((meter, _)), Some(part)) => relative(meter.used - allowed, part),
+            _ => 0.0,
         }
     }
 
+    /// Notes work of a class that was asked for, and whether it was accepted.
+    pub fn on_class(&mut self, class: WorkClass, work: f64, accepted: bool, now: time::Instant) {
+        let meter = &mut self.classes[usize::from(class == WorkClass::Long)];
+        let meter = meter.get_or_insert_with(|| UseMeter::new(now));
+        meter.fade(now);
+        meter.asked += work;
+        meter.used += if accepted { work } else { 0.0 };
+    }
+
+    /// Returns how much more of its demand a class got than all work did. Without this the class
+    /// with the later deadlines takes the capacity of the other when there is too little.
+    pub fn class_over(&self, class: WorkClass) -> f64 {
+        let meters = self.classes.iter().flatten();
+        let (asked, used) = meters.fold((0.0, 0.0), |(asked, used), meter| {
+            (asked + meter.asked, used + meter.used)
+        });
+        let own = self.classes[usize::from(class == WorkClass::Long)].as_ref();
+        let part = own.map_or(0.0, |meter| {
+            meter.asked * used / f64::max(asked, f64::MIN_POSITIVE)
+        });
+        own.map_or(0.0, |meter| relative(meter.used, part))
+    }
+
     /// Returns the recent demand of each firm.
     pub fn demands(&mut self, now: time::Instant) -> Vec<(FirmName, f64)> {
         self.fade(now);
--- a/crates/usher_policy/src/table.rs
+++ b/crates/usher_policy/src/table.rs
@@ -23,6 +23,8 @@
 const FAILURE_PAUSE: time::Duration = time::Duration::from_secs(2);
 /// Prompt tokens that an engine prefills in one batch step, as most engines do by default.
 const CHUNK_TOKENS: f64 = 512.0;
+/// Fill of the batches above which long work isn't kept apart.
+const FILL_WITHOUT_ROOM: f64 = 0.7;
 /// Calls by which the load of a target is typically misjudged, because reports are late.
 const CALLS_UNSURE: f64 = 8.0;
 /// Time that one more running call adds to a batch step, relative to the step of an empty batch.
@@ -70,6 +72,8 @@
     mean_output: f64,
     /// Observed prefill time of all targets relative to the expected one.
     common_pace: f64,
+    /// Room in the batches for keeping work apart, from 1 when they are empty to 0.
+    room: f64,
     /// Recent work of short and long calls in engine-seconds, and when it was last faded.
     work: [f64; 2],
     work_at: Option<time::Instant>,
@@ -90,6 +94,7 @@
             detector: slow::SlowDetector::new(),
             mean_output: 128.0,
             common_pace: 1.0,
+            room: 1.0,
             work: [0.0; 2],
             work_at: None,
             refreshed: collections::BTreeMap::new(),
@@ -451,6 +456,9 @@
         let own: f64 = states().map(|state| state.own().calls).sum();
         let others: f64 = states().map(|state| state.others().calls).sum();
         let ratio = if own > 0.0 { others / own } else { 0.0 };
+        let places = groups.iter().flatten().count() as f64 * f64::from(self.settings.batch_limit);
+        let fill = (own + others) / places.max(1.0);
+        self.room = (1.0 - fill / FILL_WITHOUT_ROOM).max(0.0);
         for slot in groups.iter().flatten() {
             self.states[slot.index()].others_ratio = ratio;
         }
@@ -557,7 +565,7 @@
             WorkClass::Short => {
                 // Short work has the higher priority, but waits for the step that runs, and its
                 // own steps are filled up with long prefill.
-                let crowded = state.for_long || load.long_prefill >= 1.0;
+                let crowded = (state.for_long && self.room > 0.0) || load.long_prefill >= 1.0;
                 let chunk = if crowded { CHUNK_TOKENS } else { 0.0 };
                 let own = (load.short_prefill + work).max(chunk);
                 let prefill = (0.5 * chunk + own) / self.settings.prefill_rate;
@@ -613,6 +621,11 @@
         })
     }
 
+    /// Returns the room in the batches for keeping long work apart.
+    pub(crate) fn room(&self) -> f64 {
+        self.room
+    }
+
     fn plain_step(&self, load: &state::TargetLoad) -> f64 {
         let batch = load.calls.min(f64::from(self.settings.batch_limit));
         self.settings.token_time.as_secs_f64() * (1.0 + STEP_GROWTH * batch)
