--- /dev/null
+++ b/crates/usher_bench/src/experiments/limits.rs
@@ -0,0 +1,226 @@
+//! One limit kept by many daemons: capacity leases against a sliding-window counter whose state
+//! the daemons exchange every few seconds. Not for: fairness between firms.
+//!
+//! The counter follows the algorithm that the Caddy HTTP Rate Limit Module describes in its
+//! README: a ring buffer for each key and window, state written and read every few seconds,
+//! approximate and eventually consistent.
+
+use std::{collections, time};
+
+use rand::{Rng as _, SeedableRng as _};
+use usher_policy::{divide_capacity, CapacityLease, ShareGrant};
+
+use crate::{experiments::common, limits, options, report};
+
+/// Calls per second that the limit allows in all daemons together.
+const LIMIT: f64 = 400.0;
+/// Window over which the limit is judged, and the window of the counter.
+const WINDOW: f64 = 10.0;
+/// Seconds of load, and the demand relative to the limit in turns of ten seconds.
+const SECONDS: f64 = 80.0;
+const DEMAND: [f64; 4] = [0.7, 1.5, 0.9, 2.0];
+const TURN: f64 = 10.0;
+/// Seconds after which the load balancer's weights of the daemons change.
+const SHIFT: f64 = 7.0;
+/// Numbers of daemons, from one cooperative's to the target size.
+const DAEMONS: [usize; 5] = [8, 21, 64, 128, 340];
+/// Heartbeat that carries demand and grant, its delay, and the bytes of both with framing.
+const HEARTBEAT: f64 = 0.5;
+const GRANT_DELAY: f64 = 0.1;
+const GRANT_VALID: time::Duration = time::Duration::from_secs(3);
+const LEASE_BYTES: f64 = 28.0 + 36.0;
+/// Seconds between exchanges of the counter, and the bytes of one daemon's state for one key.
+const EXCHANGE: f64 = 4.0;
+const STATE_BYTES: f64 = 40.0;
+/// Seconds of the limit that a bucket holds, as in the lease.
+const BURST: f64 = 0.5;
+
+/// One call: time and daemon.
+type Arrival = (f64, usize);
+
+pub(crate) fn run(options: &options::BenchOptions) -> report::ExperimentReport {
+    let setup = common::Setup::new("limits", options);
+    let mut report = report::ExperimentReport::default();
+    for daemons in DAEMONS {
+        let arrivals = arrivals(daemons, setup.seed, SECONDS * setup.scale);
+        let lease = run_lease(daemons, &arrivals);
+        let counter = run_counter(daemons, &arrivals);
+        let lease_bytes = LEASE_BYTES / HEARTBEAT;
+        // Each daemon writes its own state and reads everybody's.
+        let counter_bytes = STATE_BYTES * (daemons as f64 + 1.0) / EXCHANGE;
+        let lease = judge(&arrivals, &lease, central_bucket(daemons));
+        let counter = judge(&arrivals, &counter, central_window());
+        for (method, (overshoot, wrongful), bytes) in [
+            ("lease", lease, lease_bytes),
+            ("sliding window", counter, counter_bytes),
+        ] {
+            report.limits.push(limits::LimitRow {
+                method: method.to_owned(),
+                daemons,
+                overshoot,
+                wrongful,
+                bytes_per_second: bytes,
+            });
+        }
+    }
+    report
+}
+
+fn arrivals(daemons: usize, seed: u64, seconds: f64) -> Vec<Arrival> {
+    let mut random = rand_chacha::ChaCha8Rng::seed_from_u64(seed);
+    let mut weights = new_weights(daemons, &mut random);
+    let mut shift = SHIFT;
+    let mut at = 0.0;
+    let mut calls = Vec::new();
+    while at < seconds {
+        let turn = (at / TURN) as usize % DEMAND.len();
+        let rate = DEMAND[turn] * LIMIT;
+        at += -(1.0 - random.random::<f64>()).ln() / rate;
+        if at >= shift {
+            weights = new_weights(daemons, &mut random);
+            shift += SHIFT;
+        }
+        calls.push((at, pick(&weights, &mut random)));
+    }
+    calls
+}
+
+/// Makes cumulative weights; a few daemons get several times the mean.
+fn new_weights(daemons: usize, random: &mut rand_chacha::ChaCha8Rng) -> Vec<f64> {
+    let mut sum = 0.0;
+    let draws = (0..daemons).map(|_| {
+        sum += 0.2 - (1.0 - random.random::<f64>()).ln();
+        sum
+    });
+    draws.collect()
+}
+
+fn pick(weights: &[f64], random: &mut rand_chacha::ChaCha8Rng) -> usize {
+    let total = weights.last().copied().unwrap_or(0.0);
+    let draw = random.random::<f64>() * total;
+    weights
+        .partition_point(|weight| *weight < draw)
+        .min(weights.len().saturating_sub(1))
+}
+
+fn run_lease(daemons: usize, arrivals: &[Arrival]) -> Vec<bool> {
+    let base = time::Instant::now();
+    let instant = |at: f64| base + time::Duration::from_secs_f64(at);
+    let mut leases = vec![CapacityLease::new(); daemons];
+    let grant = |rates: &[f64], leases: &mut [CapacityLease], at: f64| {
+        for (lease, rate) in leases.iter_mut().zip(rates) {
+            let until = instant(at) + GRANT_VALID;
+            lease.on_grant(ShareGrant { rate: *rate, until }, instant(at));
+        }
+    };
+    let equal = vec![LIMIT / daemons as f64; daemons];
+    grant(&equal, &mut leases, 0.0);
+    let mut pending: collections::VecDeque<(f64, Vec<f64>)> = collections::VecDeque::new();
+    let mut heartbeat = HEARTBEAT;
+    let mut accepted = Vec::with_capacity(arrivals.len());
+    for &(at, daemon) in arrivals {
+        while heartbeat <= at {
+            let now = instant(heartbeat);
+            let demands = leases.iter_mut().map(|lease| lease.demand(now));
+            let rates = divide_capacity(LIMIT, &demands.collect::<Vec<_>>());
+            pending.push_back((heartbeat + GRANT_DELAY, rates));
+            heartbeat += HEARTBEAT;
+        }
+        while pending.front().is_some_and(|(due, _)| *due <= at) {
+            if let Some((due, rates)) = pending.pop_front() {
+                grant(&rates, &mut leases, due);
+            }
+        }
+        let now = instant(at);
+        leases[daemon].on_asked(1.0, now);
+        accepted.push(leases[daemon].take(1.0, now));
+    }
+    accepted
+}
+
+fn run_counter(daemons: usize, arrivals: &[Arrival]) -> Vec<bool> {
+    // Ring buffers of the times of accepted calls, and what was last read of them.
+    let mut rings: Vec<collections::VecDeque<f64>> = vec![collections::VecDeque::new(); daemons];
+    let mut written = vec![0_usize; daemons];
+    let mut read = vec![0_usize; daemons];
+    let mut next = (0..daemons)
+        .map(|daemon| EXCHANGE * daemon as f64 / daemons as f64)
+        .collect::<Vec<_>>();
+    let allowed = (LIMIT * WINDOW) as usize;
+    let mut accepted = Vec::with_capacity(arrivals.len());
+    let mut exchange = 0.0;
+    for &(at, daemon) in arrivals {
+        // Daemons exchange one after the other; a step of 50 ms is far below the interval.
+        while exchange <= at {
+            for other in 0..daemons {
+                if next[other] <= exchange {
+                    trim(&mut rings[other], exchange);
+                    written[other] = rings[other].len();
+                    read[other] = written.iter().sum::<usize>() - written[other];
+                    next[other] += EXCHANGE;
+                }
+            }
+            exchange += 0.05;
+        }
+        trim(&mut rings[daemon], at);
+        let accept = rings[daemon].len() + read[daemon] < allowed;
+        if accept {
+            rings[daemon].push_back(at);
+        }
+        accepted.push(accept);
+    }
+    accepted
+}
+
+fn trim(ring: &mut collections::VecDeque<f64>, now: f64) {
+    while ring.front().is_some_and(|at| *at < now - WINDOW) {
+        ring.pop_front();
+    }
+}
+
+/// Returns what was accepted beyond the limit as a share of it, and what was refused although there
+/// was room as a share of what should have been accepted. `admits` is the same algorithm with exact
+/// knowledge of all daemons: it tells whether there is room, and notes what was accepted.
+fn judge<A>(arrivals: &[Arrival], accepted: &[bool], mut admits: A) -> (f64, f64)
+where
+    A: FnMut(f64, bool) -> bool,
+{
+    let (mut beyond, mut wrong) = (0.0, 0.0);
+    for (&(at, _), accept) in arrivals.iter().zip(accepted) {
+        let room = admits(at, *accept);
+        beyond += f64::from(u8::from(*accept && !room));
+        wrong += f64::from(u8::from(!*accept && room));
+    }
+    let last = arrivals.last().map_or(0.0, |(at, _)| *at);
+    let due = (LIMIT * last).min(arrivals.len() as f64).max(1.0);
+    (beyond / (LIMIT * last).max(1.0), wrong / due)
+}
+
+/// One bucket for all daemons, as deep as their buckets together.
+fn central_bucket(daemons: usize) -> impl FnMut(f64, bool) -> bool {
+    let depth = (LIMIT * BURST).max(daemons as f64);
+    let (mut tokens, mut filled) = (depth, 0.0);
+    move |at, accept| {
+        tokens = f64::min(tokens + LIMIT * (at - filled), depth);
+        filled = at;
+        let room = tokens >= 1.0;
+        // What is accepted beyond the limit isn't counted twice.
+        if accept && room {
+            tokens -= 1.0;
+        }
+        room
+    }
+}
+
+/// One window for all daemons.
+fn central_window() -> impl FnMut(f64, bool) -> bool {
+    let mut window: collections::VecDeque<f64> = collections::VecDeque::new();
+    move |at, accept| {
+        trim(&mut window, at);
+        let room = (window.len() as f64) < LIMIT * WINDOW;
+        if accept && room {
+            window.push_back(at);
+        }
+        room
+    }
+}
--- a/crates/usher_bench/src/experiments/mod.rs
+++ b/crates/usher_bench/src/experiments/mod.rs
@@ -4,6 +4,7 @@
 mod common;
 mod crest;
 mod drain;
+mod limits;
 mod mix;
 mod region;
 mod slowdown;
@@ -33,7 +34,7 @@
         options::ExperimentName::Drain => report.extend(drain::run(options)),
         options::ExperimentName::Mix => report.extend(mix::run(options)?),
         options::ExperimentName::Region => report.extend(region::run(options)),
-        options::ExperimentName::Limits => {}
+        options::ExperimentName::Limits => report.extend(limits::run(options)),
     }
     Ok(report)
 }
--- a/crates/usher_policy/src/admit.rs
+++ b/crates/usher_policy/src/admit.rs
@@ -12,9 +12,18 @@
 pub(crate) const MAX_PRESSURE: f64 = 0.6;
 /// How steeply the allowed pressure falls for accounts above their fair share, so that there is
 /// room left for those below.
-const SHARE_STEEPNESS: i32 = 3;
-/// Part of its fair share above which an account's allowed pressure begins to fall.
-const SHARE_START: f64 = 0.9;
+const SHARE_STEEPNESS: i32 = 20;
+/// Bounds of the part of its fair share above which an account's allowed pressure begins to fall.
+const LEVEL: (f64, f64) = (0.6, 1.4);
+/// Pressure that the level steers at: batches are full, and accounts below their share still find
+/// room under the largest pressure.
+const TARGET_PRESSURE: f64 = 0.25;
+/// Change of the level per second and unit of pressure; down faster than up, because a rise of the
+/// demand comes within seconds.
+const LEVEL_UP: f64 = 0.3;
+const LEVEL_DOWN: f64 = 1.2;
+/// Longest time between two calls that counts for the level.
+const LEVEL_STEP: time::Duration = time::Duration::from_millis(500);
 /// Goals for the first token that a call without a deadline may wait, and how many times longer
 /// long work may.
 const PATIENCE: f64 = 10.0;
@@ -64,6 +73,9 @@
     random: rand_chacha::ChaCha8Rng,
     shares: share::FairShare,
     lease: lease::CapacityLease,
+    /// Part of its fair share above which an account is held back.
+    level: f64,
+    level_at: Option<time::Instant>,
 }
 
 impl AdmitPolicy {
@@ -73,6 +85,8 @@
             random: rand_chacha::ChaCha8Rng::seed_from_u64(seed ^ 0xAD31),
             shares: share::FairShare::new(),
             lease: lease::CapacityLease::new(),
+            level: LEVEL.1,
+            level_at: None,
         }
     }
 
@@ -112,8 +126,10 @@
             return self.refuse(RefuseReason::Deadline, decision.first_token);
         }
         let over = self.shares.over(&request.firm, &request.team, now);
-        let over = over.max(self.shares.class_over(request.class));
-        let allowed = (SHARE_START / over.max(SHARE_START)).powi(SHARE_STEEPNESS);
+        // An account far below its share may use it for either class.
+        let over = over * self.shares.class_over(request.class);
+        self.steer(pressure, now);
+        let allowed = (self.level / over.max(self.level)).powi(SHARE_STEEPNESS);
         if pressure > MAX_PRESSURE * allowed {
             return self.refuse(RefuseReason::FairShare, decision.first_token);
         }
@@ -128,6 +144,16 @@
         }
     }
 
+    /// Moves the level so that the pressure stays at its target while demand exceeds capacity.
+    fn steer(&mut self, pressure: f64, now: time::Instant) {
+        let since = self.level_at.replace(now).unwrap_or(now);
+        let elapsed = now.saturating_duration_since(since).min(LEVEL_STEP);
+        let distance = TARGET_PRESSURE - pressure.min(1.0);
+        let gain = if distance > 0.0 { LEVEL_UP } else { LEVEL_DOWN };
+        let level = self.level + gain * distance * elapsed.as_secs_f64();
+        self.level = level.clamp(LEVEL.0, LEVEL.1);
+    }
+
     /// Returns the fair shares, for weights and reports.
     pub fn shares_mut(&mut self) -> &mut share::FairShare {
         &mut self.shares
--- a/crates/usher_policy/src/lease.rs
+++ b/crates/usher_policy/src/lease.rs
@@ -6,6 +6,10 @@
 
 /// Work that may be done at once when a share allows this many seconds of it.
 const BURST: time::Duration = time::Duration::from_millis(500);
+/// Calls of the largest size lately that a share may save up for.
+const BURST_CALLS: f64 = 2.0;
+/// Part of the largest work that remains with each call.
+const LARGEST_MEMORY: f64 = 0.99;
 /// Share of the last grant that remains when the lease has expired, so that a partitioned entry
 /// still serves a little.
 const FLOOR: f64 = 0.1;
@@ -36,6 +40,8 @@
     filled_at: Option<time::Instant>,
     demand: f64,
     demand_at: Option<time::Instant>,
+    /// Largest work seen lately.
+    largest: f64,
 }
 
 impl CapacityLease {
@@ -56,6 +62,7 @@
     /// Notes that work was asked for.
     pub fn on_asked(&mut self, work: f64, now: time::Instant) {
         self.fade(now);
+        self.largest = work.max(self.largest * LARGEST_MEMORY);
         self.demand += work / DEMAND_MEMORY.as_secs_f64();
     }
 
@@ -91,7 +98,9 @@
         let since = self.filled_at.unwrap_or(now);
         let elapsed = now.saturating_duration_since(since).as_secs_f64();
         let rate = self.rate(now);
-        self.tokens = (self.tokens + rate * elapsed).min(rate * BURST.as_secs_f64());
+        // A share smaller than a call must still save up for one.
+        let burst = (rate * BURST.as_secs_f64()).max(self.largest * BURST_CALLS);
+        self.tokens = (self.tokens + rate * elapsed).min(burst);
         self.filled_at = Some(now);
     }
 
--- a/crates/usher_policy/src/share.rs
+++ b/crates/usher_policy/src/share.rs
@@ -6,8 +6,8 @@
 
 /// Time over which recent use fades to a third.
 const USE_MEMORY: time::Duration = time::Duration::from_secs(5);
-/// Calls of usual size that an account may have had above its share: one entry sees only a few calls
-/// of a team, and one more or less must not count as unfair.
+/// Calls of usual size that a team may have had above its share: one entry sees only a few calls of a
+/// team, and one more or less must not count as unfair.
 const ALLOWED_CALLS: f64 = 4.0;
 /// Weight of a new call in the usual work of a call.
 const WORK_GAIN: f64 = 0.02;
@@ -148,7 +148,7 @@
             return 0.0;
         };
         let allowed = self.mean_work * ALLOWED_CALLS;
-        let firm_over = relative(meter.meter.used - allowed, part);
+        let firm_over = relative(meter.meter.used, part);
         firm_over.max(Self::team_over(meter, team, allowed))
     }
 
--- a/crates/usher_policy/src/state.rs
+++ b/crates/usher_policy/src/state.rs
@@ -55,9 +55,6 @@
     }
 }
 
-/// Part of the others' calls that is taken from own calls instead of reports.
-const OWN_SHARE: f64 = 0.7;
-
 /// Whether a target may get new work.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum TargetStanding {
@@ -92,6 +89,8 @@
     pub(crate) weight: f64,
     /// Calls of others for each own call, over all targets of the service.
     pub(crate) others_ratio: f64,
+    /// Part of the others' calls that is taken from own calls instead of reports.
+    pub(crate) own_share: f64,
     /// Factor on its times while it is judged slow, else 1.
     pub(crate) slowness: f64,
     /// Whether long work is welcome.
@@ -117,8 +116,9 @@
             failed_at: None,
             weight: 1.0,
             others_ratio: 0.0,
+            own_share: 0.0,
             slowness: 1.0,
-            for_long: true,
+            for_long: false,
         }
     }
 
@@ -133,7 +133,7 @@
         // Reports are late, and daemons that all follow them move together. Own calls are known
         // at once and are a sample of all calls, so they stand for a part of the others'.
         let implied = self.own.calls * self.others_ratio;
-        load.calls += OWN_SHARE * (implied - self.others.calls);
+        load.calls += self.own_share * (implied - self.others.calls);
         load
     }
 
--- a/crates/usher_policy/src/table.rs
+++ b/crates/usher_policy/src/table.rs
@@ -23,6 +23,12 @@
 const FAILURE_PAUSE: time::Duration = time::Duration::from_secs(2);
 /// Prompt tokens that an engine prefills in one batch step, as most engines do by default.
 const CHUNK_TOKENS: f64 = 512.0;
+/// Most of the others' calls that is taken from own calls instead of reports, and the own calls per
+/// engine at which half of it is: a daemon with few calls has no sample of what others do.
+const OWN_SHARE: f64 = 0.9;
+const OWN_SAMPLE: f64 = 2.0;
+/// Shares of long work outside of which it isn't kept apart, because there is only one class.
+const BOTH_CLASSES: std::ops::Range<f64> = 0.005..0.995;
 /// Fill of the batches above which long work isn't kept apart.
 const FILL_WITHOUT_ROOM: f64 = 0.7;
 /// Calls by which the load of a target is typically misjudged, because reports are late.
@@ -74,6 +80,8 @@
     common_pace: f64,
     /// Room in the batches for keeping work apart, from 1 when they are empty to 0.
     room: f64,
+    /// Whether long work has engines of its own.
+    confined: bool,
     /// Recent work of short and long calls in engine-seconds, and when it was last faded.
     work: [f64; 2],
     work_at: Option<time::Instant>,
@@ -95,6 +103,7 @@
             mean_output: 128.0,
             common_pace: 1.0,
             room: 1.0,
+            confined: false,
             work: [0.0; 2],
             work_at: None,
             refreshed: collections::BTreeMap::new(),
@@ -456,11 +465,15 @@
         let own: f64 = states().map(|state| state.own().calls).sum();
         let others: f64 = states().map(|state| state.others().calls).sum();
         let ratio = if own > 0.0 { others / own } else { 0.0 };
-        let places = groups.iter().flatten().count() as f64 * f64::from(self.settings.batch_limit);
+        let engines = groups.iter().flatten().count() as f64;
+        let own_share = OWN_SHARE * own / (own + OWN_SAMPLE * engines).max(1.0);
+        let places = engines * f64::from(self.settings.batch_limit);
         let fill = (own + others) / places.max(1.0);
         self.room = (1.0 - fill / FILL_WITHOUT_ROOM).max(0.0);
         for slot in groups.iter().flatten() {
-            self.states[slot.index()].others_ratio = ratio;
+            let state = &mut self.states[slot.index()];
+            state.others_ratio = ratio;
+            state.own_share = own_share;
         }
     }
 
@@ -478,12 +491,14 @@
         let count: usize = open.iter().map(Vec::len).sum();
         let [short, long] = self.work;
         let share = long / (short + long).max(f64::MIN_POSITIVE);
+        self.confined = BOTH_CLASSES.contains(&share);
         let wanted = ((share * count as f64 + LONG_MARGIN) as usize).max(1);
         for slot in groups.iter().flatten() {
             self.states[slot.index()].for_long = false;
         }
         let longest = open.iter().map(Vec::len).max().unwrap_or(0);
         let turns = (0..longest).flat_map(|turn| open.iter().map(move |group| group.get(turn)));
+        let wanted = if self.confined { wanted } else { 0 };
         let chosen: Vec<slot::TargetSlot> = turns.flatten().take(wanted).copied().collect();
         for slot in chosen {
             self.states[slot.index()].for_long = true;
@@ -621,9 +636,14 @@
         })
     }
 
-    /// Returns the room in the batches for keeping long work apart.
+    /// Returns the room in the batches for keeping long work apart; 0 when it has no engines of
+    /// its own.
     pub(crate) fn room(&self) -> f64 {
-        self.room
+        if self.confined {
+            self.room
+        } else {
+            0.0
+        }
     }
 
     fn plain_step(&self, load: &state::TargetLoad) -> f64 {
