--- a/crates/pimentousher/src/demo/caller.rs
+++ b/crates/pimentousher/src/demo/caller.rs
@@ -12,6 +12,10 @@
 /// How long one answer may take: a caller that waits for ever would hide a lost request.
 const ANSWER_LIMIT: time::Duration = time::Duration::from_secs(20);
 
+/// When a caller drops its connection: mostly after the call had its effect, and before the
+/// service answers.
+const DROP_AFTER: time::Duration = time::Duration::from_millis(50);
+
 type BodyBytes = http_body_util::Full<hyper::body::Bytes>;
 type HttpClient = legacy::Client<legacy::connect::HttpConnector, BodyBytes>;
 
@@ -143,8 +147,7 @@
         let begun = tokio::time::Instant::now();
         let sending = self.client.request(request);
         if drops {
-            // Long enough for the request to arrive, and often too short for its answer.
-            let _ = tokio::time::timeout(time::Duration::from_millis(4), sending).await;
+            let _ = tokio::time::timeout(DROP_AFTER, sending).await;
             return Sent::Again("the caller dropped its connection".to_owned());
         }
         let answer = match sending.await {
--- a/crates/pimentousher/src/demo/fleet.rs
+++ b/crates/pimentousher/src/demo/fleet.rs
@@ -3,9 +3,12 @@
 use std::{net, time};
 
 use usher_entry::{EntryBuilder, EntryNode, EntryOptions, NullOutcomes, PartSet, WireLink};
-use usher_fake::{EngineOptions, FakeEngine, FakeService, ServiceOptions};
+use usher_fake::{EngineOptions, FakeEngine, FakeService, ServiceBehaviour, ServiceOptions};
 
-use crate::{demo::folder, error, leader};
+use crate::{
+    demo::{self, folder},
+    error, leader,
+};
 
 const CLUSTER: &str = "demo";
 const REGIONS: [&str; 3] = ["south-a", "north-a", "west-a"];
@@ -20,6 +23,9 @@
 /// Time between two announcements of a target.
 const ANNOUNCE: time::Duration = time::Duration::from_millis(500);
 
+/// Time between the effect of a plain call and its answer, for callers that drop in between.
+const ANSWER_DELAY_MS: u64 = 60;
+
 /// Two engines per region, and one target of the plain service in the first two regions.
 const SHEET: &str = "\
 service,kind,region,model,version,adapters,prefill,decode,mixed,floor
@@ -52,10 +58,13 @@
 impl DemoFleet {
     /// Starts everything and waits until callers are served; `bind` is where the first entry
     /// listens.
-    pub(super) async fn start(bind: Option<net::SocketAddr>) -> Result<Self, error::CommandError> {
+    pub(super) async fn start(
+        bind: Option<net::SocketAddr>,
+        change: demo::EntryChange,
+    ) -> Result<Self, error::CommandError> {
         let folder = folder::TempFolder::new()?;
         let control = start_control(&folder).await?;
-        let entries = start_entries(&control, bind).await?;
+        let entries = start_entries(&control, bind, change).await?;
         let addresses: Vec<_> = entries.iter().map(|entry| entry.node.address()).collect();
         let engines = start_engines(&addresses).await?;
         let services = start_services(&addresses).await?;
@@ -206,6 +215,7 @@
 async fn start_entries(
     control: &[usher_control::RunningControl],
     bind: Option<net::SocketAddr>,
+    change: demo::EntryChange,
 ) -> Result<Vec<DemoEntry>, error::CommandError> {
     let mut entries = Vec::new();
     for (place, region) in REGIONS.iter().enumerate() {
@@ -225,6 +235,7 @@
         wires.rotate_left(place);
         let (stop, signal) = usher_kernel::StopSource::new();
         let address = options.bind;
+        let options = change(options);
         let node = EntryBuilder::new(options, WireLink::new(&wires, &identity))
             .start(signal)
             .await;
@@ -265,6 +276,10 @@
             .with_service(usher_types::ServiceName::new(SERVICE))
             .with_region(usher_types::RegionName::new(*region))
             .with_domain(usher_types::DomainName::new(format!("{region}-1")))
+            .with_behaviour(ServiceBehaviour {
+                answer_delay_ms: ANSWER_DELAY_MS,
+                ..ServiceBehaviour::default()
+            })
             .with_announce_interval(ANNOUNCE);
         let service = FakeService::start(options).await;
         services.push(service.map_err(error::CommandError::failed)?);
--- a/crates/pimentousher/src/demo/load.rs
+++ b/crates/pimentousher/src/demo/load.rs
@@ -14,7 +14,7 @@
 const REQUESTS: usize = 600;
 /// Pause between two requests; together about 9 s.
 const SPACING: time::Duration = time::Duration::from_millis(15);
-/// The request before which an engine crashes.
+/// The request from which on the first engine with streams crashes.
 const CRASH_AT: usize = 200;
 /// The request before which an entry begins to stop.
 const STOP_AT: usize = 400;
@@ -59,10 +59,17 @@
     let plans: Vec<_> = (0..REQUESTS).map(plan).collect();
     let mut running = futures_util::stream::FuturesUnordered::new();
     let mut leaving = None;
+    let mut crashed = false;
     for (number, plan) in plans.iter().enumerate() {
-        if number == CRASH_AT {
-            if let Some(engine) = fleet.engines.first() {
+        // An engine without streams would show nothing.
+        if number >= CRASH_AT && !crashed {
+            let mut busy = fleet
+                .engines
+                .iter()
+                .filter(|engine| engine.open_streams() > 0);
+            if let Some(engine) = busy.next() {
                 engine.crash();
+                crashed = true;
             }
         }
         if number == STOP_AT {
--- a/crates/pimentousher/src/demo/mod.rs
+++ b/crates/pimentousher/src/demo/mod.rs
@@ -14,13 +14,22 @@
 
 use crate::error;
 
+/// Changes the options of the demo's entries; tests remove mechanisms with it.
+pub type EntryChange = fn(usher_entry::EntryOptions) -> usher_entry::EntryOptions;
+
 /// Runs the load with an engine crash and an entry stop, and counts what became of each request.
 ///
 /// # Errors
 ///
 /// Fails when the installation can't be started.
 pub async fn run() -> Result<DemoCount, error::CommandError> {
-    let mut fleet = fleet::DemoFleet::start(None).await?;
+    run_with(|options| options).await
+}
+
+/// Runs the demo with changed entries, to show that it notices what a mechanism is for.
+#[doc(hidden)]
+pub async fn run_with(change: EntryChange) -> Result<DemoCount, error::CommandError> {
+    let mut fleet = fleet::DemoFleet::start(None, change).await?;
     let count = load::run(&mut fleet).await;
     fleet.stop().await;
     Ok(count)
--- a/crates/pimentousher/src/demo/serve.rs
+++ b/crates/pimentousher/src/demo/serve.rs
@@ -14,7 +14,7 @@
 ///
 /// Fails when the installation can't be started.
 pub async fn serve(address: net::SocketAddr) -> Result<(), error::CommandError> {
-    let fleet = fleet::DemoFleet::start(Some(address)).await?;
+    let fleet = fleet::DemoFleet::start(Some(address), |options| options).await?;
     let bound = fleet.addresses().first().copied().unwrap_or(address);
     let mut out = io::stdout();
     let written = writeln!(
--- a/crates/pimentousher/tests/support/mod.rs
+++ b/crates/pimentousher/tests/support/mod.rs
@@ -58,14 +58,18 @@
 
 impl Daemon {
     pub(crate) fn start(program: &str, arguments: &[&str], log: &path::Path) -> Self {
+        let mut command = process::Command::new(program);
+        command.args(arguments).env_remove("PIMENTOUSHER_SETTINGS");
+        Self::spawn(command, log)
+    }
+
+    pub(crate) fn spawn(mut command: process::Command, log: &path::Path) -> Self {
         let log = fs::OpenOptions::new()
             .create(true)
             .append(true)
             .open(log)
             .unwrap();
-        let child = process::Command::new(program)
-            .args(arguments)
-            .env_remove("PIMENTOUSHER_SETTINGS")
+        let child = command
             .stdout(log.try_clone().unwrap())
             .stderr(log)
             .spawn()
