--- a/crates/pimentousher/src/lib.rs
+++ b/crates/pimentousher/src/lib.rs
@@ -10,3 +10,5 @@
 pub mod error;
 pub mod file;
 pub mod leader;
+pub mod overhead;
+pub mod thread_time;
--- a/crates/usher_policy/src/route.rs
+++ b/crates/usher_policy/src/route.rs
@@ -5,7 +5,7 @@
 use rand::{Rng as _, SeedableRng as _};
 use usher_types::{EngineRole, TargetKind, WorkClass};
 
-use crate::{request, slot, table};
+use crate::{request, slot, state, table};
 
 /// Candidates scored in the home region, and in all others together. Beyond these numbers a
 /// random sample is scored, so that the cost of a decision doesn't grow with the fleet; the best
@@ -26,9 +26,17 @@
 const BYTES_PER_TOKEN: f64 = 6.0;
 /// Seconds added for each own straggler on a target.
 const STRAGGLER_SECONDS: f64 = 0.05;
-/// Seconds added for long work on an engine that is kept for short work: long work goes there only
-/// when its own engines are this far behind.
-const KEPT_SECONDS: f64 = 4.0;
+/// Seconds added for long work on an engine that is kept for short work. Long work ends sooner
+/// there, because the batch isn't slowed by other prefill; it goes there only when it would miss
+/// its deadline on its own engines.
+const KEPT_SECONDS: f64 = 20.0;
+/// How much a second beyond the deadline weighs against a second before it.
+const LATE_WEIGHT: f64 = 5.0;
+/// Expected times are multiplied by this before they are compared with the deadline, because a
+/// call that is accepted and late has cost capacity for nothing.
+pub(crate) const DEADLINE_MARGIN: f64 = 1.15;
+/// Calls by which the load of a target is typically misjudged, because reports are late.
+const CALLS_UNSURE: f64 = 4.0;
 /// Share of the expected time per output token that counts for short and long work: short work
 /// wants its first token, long work its last.
 const SHORT_OUTPUT_WEIGHT: f64 = 0.1;
@@ -153,7 +161,7 @@
                 }
                 Standing::Available => {}
             }
-            let score = score(request, table, slot);
+            let score = score(request, table, slot, now);
             match role_of(table, slot) {
                 EngineRole::Mixed => whole.push(score),
                 EngineRole::Prefill => prefill.push(score),
@@ -336,6 +344,7 @@
     request: &request::CallRequest,
     table: &table::RouteTable,
     slot: slot::TargetSlot,
+    now: time::Instant,
 ) -> CandidateScore {
     let settings = table.settings();
     let Some(state) = table.state(slot) else {
@@ -355,14 +364,7 @@
     let needed = request.pieces().get() as f64;
     let counted = info.pieces.get() > 0;
     let fits_now = !counted || load.pieces + needed <= info.pieces.get() as f64;
-    let waiting = if fits_now && load.calls < f64::from(settings.batch_limit) {
-        0.0
-    } else {
-        // Room appears as running calls end; about one in a batch ends in an output's share.
-        let output = request.output.get().max(1) as f64;
-        let over = (load.calls - f64::from(settings.batch_limit)).max(0.0) + 1.0;
-        per_token * output * over / load.calls.max(1.0)
-    };
+    let waiting = slot_wait(request, table, slot, &load, fits_now);
     let first_token = link + loading + waiting + table.expect_first(request, slot);
     let output = per_token * request.remaining().get() as f64;
     let far = info.region != settings.home;
@@ -375,7 +377,8 @@
     let crowding = f64::from(state.stragglers) * STRAGGLER_SECONDS;
     let kept = request.class == WorkClass::Long && !state.for_long;
     let reserve = if kept { KEPT_SECONDS } else { 0.0 };
-    let expected = first_token + output * output_weight(request) + crowding + cost + reserve;
+    let late = lateness(request, first_token + output, now) * LATE_WEIGHT;
+    let expected = first_token + output * output_weight(request) + crowding + cost + reserve + late;
     CandidateScore {
         slot,
         first_token: seconds(first_token),
@@ -387,6 +390,37 @@
     }
 }
 
+/// Returns the expected seconds until the batch and the memory have room.
+fn slot_wait(
+    request: &request::CallRequest,
+    table: &table::RouteTable,
+    slot: slot::TargetSlot,
+    load: &state::TargetLoad,
+    fits_now: bool,
+) -> f64 {
+    let limit = f64::from(table.settings().batch_limit);
+    // The calls of other daemons are known late, so a batch may be full before it seems so.
+    let over = (load.calls + 1.0 - limit) / CALLS_UNSURE;
+    let ahead = CALLS_UNSURE * over.exp().ln_1p().max(over);
+    let ahead = if fits_now { ahead } else { ahead.max(1.0) };
+    let each = table.expect_token(slot) * table.mean_output() / limit;
+    let wait = ahead * each;
+    match request.class {
+        WorkClass::Short => wait,
+        // Long work waits behind the short work that arrives in the meantime.
+        WorkClass::Long => 2.0 * wait,
+    }
+}
+
+/// Returns by how many seconds the call is expected to miss its deadline, with a margin.
+fn lateness(request: &request::CallRequest, finish: f64, now: time::Instant) -> f64 {
+    let Some(deadline) = request.deadline else {
+        return 0.0;
+    };
+    let left = deadline.saturating_duration_since(now).as_secs_f64();
+    (finish * DEADLINE_MARGIN - left).max(0.0)
+}
+
 fn unusable(slot: slot::TargetSlot) -> CandidateScore {
     CandidateScore {
         slot,
