Account requests to the teams and firms of the settings

Cause: [teams], [firms] and [tokens] were read, but the entry took teams only from X-Team or a hash of the token, so their weights had no effect for callers that send a token. Change: usher_entry takes a directory of accounts: a known bearer token gives its team, and a team without X-Firm its firm. The default of [routing] token-time follows usher_policy (15 ms). Conclusion: fair shares follow the settings.

--- a/crates/pimentousher/src/daemon/entry.rs
+++ b/crates/pimentousher/src/daemon/entry.rs
@@ -25,6 +25,18 @@
         .with_stall_timeout(limits.stall)
         .with_plain_timeout(limits.plain)
         .with_caller_timeout(limits.caller)
+        .with_accounts(account_directory(&settings.accounts))
+}
+
+fn account_directory(settings: &usher_config::AccountSettings) -> usher_entry::AccountDirectory {
+    let mut directory = usher_entry::AccountDirectory::new();
+    for (team, account) in &settings.teams {
+        directory = directory.with_team(team.as_str(), account.firm.as_str());
+    }
+    for (token, team) in &settings.tokens {
+        directory = directory.with_token(token, team.as_str());
+    }
+    directory
 }
 
 /// Returns where an entry connects to control, the nearest nodes first.
--- a/crates/usher_config/src/settings/routing.rs
+++ b/crates/usher_config/src/settings/routing.rs
@@ -10,7 +10,7 @@
     pub struct RoutingSettings {
         /// Prefill rate of an engine that hasn't been observed.
         pub prefill_rate: usher_types::TokenRate,
-        /// Time per output token of an engine that hasn't been observed.
+        /// Time per output token of a call alone on an engine that hasn't been observed.
         pub token_time: time::Duration,
         /// Time to load an adapter that isn't resident.
         pub adapter_load: time::Duration,
@@ -27,7 +27,7 @@
         let rate = usher_types::TokenRate::per_second(8_000.0);
         let settings = Self {
             prefill_rate: section.or("prefill-rate", rate),
-            token_time: section.or("token-time", time::Duration::from_millis(40)),
+            token_time: section.or("token-time", time::Duration::from_millis(15)),
             adapter_load: section.or("adapter-load", time::Duration::from_millis(1_500)),
             batch: section.or("batch", 64),
             megabyte_cost: section.or("megabyte-cost", time::Duration::from_millis(200)),
--- a/crates/usher_entry/src/identity.rs
+++ b/crates/usher_entry/src/identity.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::atomic, time};
 
-use crate::error;
+use crate::{accounts, error};
 
 /// Team and firm of callers that don't name theirs.
 const ANONYMOUS: &str = "anonymous";
@@ -87,18 +87,24 @@
         }
     }
 
-    /// Reads the headers of a call.
-    pub(crate) fn read(&mut self, headers: &http::HeaderMap) -> Result<(), error::CallError> {
+    /// Reads the headers of a call; a firm that isn't named is that of the team.
+    pub(crate) fn read(
+        &mut self,
+        headers: &http::HeaderMap,
+        accounts: &accounts::AccountDirectory,
+    ) -> Result<(), error::CallError> {
         if let Some(id) = parse_header(headers, "x-request-id")? {
             self.id = id;
         }
         if let Some(team) = parse_header(headers, "x-team")? {
             self.team = team;
-        } else if let Some(team) = bearer_team(headers) {
+        } else if let Some(team) = bearer_team(headers, accounts) {
             self.team = team;
         }
         if let Some(firm) = parse_header(headers, "x-firm")? {
             self.firm = firm;
+        } else if let Some(firm) = accounts.firm_of(&self.team) {
+            self.firm = firm.clone();
         }
         let deadline: Option<u64> = parse_header(headers, "x-deadline-ms")?;
         if let Some(ms) = deadline {
@@ -112,10 +118,17 @@
     }
 }
 
-/// Names the team by a hash of the bearer token, so that tokens never reach logs.
-fn bearer_team(headers: &http::HeaderMap) -> Option<usher_types::TeamName> {
+/// Returns the team of the bearer token; a token that isn't known names a team by its hash, so
+/// that tokens never reach logs.
+fn bearer_team(
+    headers: &http::HeaderMap,
+    accounts: &accounts::AccountDirectory,
+) -> Option<usher_types::TeamName> {
     use sha2::Digest as _;
     let token = header(headers, "authorization")?.strip_prefix("Bearer ")?;
+    if let Some(team) = accounts.team_of(token.trim()) {
+        return Some(team.clone());
+    }
     let hash = sha2::Sha256::digest(token.trim().as_bytes());
     let short = hash.iter().take(6).map(|byte| format!("{byte:02x}"));
     Some(usher_types::TeamName::new(format!(
--- a/crates/usher_entry/src/lib.rs
+++ b/crates/usher_entry/src/lib.rs
@@ -3,6 +3,7 @@
 //! For: everything between a caller's request and a target's answer, and the control connection.
 //! Not for: decisions, which belong to `usher_policy`, nor for reading settings.
 
+mod accounts;
 mod announce;
 mod attempt;
 mod board;
@@ -29,6 +30,7 @@
 mod server;
 mod sync;
 
+pub use accounts::AccountDirectory;
 pub use announce::{AnnounceReply, AnnouncedLoad, Announcement};
 pub use builder::EntryBuilder;
 pub use config::{ConfigKeeper, ConfigState};
--- a/crates/usher_entry/src/options.rs
+++ b/crates/usher_entry/src/options.rs
@@ -2,6 +2,8 @@
 
 use std::{net, time};
 
+use crate::accounts;
+
 usher_types::value_type! {
     /// The options of an entry; filled from settings by the binaries.
     ///
@@ -56,6 +58,8 @@
         pub unready_notice: time::Duration,
         /// Output tokens assumed when a request sets no limit.
         pub usual_output: usher_types::TokenCount,
+        /// Teams and firms of callers.
+        pub accounts: accounts::AccountDirectory,
         /// Mechanisms that tests remove to show what they are for.
         pub removed: RemovedParts,
     }
@@ -131,6 +135,7 @@
             cache_poll: time::Duration::from_secs(1),
             unready_notice: time::Duration::from_secs(1),
             usual_output: usher_types::TokenCount::new(256),
+            accounts: accounts::AccountDirectory::new(),
             removed: RemovedParts::default(),
         }
     }
@@ -172,6 +177,8 @@
         with_unready_notice(unready_notice: time::Duration);
         /// Sets the time between two readings of cache events.
         with_cache_poll(cache_poll: time::Duration);
+        /// Sets the teams and firms of callers.
+        with_accounts(accounts: accounts::AccountDirectory);
     }
 
     removers! {
--- a/crates/usher_entry/tests/entry/main.rs
+++ b/crates/usher_entry/tests/entry/main.rs
@@ -3,6 +3,7 @@
 //! The clock of the entry stands still unless a test moves it, so that no routing right runs out
 //! because the machine is busy. Each mechanism is also removed once, and the failure shown.
 
+mod accounts;
 mod basics;
 mod callers;
 mod lifecycle;
--- a/crates/usher_entry/tests/entry/support.rs
+++ b/crates/usher_entry/tests/entry/support.rs
@@ -34,6 +34,15 @@
 }
 
 impl OutcomeLog {
+    /// Returns team and firm of each outcome.
+    pub(crate) fn accounts(&self) -> Vec<(String, String)> {
+        let events = self.events.lock().unwrap();
+        let events = events.iter();
+        events
+            .map(|event| (event.team.to_string(), event.firm.to_string()))
+            .collect()
+    }
+
     pub(crate) fn causes(&self) -> Vec<OutcomeCause> {
         let events = self.events.lock().unwrap();
         events.iter().map(|event| event.cause).collect()
