Move streams from prefill to decode engines; refuse older registries

Cause: a call that was routed to a prefill engine stayed there for its whole answer, decode engines got no work; a control node that was behind could take back a leaving mark; a claim whose reply was lost stayed claimed when the release overtook it. Change: after the first token the KV cache is exported and imported between the engines and the stream goes on at the decode engine, skipping repeated tokens by their index; an answer with an older registry version gives no right and isn't acted on; such claims are given back three times. Race and handover are files of their own.

--- a/crates/usher_entry/src/attempt.rs
+++ b/crates/usher_entry/src/attempt.rs
@@ -66,6 +66,14 @@
         self.core.board().policy.on_finished(self.id, now);
     }
 
+    /// Ends the attempt because another target goes on with the call.
+    pub(crate) fn hand_over(mut self) {
+        self.open = false;
+        let now = self.core.now();
+        self.core.board().policy.on_finished(self.id, now);
+        self.tell_cancelled();
+    }
+
     /// Ends the attempt without its whole answer.
     pub(crate) fn fail(mut self, kind: FailureKind) {
         self.close(kind);
@@ -77,8 +85,14 @@
         }
         let now = self.core.now();
         self.core.board().fail(self.id, kind, now);
-        let sent = matches!(kind, FailureKind::Broken | FailureKind::Cancelled);
-        if !sent || self.core.options.removed.cancel {
+        if matches!(kind, FailureKind::Broken | FailureKind::Cancelled) {
+            self.tell_cancelled();
+        }
+    }
+
+    /// Tells the engine that nobody waits any more.
+    fn tell_cancelled(&mut self) {
+        if self.core.options.removed.cancel {
             return;
         }
         let Some(engine_id) = self.engine_id.take() else {
--- a/crates/usher_entry/src/lib.rs
+++ b/crates/usher_entry/src/lib.rs
@@ -9,6 +9,7 @@
 mod body;
 mod builder;
 mod cache;
+mod call_end;
 mod client;
 mod config;
 mod core;
--- a/crates/usher_entry/src/link/memory.rs
+++ b/crates/usher_entry/src/link/memory.rs
@@ -51,6 +51,7 @@
     demands: Vec<message::ServiceDemand>,
     syncs: u64,
     clock: Option<usher_types::ManualClock>,
+    ignoring: bool,
 }
 
 impl Default for ControlState {
@@ -71,6 +72,7 @@
             demands: Vec::new(),
             syncs: 0,
             clock: None,
+            ignoring: false,
         }
     }
 }
@@ -120,6 +122,14 @@
         state.sheet = sheet.to_owned();
     }
 
+    /// Goes back to an older registry version without targets, as a node that is behind.
+    pub fn set_behind(&self) {
+        let mut state = self.lock();
+        state.registry_version = 0;
+        state.targets.clear();
+        state.ignoring = true;
+    }
+
     /// Sets the shares of the capacity that every entry gets.
     pub fn set_shares(&self, shares: Vec<message::CapacityShare>) {
         self.lock().shares = shares;
@@ -202,7 +212,9 @@
 
     fn reply(&mut self, request: message::SyncRequest) -> message::SyncReply {
         self.syncs += 1;
-        self.take_announced(request.announced);
+        if !self.ignoring {
+            self.take_announced(request.announced);
+        }
         self.take_loads(request.loads);
         if !request.demands.is_empty() {
             self.demands = request.demands;
--- /dev/null
+++ b/crates/usher_entry/src/model/handover.rs
@@ -0,0 +1,147 @@
+//! Moves a stream from the engine that did its prefill to the one that decodes. Not for: faults.
+
+use std::{net, sync, time};
+
+use usher_policy::TargetSlot;
+
+use crate::{
+    attempt::AttemptGuard,
+    core,
+    model::{relay, stream},
+    parts,
+    policy::DecisionPolicy as _,
+};
+
+/// How long moving the KV cache of one stream may take; it goes on where it is afterwards.
+const MOVE_TIMEOUT: time::Duration = time::Duration::from_secs(10);
+
+/// What a move needs to know.
+pub(super) struct MovePlan {
+    from: net::SocketAddr,
+    request: stream::EngineRequest,
+    stall: time::Duration,
+}
+
+impl<P> relay::Relay<P>
+where
+    P: parts::EntryParts,
+{
+    /// Notes where the stream goes on after its first token.
+    pub(super) fn plan_handover(&mut self, decision: &usher_policy::RouteDecision) {
+        self.decode_on = None;
+        let (Some(prefill), Ok(decode)) = (decision.prefill, decision.target) else {
+            return;
+        };
+        let board = self.core.board();
+        let name = board.policy.target(prefill).map(|info| &info.name);
+        let here = self.live.as_ref().map(|live| live.target().0);
+        if name.is_some() && name == here {
+            self.decode_on = Some(decode);
+        }
+    }
+
+    /// Begins the move, once there is something to move and as long as it is allowed.
+    pub(super) fn begin_handover(&mut self) {
+        if self.delivered == 0 || !self.core.has_right() {
+            return;
+        }
+        let Some(slot) = self.decode_on.take() else {
+            return;
+        };
+        let Some(from) = self.live.as_ref().map(stream::LiveStream::address) else {
+            return;
+        };
+        let Some(guard) = self.begin_decode(slot) else {
+            return;
+        };
+        let plan = MovePlan {
+            from,
+            request: stream::EngineRequest {
+                resume_from: self.delivered,
+                ..self.engine.clone()
+            },
+            stall: self.stall_timeout(),
+        };
+        self.core.metrics.add("entry.handovers");
+        self.moving
+            .spawn(move_stream(self.core.clone(), guard, plan));
+    }
+
+    fn begin_decode(&mut self, slot: TargetSlot) -> Option<AttemptGuard<P>> {
+        self.request.delivered = usher_types::TokenCount::new(self.delivered);
+        self.begin(slot)
+    }
+
+    /// Takes the stream of the decode engine, or stays where it is when the move failed.
+    pub(super) fn end_handover(&mut self, moved: Result<stream::LiveStream<P>, String>) {
+        match moved {
+            Ok(live) => {
+                if let Some(old) = self.live.replace(live) {
+                    old.hand_over();
+                }
+            }
+            Err(message) => {
+                self.core.metrics.add("entry.handovers.failed");
+                tracing::info!(
+                    request = %self.identity.id, message,
+                    "stream stays on its prefill engine"
+                );
+            }
+        }
+    }
+}
+
+/// Lets the decode engine take the KV cache, and opens the stream there.
+async fn move_stream<P>(
+    core: sync::Arc<core::EntryCore<P>>,
+    guard: AttemptGuard<P>,
+    plan: MovePlan,
+) -> Result<stream::LiveStream<P>, String>
+where
+    P: parts::EntryParts,
+{
+    let moved = tokio::time::timeout(MOVE_TIMEOUT, move_cache(&core, &guard, &plan)).await;
+    moved.unwrap_or_else(|_| Err("moving the KV cache took too long".to_owned()))?;
+    let opened = stream::LiveStream::open(core, guard, plan.request, plan.stall).await;
+    opened.map_err(|failure| failure.message)
+}
+
+/// The cache goes from engine to engine; only its description passes through here.
+async fn move_cache<P>(
+    core: &core::EntryCore<P>,
+    guard: &AttemptGuard<P>,
+    plan: &MovePlan,
+) -> Result<(), String>
+where
+    P: parts::EntryParts,
+{
+    let asked = serde_json::json!({ "request": plan.request.id });
+    let exported = post(core, plan.from, "/v1/kv/export", &asked).await?;
+    let mut description: serde_json::Value =
+        serde_json::from_slice(&exported).map_err(|error| error.to_string())?;
+    if let Some(fields) = description.as_object_mut() {
+        fields.insert("from".to_owned(), plan.from.to_string().into());
+    }
+    post(core, guard.address, "/v1/kv/import", &description).await?;
+    Ok(())
+}
+
+async fn post<P>(
+    core: &core::EntryCore<P>,
+    address: net::SocketAddr,
+    path: &str,
+    body: &serde_json::Value,
+) -> Result<bytes::Bytes, String>
+where
+    P: parts::EntryParts,
+{
+    let request = http::Request::post(format!("http://{address}{path}"))
+        .header(http::header::CONTENT_TYPE, "application/json")
+        .body(http_body_util::Full::from(body.to_string()))
+        .map_err(|error| error.to_string())?;
+    match core.client.exchange(request).await {
+        Ok((http::StatusCode::OK, body)) => Ok(body),
+        Ok((status, _)) => Err(format!("{path} was answered {status}")),
+        Err(error) => Err(error.to_string()),
+    }
+}
--- a/crates/usher_entry/src/model/mod.rs
+++ b/crates/usher_entry/src/model/mod.rs
@@ -3,8 +3,10 @@
 mod call;
 mod chunk;
 mod handler;
+mod handover;
 mod list;
 mod prompt;
+mod race;
 mod relay;
 mod sse;
 mod stream;
--- /dev/null
+++ b/crates/usher_entry/src/model/race.rs
@@ -0,0 +1,273 @@
+//! Attempts of a call before its first token: admission, retries, hedges, probes. Not for: the
+//! stream after it.
+
+use usher_policy::{FailureKind, RetryDecision, RouteDecision, TargetSlot};
+use usher_types::RunState;
+
+use crate::{
+    attempt::AttemptGuard,
+    error::CallError,
+    model::{relay, stream},
+    outcome::OutcomeCause,
+    parts,
+    policy::DecisionPolicy as _,
+};
+
+impl<P> relay::Relay<P>
+where
+    P: parts::EntryParts,
+{
+    /// Chooses a target and decides whether the call is accepted.
+    pub(super) fn admit(&mut self) -> Result<RouteDecision, CallError> {
+        let now = self.core.now();
+        let (decision, verdict) = {
+            let mut board = self.core.board();
+            board.count_demand(&self.request);
+            let decision = board.policy.choose(&self.request, now);
+            let verdict = board.policy.admit(&self.request, &decision, now);
+            (decision, verdict)
+        };
+        if let Some(reason) = verdict.refused {
+            let (code, message) = refusal_text(reason, &decision);
+            self.note("refuse", &decision, message.clone());
+            self.record(OutcomeCause::Refused);
+            let error = match reason {
+                usher_policy::RefuseReason::NoTarget => CallError::unavailable(code, message),
+                _ => CallError::limited(code, message),
+            };
+            return Err(error.with_retry_after(verdict.retry_after));
+        }
+        self.note("route", &decision, String::new());
+        Ok(decision)
+    }
+
+    /// Decides on another attempt before anything was delivered.
+    pub(super) fn after_failure(
+        &mut self,
+        failure: stream::AttemptFailure,
+    ) -> Result<RouteDecision, CallError> {
+        tracing::info!(
+            request = %self.identity.id, target = %failure.target, reason = failure.message,
+            "attempt failed"
+        );
+        self.slow |= failure.slow;
+        if let Some(error) = failure.fault_of_call {
+            self.record(OutcomeCause::Refused);
+            return Err(error);
+        }
+        self.request.avoid.push(failure.target);
+        let now = self.core.now();
+        let retry = {
+            let mut board = self.core.board();
+            let attempts = self.attempts;
+            board
+                .policy
+                .after_failure(&self.request, failure.kind, attempts, now)
+        };
+        let run = match retry {
+            RetryDecision::FailNotRun => RunState::NotRun,
+            RetryDecision::FailUnknown => RunState::Unknown,
+            RetryDecision::Retry | RetryDecision::Resume => {
+                let decision = self.choose_again("retry", &failure.message)?;
+                self.core.metrics.add("entry.retries");
+                return Ok(decision);
+            }
+        };
+        self.record_failure();
+        Err(CallError::target("target_failed", failure.message, run))
+    }
+
+    pub(super) fn choose_again(
+        &mut self,
+        step: &'static str,
+        reason: &str,
+    ) -> Result<RouteDecision, CallError> {
+        if let Err((error, cause)) = self.core.check_right() {
+            self.record(cause);
+            return Err(error);
+        }
+        let now = self.core.now();
+        let decision = self.core.board().policy.choose(&self.request, now);
+        self.note(step, &decision, reason.to_owned());
+        if decision.target.is_err() {
+            self.record_failure();
+            let message = "no other target can take the call";
+            return Err(CallError::target("no_target", message, RunState::Unknown));
+        }
+        Ok(decision)
+    }
+
+    /// Sends the call to the chosen target, and to a second one when the first is late.
+    pub(super) async fn race(
+        &mut self,
+        decision: &RouteDecision,
+    ) -> Result<stream::LiveStream<P>, stream::AttemptFailure> {
+        self.send_probe(decision);
+        let first = self.attempt(decision);
+        let delay = {
+            let board = self.core.board();
+            board.policy.hedge_delay(&self.request, decision)
+        };
+        let delay = delay.filter(|_| !self.core.options.removed.hedge);
+        let (Some(delay), Ok(target)) = (delay, decision.target) else {
+            return first.await;
+        };
+        tokio::pin!(first);
+        tokio::select! {
+            result = &mut first => return result,
+            () = tokio::time::sleep(delay) => {}
+        }
+        let Some(second) = self.hedge(target) else {
+            return first.await;
+        };
+        tokio::pin!(second);
+        tokio::select! {
+            result = &mut first => match result {
+                Ok(live) => Ok(live),
+                Err(failure) => second.await.map_err(|_| failure),
+            },
+            result = &mut second => match result {
+                Ok(live) => {
+                    self.slow = true;
+                    Ok(live)
+                }
+                Err(_) => first.await,
+            },
+        }
+    }
+
+    /// Begins an attempt; the future owns all that it needs.
+    pub(super) fn attempt(
+        &mut self,
+        decision: &RouteDecision,
+    ) -> impl std::future::Future<Output = Result<stream::LiveStream<P>, stream::AttemptFailure>> + Send
+    {
+        self.attempts += 1;
+        let slot = decision.prefill.or(decision.target.ok());
+        let guard = slot.and_then(|slot| self.begin(slot));
+        let core = self.core.clone();
+        let request = stream::EngineRequest {
+            priority: decision.priority,
+            resume_from: self.delivered,
+            ..self.engine.clone()
+        };
+        let timeout = if core.options.removed.stall {
+            relay::NO_TIMEOUT
+        } else {
+            decision
+                .first_token
+                .saturating_mul(2)
+                .saturating_add(core.options.first_token_timeout)
+                .min(relay::NO_TIMEOUT)
+        };
+        async move {
+            let guard = guard.ok_or_else(|| stream::AttemptFailure {
+                kind: FailureKind::NotSent,
+                target: usher_types::TargetName::default(),
+                slow: false,
+                message: "target is gone".to_owned(),
+                fault_of_call: None,
+            })?;
+            stream::LiveStream::open(core, guard, request, timeout).await
+        }
+    }
+
+    pub(super) fn begin(&self, slot: TargetSlot) -> Option<AttemptGuard<P>> {
+        let id = Some(self.identity.engine_id.clone());
+        AttemptGuard::begin(&self.core, &self.request, slot, id)
+    }
+
+    /// Begins a second attempt elsewhere when the budget allows it.
+    pub(super) fn hedge(
+        &mut self,
+        first: TargetSlot,
+    ) -> Option<
+        impl std::future::Future<Output = Result<stream::LiveStream<P>, stream::AttemptFailure>> + Send,
+    > {
+        if !self.core.has_right() {
+            return None;
+        }
+        let now = self.core.now();
+        let decision = {
+            let mut board = self.core.board();
+            let name = board.policy.target(first)?.name.clone();
+            let mut request = self.request.clone();
+            request.avoid.push(name);
+            let decision = board.policy.choose(&request, now);
+            let other = decision.target.ok().filter(|target| *target != first);
+            if other.is_none() || !board.policy.take_hedge() {
+                return None;
+            }
+            decision
+        };
+        self.note("hedge", &decision, "first token is late".to_owned());
+        self.hedged = true;
+        self.core.metrics.add("entry.hedges");
+        Some(self.attempt(&decision))
+    }
+
+    /// Sends a copy of the call to a slow target, to see whether it is fast again.
+    pub(super) fn send_probe(&mut self, decision: &RouteDecision) {
+        let Some(slot) = decision.probe else {
+            return;
+        };
+        let Some(guard) = self.begin(slot) else {
+            return;
+        };
+        self.core.metrics.add("entry.probes");
+        let core = self.core.clone();
+        let request = stream::EngineRequest {
+            priority: decision.priority,
+            resume_from: self.delivered,
+            ..self.engine.clone()
+        };
+        let stall = self.stall_timeout();
+        tokio::spawn(async move {
+            let first = core.options.first_token_timeout;
+            let Ok(mut live) = stream::LiveStream::open(core.clone(), guard, request, first).await
+            else {
+                return;
+            };
+            loop {
+                live.polled(core.now());
+                match live.next(stall, || core.now()).await {
+                    Ok(event) if event.facts.done => return live.finish(),
+                    Ok(_) => {}
+                    Err(_) => return live.fail(),
+                }
+            }
+        });
+    }
+}
+
+fn refusal_text(
+    reason: usher_policy::RefuseReason,
+    decision: &RouteDecision,
+) -> (&'static str, String) {
+    use usher_policy::{NoRoute, RefuseReason};
+    match (reason, decision.target) {
+        (RefuseReason::NoTarget, Err(NoRoute::NoneFits)) => (
+            "no_fitting_target",
+            "no target can hold this call".to_owned(),
+        ),
+        (RefuseReason::NoTarget, _) => (
+            "no_target",
+            "no target is available at the moment".to_owned(),
+        ),
+        (RefuseReason::Deadline, _) => {
+            let expected = decision.finish.as_millis();
+            (
+                "deadline",
+                format!("the answer is expected after {expected} ms, past the deadline"),
+            )
+        }
+        (RefuseReason::FairShare, _) => (
+            "fair_share",
+            "this team is over its fair share while capacity is short".to_owned(),
+        ),
+        (RefuseReason::Capacity, _) => (
+            "capacity",
+            "the capacity share of this entry is used up".to_owned(),
+        ),
+    }
+}
--- a/crates/usher_entry/src/model/relay.rs
+++ b/crates/usher_entry/src/model/relay.rs
@@ -2,16 +2,15 @@
 
 use std::{sync, time};
 
-use usher_policy::{CallRequest, FailureKind, RetryDecision, RouteDecision, TargetSlot};
-use usher_types::{RunState, TokenCount, WorkClass};
+use usher_policy::{CallRequest, RouteDecision, TargetSlot};
+use usher_types::{RunState, TokenCount};
 
 use crate::{
-    attempt::AttemptGuard,
     core,
     error::CallError,
-    explain, identity,
+    identity,
     model::{call, chunk, sse, stream},
-    outcome::{self, OutcomeCause, OutcomeSink as _},
+    outcome::{self, OutcomeCause},
     parts,
     policy::DecisionPolicy as _,
 };
@@ -20,31 +19,34 @@
 const RESUME_PAUSE: time::Duration = time::Duration::from_millis(20);
 
 /// Stands for "no timeout" where tests remove timeouts.
-const NO_TIMEOUT: time::Duration = time::Duration::from_secs(86_400);
+pub(super) const NO_TIMEOUT: time::Duration = time::Duration::from_secs(86_400);
 
 /// A call on its way: its live stream, and what its caller has got so far.
 pub(crate) struct Relay<P>
 where
     P: parts::EntryParts,
 {
-    core: sync::Arc<core::EntryCore<P>>,
+    pub(super) core: sync::Arc<core::EntryCore<P>>,
     _running: core::RunningGuard<P>,
-    identity: identity::CallIdentity,
-    request: CallRequest,
-    engine: stream::EngineRequest,
-    include_usage: bool,
-    live: Option<stream::LiveStream<P>>,
-    delivered: u64,
-    attempts: u32,
-    resumes: u32,
-    hedged: bool,
-    slow: bool,
-    first_token: Option<time::Instant>,
+    pub(super) identity: identity::CallIdentity,
+    pub(super) request: CallRequest,
+    pub(super) engine: stream::EngineRequest,
+    pub(super) include_usage: bool,
+    pub(super) live: Option<stream::LiveStream<P>>,
+    /// Engine that decodes, while the stream is on the one that did the prefill.
+    pub(super) decode_on: Option<TargetSlot>,
+    pub(super) moving: tokio::task::JoinSet<Result<stream::LiveStream<P>, String>>,
+    pub(super) delivered: u64,
+    pub(super) attempts: u32,
+    pub(super) resumes: u32,
+    pub(super) hedged: bool,
+    pub(super) slow: bool,
+    pub(super) first_token: Option<time::Instant>,
     // The first chunk, whose id and time all later ones carry.
-    first: Option<serde_json::Value>,
-    finished: bool,
-    done: bool,
-    recorded: bool,
+    pub(super) first: Option<serde_json::Value>,
+    pub(super) finished: bool,
+    pub(super) done: bool,
+    pub(super) recorded: bool,
 }
 
 /// An event for the caller.
@@ -83,6 +85,8 @@
             engine,
             include_usage: call.include_usage,
             live: None,
+            decode_on: None,
+            moving: tokio::task::JoinSet::new(),
             delivered: 0,
             attempts: 0,
             resumes: 0,
@@ -121,6 +125,7 @@
             let failure = match self.race(&decision).await {
                 Ok(live) => {
                     self.live = Some(live);
+                    self.plan_handover(&decision);
                     return Ok(());
                 }
                 Err(failure) => failure,
@@ -129,229 +134,7 @@
         }
     }
 
-    /// Chooses a target and decides whether the call is accepted.
-    fn admit(&mut self) -> Result<RouteDecision, CallError> {
-        let now = self.core.now();
-        let (decision, verdict) = {
-            let mut board = self.core.board();
-            board.count_demand(&self.request);
-            let decision = board.policy.choose(&self.request, now);
-            let verdict = board.policy.admit(&self.request, &decision, now);
-            (decision, verdict)
-        };
-        if let Some(reason) = verdict.refused {
-            let (code, message) = refusal_text(reason, &decision);
-            self.note("refuse", &decision, message.clone());
-            self.record(OutcomeCause::Refused);
-            let error = match reason {
-                usher_policy::RefuseReason::NoTarget => CallError::unavailable(code, message),
-                _ => CallError::limited(code, message),
-            };
-            return Err(error.with_retry_after(verdict.retry_after));
-        }
-        self.note("route", &decision, String::new());
-        Ok(decision)
-    }
-
-    /// Decides on another attempt before anything was delivered.
-    fn after_failure(
-        &mut self,
-        failure: stream::AttemptFailure,
-    ) -> Result<RouteDecision, CallError> {
-        tracing::info!(
-            request = %self.identity.id, target = %failure.target, reason = failure.message,
-            "attempt failed"
-        );
-        self.slow |= failure.slow;
-        if let Some(error) = failure.fault_of_call {
-            self.record(OutcomeCause::Refused);
-            return Err(error);
-        }
-        self.request.avoid.push(failure.target);
-        let now = self.core.now();
-        let retry = {
-            let mut board = self.core.board();
-            let attempts = self.attempts;
-            board
-                .policy
-                .after_failure(&self.request, failure.kind, attempts, now)
-        };
-        let run = match retry {
-            RetryDecision::FailNotRun => RunState::NotRun,
-            RetryDecision::FailUnknown => RunState::Unknown,
-            RetryDecision::Retry | RetryDecision::Resume => {
-                let decision = self.choose_again("retry", &failure.message)?;
-                self.core.metrics.add("entry.retries");
-                return Ok(decision);
-            }
-        };
-        self.record_failure();
-        Err(CallError::target("target_failed", failure.message, run))
-    }
-
-    fn choose_again(
-        &mut self,
-        step: &'static str,
-        reason: &str,
-    ) -> Result<RouteDecision, CallError> {
-        if let Err((error, cause)) = self.core.check_right() {
-            self.record(cause);
-            return Err(error);
-        }
-        let now = self.core.now();
-        let decision = self.core.board().policy.choose(&self.request, now);
-        self.note(step, &decision, reason.to_owned());
-        if decision.target.is_err() {
-            self.record_failure();
-            let message = "no other target can take the call";
-            return Err(CallError::target("no_target", message, RunState::Unknown));
-        }
-        Ok(decision)
-    }
-
-    /// Sends the call to the chosen target, and to a second one when the first is late.
-    async fn race(
-        &mut self,
-        decision: &RouteDecision,
-    ) -> Result<stream::LiveStream<P>, stream::AttemptFailure> {
-        self.send_probe(decision);
-        let first = self.attempt(decision);
-        let delay = {
-            let board = self.core.board();
-            board.policy.hedge_delay(&self.request, decision)
-        };
-        let delay = delay.filter(|_| !self.core.options.removed.hedge);
-        let (Some(delay), Ok(target)) = (delay, decision.target) else {
-            return first.await;
-        };
-        tokio::pin!(first);
-        tokio::select! {
-            result = &mut first => return result,
-            () = tokio::time::sleep(delay) => {}
-        }
-        let Some(second) = self.hedge(target) else {
-            return first.await;
-        };
-        tokio::pin!(second);
-        tokio::select! {
-            result = &mut first => match result {
-                Ok(live) => Ok(live),
-                Err(failure) => second.await.map_err(|_| failure),
-            },
-            result = &mut second => match result {
-                Ok(live) => {
-                    self.slow = true;
-                    Ok(live)
-                }
-                Err(_) => first.await,
-            },
-        }
-    }
-
-    /// Begins an attempt; the future owns all that it needs.
-    fn attempt(
-        &mut self,
-        decision: &RouteDecision,
-    ) -> impl std::future::Future<Output = Result<stream::LiveStream<P>, stream::AttemptFailure>> + Send
-    {
-        self.attempts += 1;
-        let slot = decision.prefill.or(decision.target.ok());
-        let guard = slot.and_then(|slot| self.begin(slot));
-        let core = self.core.clone();
-        let request = stream::EngineRequest {
-            priority: decision.priority,
-            resume_from: self.delivered,
-            ..self.engine.clone()
-        };
-        let timeout = if core.options.removed.stall {
-            NO_TIMEOUT
-        } else {
-            decision
-                .first_token
-                .saturating_mul(2)
-                .saturating_add(core.options.first_token_timeout)
-                .min(NO_TIMEOUT)
-        };
-        async move {
-            let guard = guard.ok_or_else(|| stream::AttemptFailure {
-                kind: FailureKind::NotSent,
-                target: usher_types::TargetName::default(),
-                slow: false,
-                message: "target is gone".to_owned(),
-                fault_of_call: None,
-            })?;
-            stream::LiveStream::open(core, guard, request, timeout).await
-        }
-    }
-
-    fn begin(&self, slot: TargetSlot) -> Option<AttemptGuard<P>> {
-        let id = Some(self.identity.engine_id.clone());
-        AttemptGuard::begin(&self.core, &self.request, slot, id)
-    }
-
-    /// Begins a second attempt elsewhere when the budget allows it.
-    fn hedge(
-        &mut self,
-        first: TargetSlot,
-    ) -> Option<
-        impl std::future::Future<Output = Result<stream::LiveStream<P>, stream::AttemptFailure>> + Send,
-    > {
-        if !self.core.has_right() {
-            return None;
-        }
-        let now = self.core.now();
-        let decision = {
-            let mut board = self.core.board();
-            let name = board.policy.target(first)?.name.clone();
-            let mut request = self.request.clone();
-            request.avoid.push(name);
-            let decision = board.policy.choose(&request, now);
-            let other = decision.target.ok().filter(|target| *target != first);
-            if other.is_none() || !board.policy.take_hedge() {
-                return None;
-            }
-            decision
-        };
-        self.note("hedge", &decision, "first token is late".to_owned());
-        self.hedged = true;
-        self.core.metrics.add("entry.hedges");
-        Some(self.attempt(&decision))
-    }
-
-    /// Sends a copy of the call to a slow target, to see whether it is fast again.
-    fn send_probe(&mut self, decision: &RouteDecision) {
-        let Some(slot) = decision.probe else {
-            return;
-        };
-        let Some(guard) = self.begin(slot) else {
-            return;
-        };
-        self.core.metrics.add("entry.probes");
-        let core = self.core.clone();
-        let request = stream::EngineRequest {
-            priority: decision.priority,
-            resume_from: self.delivered,
-            ..self.engine.clone()
-        };
-        let stall = self.stall_timeout();
-        tokio::spawn(async move {
-            let first = core.options.first_token_timeout;
-            let Ok(mut live) = stream::LiveStream::open(core.clone(), guard, request, first).await
-            else {
-                return;
-            };
-            loop {
-                live.polled(core.now());
-                match live.next(stall, || core.now()).await {
-                    Ok(event) if event.facts.done => return live.finish(),
-                    Ok(_) => {}
-                    Err(_) => return live.fail(),
-                }
-            }
-        });
-    }
-
-    fn stall_timeout(&self) -> time::Duration {
+    pub(super) fn stall_timeout(&self) -> time::Duration {
         if self.core.options.removed.stall {
             NO_TIMEOUT
         } else {
@@ -362,6 +145,9 @@
     /// Returns the next event for the caller; `None` after the last.
     pub(crate) async fn next(&mut self) -> Result<Option<RelayEvent>, CallError> {
         while !self.done {
+            if self.decode_on.is_some() {
+                self.begin_handover();
+            }
             let Some(live) = self.live.as_mut() else {
                 self.resume().await?;
                 continue;
@@ -379,8 +165,16 @@
                     event = next => event,
                     () = core.stop.draining() => Err(sse::StreamFault::Stopping),
                 }
-            } else {
+            } else if self.moving.is_empty() {
                 next.await
+            } else {
+                tokio::select! {
+                    event = next => event,
+                    Some(moved) = self.moving.join_next() => {
+                        self.end_handover(moved.unwrap_or_else(|error| Err(error.to_string())));
+                        continue;
+                    }
+                }
             };
             let accepted = event.and_then(|event| self.accept(event));
             match accepted {
@@ -461,6 +255,9 @@
         );
         self.slow |= *fault == sse::StreamFault::Stalled;
         live.fail();
+        self.decode_on = None;
+        self.moving.abort_all();
+        self.moving = tokio::task::JoinSet::new();
         self.request.avoid.push(target);
         if self.finished {
             // The answer is whole; only its formal end is missing.
@@ -497,6 +294,7 @@
                 match self.attempt(&decision).await {
                     Ok(live) => {
                         self.live = Some(live);
+                        self.plan_handover(&decision);
                         return Ok(());
                     }
                     Err(failure) => {
@@ -555,7 +353,7 @@
         }
     }
 
-    fn record_failure(&mut self) {
+    pub(super) fn record_failure(&mut self) {
         let cause = if self.slow {
             OutcomeCause::SlowTarget
         } else {
@@ -564,7 +362,7 @@
         self.record(cause);
     }
 
-    fn record(&mut self, cause: OutcomeCause) {
+    pub(super) fn record(&mut self, cause: OutcomeCause) {
         if std::mem::replace(&mut self.recorded, true) {
             return;
         }
@@ -590,7 +388,7 @@
         self.core.finish_call(event);
     }
 
-    fn note(&self, step: &'static str, decision: &RouteDecision, reason: String) {
+    pub(super) fn note(&self, step: &'static str, decision: &RouteDecision, reason: String) {
         self.core.explain(&self.identity, step, decision, reason);
     }
 }
@@ -612,98 +410,3 @@
         }
     }
 }
-
-fn refusal_text(
-    reason: usher_policy::RefuseReason,
-    decision: &RouteDecision,
-) -> (&'static str, String) {
-    use usher_policy::{NoRoute, RefuseReason};
-    match (reason, decision.target) {
-        (RefuseReason::NoTarget, Err(NoRoute::NoneFits)) => (
-            "no_fitting_target",
-            "no target can hold this call".to_owned(),
-        ),
-        (RefuseReason::NoTarget, _) => (
-            "no_target",
-            "no target is available at the moment".to_owned(),
-        ),
-        (RefuseReason::Deadline, _) => {
-            let expected = decision.finish.as_millis();
-            (
-                "deadline",
-                format!("the answer is expected after {expected} ms, past the deadline"),
-            )
-        }
-        (RefuseReason::FairShare, _) => (
-            "fair_share",
-            "this team is over its fair share while capacity is short".to_owned(),
-        ),
-        (RefuseReason::Capacity, _) => (
-            "capacity",
-            "the capacity share of this entry is used up".to_owned(),
-        ),
-    }
-}
-
-impl<P> core::EntryCore<P>
-where
-    P: parts::EntryParts,
-{
-    /// Hands out the outcome of a call and counts it.
-    pub(crate) fn finish_call(&self, event: outcome::OutcomeEvent) {
-        let cause = match event.cause {
-            OutcomeCause::Ok => "ok",
-            OutcomeCause::Refused => "refused",
-            OutcomeCause::Late => "late",
-            OutcomeCause::SlowTarget => "slow-target",
-            OutcomeCause::Drain => "drain",
-            OutcomeCause::Region => "region",
-            OutcomeCause::Failed => "failed",
-            OutcomeCause::Cancelled => "cancelled",
-        };
-        self.metrics.add_tagged("entry.calls", "cause", cause);
-        if let Some(first) = event.first_token {
-            let name = match event.class {
-                WorkClass::Short => "entry.first_token.short",
-                WorkClass::Long => "entry.first_token.long",
-            };
-            self.metrics.time(name, first);
-        }
-        tracing::debug!(
-            request = %event.request, cause, tokens = event.tokens, total = ?event.total,
-            "call ended"
-        );
-        self.outcomes.record(event);
-    }
-
-    /// Keeps a decision for explanations.
-    pub(crate) fn explain(
-        &self,
-        identity: &identity::CallIdentity,
-        step: &'static str,
-        decision: &RouteDecision,
-        reason: String,
-    ) {
-        let board = self.board();
-        let name = |slot| board.policy.target(slot).map(|info| info.name.clone());
-        let candidates = decision.candidates.iter();
-        let record = explain::DecisionRecord {
-            request: identity.id.clone(),
-            engine_request: identity.engine_id.clone(),
-            at_ms: self.wall_ms(),
-            step,
-            target: decision.target.ok().and_then(name),
-            expected_ms: decision
-                .target
-                .ok()
-                .and_then(|_| u64::try_from(decision.first_token.as_millis()).ok()),
-            scored: decision.scored,
-            candidates: candidates
-                .filter_map(|candidate| Some((name(candidate.slot)?, candidate.score)))
-                .collect(),
-            reason,
-        };
-        drop(board);
-        self.records.push(record);
-    }
-}
--- a/crates/usher_entry/src/model/stream.rs
+++ b/crates/usher_entry/src/model/stream.rs
@@ -77,6 +77,8 @@
     guard: AttemptGuard<P>,
     reader: sse::SseReader,
     early: std::collections::VecDeque<StreamEvent>,
+    // Tokens that others delivered before this stream began.
+    start: u64,
     tokens: u64,
     checked: bool,
     polled_at: time::Instant,
@@ -112,6 +114,7 @@
                     guard,
                     reader,
                     early,
+                    start: request.resume_from,
                     tokens: 0,
                     checked: !core.options.removed.checks,
                     polled_at: core.now(),
@@ -180,7 +183,7 @@
         timeout: time::Duration,
         now: impl Fn() -> time::Instant,
     ) -> Result<StreamEvent, sse::StreamFault> {
-        let event = match self.early.pop_front() {
+        let mut event = match self.early.pop_front() {
             Some(event) => event,
             None => {
                 let next = next_event(&mut self.reader, self.checked);
@@ -190,6 +193,10 @@
             }
         };
         if event.facts.token {
+            event
+                .facts
+                .token_index
+                .get_or_insert(self.start + self.tokens);
             self.tokens += 1;
             let at = now();
             // A caller that reads slowly delays the reading, which is no fault of the engine.
@@ -209,6 +216,15 @@
         (&self.guard.name, &self.guard.region)
     }
 
+    pub(crate) fn address(&self) -> std::net::SocketAddr {
+        self.guard.address
+    }
+
+    /// Ends the stream here because another engine goes on with it.
+    pub(crate) fn hand_over(self) {
+        self.guard.hand_over();
+    }
+
     /// Ends the stream after its last event.
     pub(crate) fn finish(self) {
         self.guard.finish();
--- a/crates/usher_entry/src/plain/claim.rs
+++ b/crates/usher_entry/src/plain/claim.rs
@@ -27,6 +27,11 @@
 const FINISH_PAUSE: time::Duration = time::Duration::from_millis(100);
 const FINISH_PAUSE_MAX: time::Duration = time::Duration::from_secs(5);
 
+/// How often, and with which pause, a claim whose reply was lost is given back; a commit that
+/// takes longer than this ends as unknown once the entry is gone.
+const GIVE_BACK_TRIES: u32 = 3;
+const GIVE_BACK_PAUSE: time::Duration = time::Duration::from_secs(3);
+
 /// How long the recording of an outcome is tried; then control's view of this entry decides.
 const FINISH_TIME: time::Duration = time::Duration::from_secs(600);
 
@@ -171,12 +176,23 @@
             kind: FinishKind::Released.into(),
             answer: None,
         };
-        tokio::spawn(record(core.clone(), finish));
+        tokio::spawn(give_back(core.clone(), finish));
     }
     let message = format!("the call can't be claimed: {last}");
     Err(CallError::unavailable("no_claim", message))
 }
 
+/// Gives back a claim that may be committed late: a refusal can mean that it isn't there yet.
+async fn give_back<P>(core: sync::Arc<core::EntryCore<P>>, finish: message::FinishClaim)
+where
+    P: parts::EntryParts,
+{
+    for _ in 0..GIVE_BACK_TRIES {
+        record(core.clone(), finish.clone()).await;
+        tokio::time::sleep(GIVE_BACK_PAUSE).await;
+    }
+}
+
 /// Records an outcome, trying until control has it.
 async fn record<P>(core: sync::Arc<core::EntryCore<P>>, finish: message::FinishClaim)
 where
--- a/crates/usher_entry/src/sync.rs
+++ b/crates/usher_entry/src/sync.rs
@@ -94,6 +94,13 @@
     let now = core.now();
     let right = time::Duration::from_millis(reply.right_ms);
     let mut board = core.board();
+    if reply.registry_version < board.registry_version() {
+        // An older registry could take back a leaving mark.
+        drop(board);
+        tracing::warn!("control node has an older registry: its answer is not used");
+        core.link.move_on();
+        return;
+    }
     board.reported(sent_at);
     if reply.registry_changed {
         board.take_registry(reply.registry_version, reply.targets, now);
--- /dev/null
+++ b/crates/usher_entry/tests/entry/hostile.rs
@@ -0,0 +1,255 @@
+//! Engines whose bytes are changed at random, and control nodes that come and go.
+
+use std::{net, sync, time};
+
+use rand::{Rng as _, SeedableRng as _};
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use usher_entry::{ControlLink as _, LinkError, WireLink};
+use usher_types::{IncarnationId, NodeName};
+use usher_wire::{message, CallHandler, WireIdentity};
+
+use crate::support::{chat_body, options, steady, wait_for, Fleet};
+
+const TOKENS: u64 = 12;
+
+/// Writes the answer to a request, one event for each element.
+fn events(seed: &str) -> Vec<Vec<u8>> {
+    let chunk = |choice: serde_json::Value, index: Option<u64>| {
+        let mut chunk = serde_json::json!({
+            "id": format!("chatcmpl-{seed}"), "object": "chat.completion.chunk", "created": 7,
+            "model": "assist-1", "choices": [choice],
+        });
+        if let Some(index) = index {
+            chunk["token_index"] = index.into();
+        }
+        format!("data: {chunk}\n\n").into_bytes()
+    };
+    let token = |index| {
+        let text = usher_fake::token_text(seed, index);
+        let choice = serde_json::json!({ "index": 0, "delta": { "content": text } });
+        chunk(choice, Some(index))
+    };
+    let mut events: Vec<_> = (0..TOKENS).map(token).collect();
+    let finish = serde_json::json!({ "index": 0, "delta": {}, "finish_reason": "length" });
+    events.push(chunk(finish, None));
+    events.push(b"data: [DONE]\n\n".to_vec());
+    events
+}
+
+/// Changes an answer in one way that a reader can notice.
+fn mutate(mut events: Vec<Vec<u8>>, random: &mut rand_chacha::ChaCha8Rng) -> Vec<u8> {
+    let at = random.random_range(0..events.len());
+    match random.random_range(0..6) {
+        0 => events.truncate(at),
+        1 => {
+            events.remove(at);
+        }
+        2 => events.insert(at, events[at].clone()),
+        3 => {
+            let garbage = (0..40).map(|_| random.random()).collect();
+            events.insert(at, garbage);
+        }
+        4 => {
+            let cut = random.random_range(0..events[at].len());
+            events[at].truncate(cut);
+        }
+        _ => events.insert(at, vec![b'x'; 2 << 20]),
+    }
+    events.concat()
+}
+
+/// Reads one request and returns the id that engines know it by.
+async fn read_request(socket: &mut tokio::net::TcpStream) -> Option<String> {
+    let mut bytes = Vec::new();
+    let mut buffer = [0; 4_096];
+    loop {
+        let read = socket
+            .read(&mut buffer)
+            .await
+            .ok()
+            .filter(|read| *read > 0)?;
+        bytes.extend_from_slice(&buffer[..read]);
+        let text = String::from_utf8_lossy(&bytes);
+        let Some((head, body)) = text.split_once("\r\n\r\n") else {
+            continue;
+        };
+        if !head.starts_with("POST /v1/chat") {
+            return None;
+        }
+        if let Ok(json) = serde_json::from_str::<serde_json::Value>(body) {
+            return json["seed_id"].as_str().map(str::to_owned);
+        }
+    }
+}
+
+async fn serve_hostile(listener: tokio::net::TcpListener, seed: u64) {
+    let mut random = rand_chacha::ChaCha8Rng::seed_from_u64(seed);
+    while let Ok((mut socket, _)) = listener.accept().await {
+        let Some(id) = read_request(&mut socket).await else {
+            continue;
+        };
+        let mut answer = b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n".to_vec();
+        answer.extend(mutate(events(&id), &mut random));
+        let _ = socket.write_all(&answer).await;
+    }
+}
+
+fn hostile_engine(seed: u64) {
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    runtime.block_on(async {
+        let fleet = Fleet::start(options().with_suspect_after(time::Duration::from_secs(60))).await;
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let announcement = serde_json::json!({
+            "name": "hostile-1", "incarnation": 1, "address": listener.local_addr().unwrap(),
+            "kind": "engine", "service": "assist", "model": "assist-1", "region": "south-a",
+            "domain": "domain-1", "kv_pieces": 512,
+        });
+        tokio::spawn(serve_hostile(listener, seed));
+        let request = fleet.request("POST", "/v1/targets/announce");
+        let reply = fleet.send(request, announcement.to_string()).await;
+        assert_eq!(reply.status, 200, "{}", reply.text);
+        wait_for("the hostile engine is known", || {
+            fleet.node.status().targets == 1
+        })
+        .await;
+        let _good = fleet.engine(steady("engine-1")).await;
+        let mut whole = 0;
+        for _ in 0..40 {
+            let reply = fleet.stream(TOKENS).await;
+            // Before the first token a retry may be refused for lack of budget; that is told.
+            if reply.status == 502 {
+                assert_eq!(reply.run(), Some("unknown"));
+                continue;
+            }
+            reply.assert_whole(TOKENS);
+            whole += 1;
+        }
+        assert!(whole >= 20, "only {whole} of 40 answers were whole");
+        fleet.wait_idle().await;
+    });
+}
+
+usher_types::cases! { hostile_engine:
+    /// Guards against answers that are lost, repeated or made up by a broken engine.
+    hostile_engine_seed_1(1);
+    hostile_engine_seed_2(2);
+    hostile_engine_seed_3(3);
+    hostile_engine_seed_4(4);
+}
+
+/// Guards against a body that makes the reader panic; every byte is cut and changed in turn.
+#[tokio::test]
+async fn changed_bodies_are_answered() {
+    let fleet = Fleet::start(options()).await;
+    let _engine = fleet.engine(crate::support::instant("engine-1")).await;
+    let body = chat_body(1, false).to_string().into_bytes();
+    let mut random = rand_chacha::ChaCha8Rng::seed_from_u64(11);
+    for _ in 0..300 {
+        let mut changed = body.clone();
+        for _ in 0..random.random_range(1..4) {
+            let at = random.random_range(0..changed.len());
+            changed[at] = random.random();
+        }
+        changed.truncate(random.random_range(1..=changed.len()));
+        let request = fleet.request("POST", "/v1/chat/completions");
+        let reply = fleet.send(request, changed).await;
+        assert!([200, 400, 404].contains(&reply.status), "{}", reply.text);
+    }
+}
+
+/// A control node that refuses everything with one kind of error, or answers heartbeats.
+struct ControlNode {
+    refusal: Option<message::ErrorKind>,
+    calls: sync::atomic::AtomicU64,
+}
+
+impl CallHandler for ControlNode {
+    async fn handle(
+        &self,
+        _peer: &WireIdentity,
+        body: message::envelope::Body,
+    ) -> Option<message::envelope::Body> {
+        self.calls.fetch_add(1, sync::atomic::Ordering::SeqCst);
+        if let Some(kind) = self.refusal {
+            return Some(message::envelope::Body::Error(message::ErrorReply {
+                kind: kind.into(),
+                ..Default::default()
+            }));
+        }
+        match body {
+            message::envelope::Body::SyncRequest(request) => {
+                Some(message::envelope::Body::SyncReply(message::SyncReply {
+                    sequence: request.sequence,
+                    ..Default::default()
+                }))
+            }
+            _ => Some(message::envelope::Body::Ack(message::Ack {})),
+        }
+    }
+}
+
+fn identity(node: &str) -> WireIdentity {
+    WireIdentity {
+        cluster: "one".to_owned(),
+        node: NodeName::new(node),
+        incarnation: IncarnationId::new(1),
+    }
+}
+
+async fn control_node(
+    refusal: Option<message::ErrorKind>,
+) -> (net::SocketAddr, sync::Arc<ControlNode>) {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let node = sync::Arc::new(ControlNode {
+        refusal,
+        calls: sync::atomic::AtomicU64::new(0),
+    });
+    let serving = usher_wire::serve(
+        listener,
+        identity("c"),
+        node.clone(),
+        std::future::pending(),
+    );
+    tokio::spawn(serving);
+    (address, node)
+}
+
+/// Guards against an entry that stays with a control node that is down or has no leader.
+#[tokio::test]
+async fn link_moves_on_to_a_node_that_answers() {
+    let (down, _) = control_node(None).await;
+    let closed = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let closed_address = closed.local_addr().unwrap();
+    drop(closed);
+    let (lost, _) = control_node(Some(message::ErrorKind::NoQuorum)).await;
+    let link = WireLink::new(&[closed_address, lost, down], &identity("entry-1"));
+    let reply = link.sync(message::SyncRequest {
+        sequence: 5,
+        ..Default::default()
+    });
+    assert_eq!(reply.await.unwrap().sequence, 5);
+    link.finish(message::FinishClaim::default()).await.unwrap();
+}
+
+/// Guards against a claim that is sent to a second node although the first may have taken it.
+#[tokio::test]
+async fn uncertain_claim_is_not_sent_elsewhere() {
+    let (first, _) = control_node(Some(message::ErrorKind::Unknown)).await;
+    let (second, other) = control_node(None).await;
+    let link = WireLink::new(&[first, second], &identity("entry-1"));
+    let error = link.claim(message::ClaimCall::default()).await.unwrap_err();
+    assert!(matches!(error, LinkError::Unknown(_)), "{error}");
+    assert_eq!(other.calls.load(sync::atomic::Ordering::SeqCst), 0);
+}
+
+/// Guards against "may have happened" where no control node was reached.
+#[tokio::test]
+async fn unreachable_control_is_not_sent() {
+    let closed = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = closed.local_addr().unwrap();
+    drop(closed);
+    let link = WireLink::new(&[address], &identity("entry-1"));
+    let error = link.claim(message::ClaimCall::default()).await.unwrap_err();
+    assert!(matches!(error, LinkError::NotSent(_)), "{error}");
+}
--- a/crates/usher_entry/tests/entry/lifecycle.rs
+++ b/crates/usher_entry/tests/entry/lifecycle.rs
@@ -137,6 +137,23 @@
     assert_eq!(version, 4);
 }
 
+/// Guards against a registry without its leaving marks, from a control node that is behind.
+#[tokio::test]
+async fn older_registry_is_not_acted_on() {
+    let fleet = Fleet::start(options().with_suspect_after(PAST_THE_RIGHT * 2)).await;
+    let _engine = fleet.engine(instant("engine-1")).await;
+    fleet.control.set_behind();
+    let syncs = fleet.control.syncs();
+    wait_for("control was heard of again", || {
+        fleet.control.syncs() > syncs + 2
+    })
+    .await;
+    assert_eq!(fleet.node.status().targets, 1);
+    // Such a node gives no right either.
+    fleet.clock.advance(PAST_THE_RIGHT);
+    assert!(!fleet.node.status().right);
+}
+
 /// Guards against a drain that cuts off a straggler or lets new work in.
 #[tokio::test]
 async fn drain_finishes_the_straggler() {
--- a/crates/usher_entry/tests/entry/main.rs
+++ b/crates/usher_entry/tests/entry/main.rs
@@ -5,6 +5,8 @@
 
 mod basics;
 mod callers;
+mod handover;
+mod hostile;
 mod lifecycle;
 mod plain;
 mod streams;
