Count calls to the team of a known token and the firm of a known team

Cause: any caller could count its calls to another team or firm, which makes fair shares worthless. Change: EntryOptions takes the teams with their firms and the bearer tokens with their teams; a known token decides over X-Team, a known team over X-Firm. Conclusion: accounts hold where the settings name them; unknown callers are counted as they say.

--- a/crates/usher_entry/src/identity.rs
+++ b/crates/usher_entry/src/identity.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::atomic, time};
 
-use crate::error;
+use crate::{error, options};
 
 /// Team and firm of callers that don't name theirs.
 const ANONYMOUS: &str = "anonymous";
@@ -88,16 +88,22 @@
     }
 
     /// Reads the headers of a call.
-    pub(crate) fn read(&mut self, headers: &http::HeaderMap) -> Result<(), error::CallError> {
+    pub(crate) fn read(
+        &mut self,
+        headers: &http::HeaderMap,
+        options: &options::EntryOptions,
+    ) -> Result<(), error::CallError> {
         if let Some(id) = parse_header(headers, "x-request-id")? {
             self.id = id;
         }
-        if let Some(team) = parse_header(headers, "x-team")? {
-            self.team = team;
-        } else if let Some(team) = bearer_team(headers) {
+        // A known token proves the team; the header only names it.
+        let named = parse_header(headers, "x-team")?;
+        let team = known_token(headers, options).or(named);
+        if let Some(team) = team.or_else(|| hashed_token(headers)) {
             self.team = team;
         }
-        if let Some(firm) = parse_header(headers, "x-firm")? {
+        let firm = parse_header(headers, "x-firm")?;
+        if let Some(firm) = options.teams.get(&self.team).cloned().or(firm) {
             self.firm = firm;
         }
         let deadline: Option<u64> = parse_header(headers, "x-deadline-ms")?;
@@ -112,11 +118,22 @@
     }
 }
 
-/// Names the team by a hash of the bearer token, so that tokens never reach logs.
-fn bearer_team(headers: &http::HeaderMap) -> Option<usher_types::TeamName> {
-    use sha2::Digest as _;
+fn bearer(headers: &http::HeaderMap) -> Option<&str> {
     let token = header(headers, "authorization")?.strip_prefix("Bearer ")?;
-    let hash = sha2::Sha256::digest(token.trim().as_bytes());
+    Some(token.trim())
+}
+
+fn known_token(
+    headers: &http::HeaderMap,
+    options: &options::EntryOptions,
+) -> Option<usher_types::TeamName> {
+    options.tokens.get(bearer(headers)?).cloned()
+}
+
+/// Names the team by a hash of an unknown token, so that tokens never reach logs.
+fn hashed_token(headers: &http::HeaderMap) -> Option<usher_types::TeamName> {
+    use sha2::Digest as _;
+    let hash = sha2::Sha256::digest(bearer(headers)?.as_bytes());
     let short = hash.iter().take(6).map(|byte| format!("{byte:02x}"));
     Some(usher_types::TeamName::new(format!(
         "token-{}",
--- a/crates/usher_entry/src/model/handler.rs
+++ b/crates/usher_entry/src/model/handler.rs
@@ -62,7 +62,7 @@
 where
     P: parts::EntryParts,
 {
-    identity.read(headers)?;
+    identity.read(headers, &core.options)?;
     let body = body::read_body(body, &core.options).await?;
     let mut call = call::ModelCall::read(&body, chat)?;
     let place = core.find_model(&call.model);
--- a/crates/usher_entry/src/options.rs
+++ b/crates/usher_entry/src/options.rs
@@ -1,6 +1,6 @@
 //! Options of an entry. Not for: where they come from.
 
-use std::{net, time};
+use std::{collections, net, time};
 
 usher_types::value_type! {
     /// The options of an entry; filled from settings by the binaries.
@@ -56,6 +56,10 @@
         pub unready_notice: time::Duration,
         /// Output tokens assumed when a request sets no limit.
         pub usual_output: usher_types::TokenCount,
+        /// Firm of each known team; a team that is listed can't be counted to another firm.
+        pub teams: collections::BTreeMap<usher_types::TeamName, usher_types::FirmName>,
+        /// Team of each known bearer token.
+        pub tokens: collections::BTreeMap<String, usher_types::TeamName>,
         /// Mechanisms that tests remove to show what they are for.
         pub removed: RemovedParts,
     }
@@ -131,6 +135,8 @@
             cache_poll: time::Duration::from_secs(1),
             unready_notice: time::Duration::from_secs(1),
             usual_output: usher_types::TokenCount::new(256),
+            teams: collections::BTreeMap::new(),
+            tokens: collections::BTreeMap::new(),
             removed: RemovedParts::default(),
         }
     }
@@ -170,6 +176,10 @@
         with_gone_after(gone_after: time::Duration);
         /// Sets how long a stopping entry still takes work.
         with_unready_notice(unready_notice: time::Duration);
+        /// Sets the firm of each known team.
+        with_teams(teams: collections::BTreeMap<usher_types::TeamName, usher_types::FirmName>);
+        /// Sets the team of each known bearer token.
+        with_tokens(tokens: collections::BTreeMap<String, usher_types::TeamName>);
         /// Sets the time between two readings of cache events.
         with_cache_poll(cache_poll: time::Duration);
     }
--- a/crates/usher_entry/src/plain/handler.rs
+++ b/crates/usher_entry/src/plain/handler.rs
@@ -36,7 +36,7 @@
     P: parts::EntryParts,
 {
     let (parts, body) = request.into_parts();
-    identity.read(&parts.headers)?;
+    identity.read(&parts.headers, &core.options)?;
     let body = body::read_body(body, &core.options).await?;
     let path = parts.uri.path().strip_prefix("/svc/").unwrap_or_default();
     let service = path.split('/').next().unwrap_or_default().to_owned();
--- a/crates/usher_entry/tests/entry/basics.rs
+++ b/crates/usher_entry/tests/entry/basics.rs
@@ -177,6 +177,34 @@
     assert_eq!(fleet.get("/v1/explain/call-8").await.status, 404);
 }
 
+/// Guards against a team that counts its calls to another team or firm.
+#[tokio::test]
+async fn known_token_and_team_decide_on_the_account() {
+    let teams = [("night".parse().unwrap(), "tamar".parse().unwrap())];
+    let tokens = [("secret".to_owned(), "night".parse().unwrap())];
+    let options = options()
+        .with_teams(teams.into())
+        .with_tokens(tokens.into());
+    let fleet = Fleet::start(options).await;
+    let _engine = fleet.engine(instant("engine-1")).await;
+    for (token, team, firm) in [
+        ("Bearer secret", "night", "tamar"),
+        ("Bearer other", "day", "derwent"),
+    ] {
+        let request = fleet
+            .request("POST", CHAT)
+            .header("authorization", token)
+            .header("x-team", "day")
+            .header("x-firm", "derwent");
+        let reply = fleet.send(request, chat_body(1, false).to_string()).await;
+        assert_eq!(reply.status, 200);
+        assert_eq!(
+            fleet.outcomes.last_account(),
+            (team.to_owned(), firm.to_owned())
+        );
+    }
+}
+
 /// Guards against two callers with equal ids that get each other's answer or cancel.
 #[tokio::test]
 async fn equal_request_ids_are_told_apart() {
--- a/crates/usher_entry/tests/entry/support.rs
+++ b/crates/usher_entry/tests/entry/support.rs
@@ -40,6 +40,15 @@
     }
 }
 
+impl OutcomeLog {
+    /// Returns team and firm of the last outcome.
+    pub(crate) fn last_account(&self) -> (String, String) {
+        let events = self.events.lock().unwrap();
+        let event = events.last().unwrap();
+        (event.team.to_string(), event.firm.to_string())
+    }
+}
+
 /// One entry and the parts around it.
 pub(crate) struct Fleet {
     pub(crate) control: MemoryControl,
