--- a/crates/usher_entry/src/identity.rs
+++ b/crates/usher_entry/src/identity.rs
@@ -87,7 +87,7 @@
         }
     }
 
-    /// Reads the headers of a call; a firm that isn't named is that of the team.
+    /// Reads the headers of a call; the firm of a known team can't be named otherwise.
     pub(crate) fn read(
         &mut self,
         headers: &http::HeaderMap,
@@ -96,15 +96,15 @@
         if let Some(id) = parse_header(headers, "x-request-id")? {
             self.id = id;
         }
-        if let Some(team) = parse_header(headers, "x-team")? {
-            self.team = team;
-        } else if let Some(team) = bearer_team(headers, accounts) {
+        // A known token proves the team; the header only names it.
+        let named = parse_header(headers, "x-team")?;
+        let team = known_token(headers, accounts).or(named);
+        if let Some(team) = team.or_else(|| hashed_token(headers)) {
             self.team = team;
         }
-        if let Some(firm) = parse_header(headers, "x-firm")? {
+        let named = parse_header(headers, "x-firm")?;
+        if let Some(firm) = accounts.firm_of(&self.team).cloned().or(named) {
             self.firm = firm;
-        } else if let Some(firm) = accounts.firm_of(&self.team) {
-            self.firm = firm.clone();
         }
         let deadline: Option<u64> = parse_header(headers, "x-deadline-ms")?;
         if let Some(ms) = deadline {
@@ -118,18 +118,22 @@
     }
 }
 
-/// Returns the team of the bearer token; a token that isn't known names a team by its hash, so
-/// that tokens never reach logs.
-fn bearer_team(
+fn bearer(headers: &http::HeaderMap) -> Option<&str> {
+    let token = header(headers, "authorization")?.strip_prefix("Bearer ")?;
+    Some(token.trim())
+}
+
+fn known_token(
     headers: &http::HeaderMap,
     accounts: &accounts::AccountDirectory,
 ) -> Option<usher_types::TeamName> {
+    accounts.team_of(bearer(headers)?).cloned()
+}
+
+/// Names the team by a hash of an unknown token, so that tokens never reach logs.
+fn hashed_token(headers: &http::HeaderMap) -> Option<usher_types::TeamName> {
     use sha2::Digest as _;
-    let token = header(headers, "authorization")?.strip_prefix("Bearer ")?;
-    if let Some(team) = accounts.team_of(token.trim()) {
-        return Some(team.clone());
-    }
-    let hash = sha2::Sha256::digest(token.trim().as_bytes());
+    let hash = sha2::Sha256::digest(bearer(headers)?.as_bytes());
     let short = hash.iter().take(6).map(|byte| format!("{byte:02x}"));
     Some(usher_types::TeamName::new(format!(
         "token-{}",
