--- a/crates/usher_log/src/durable.rs
+++ b/crates/usher_log/src/durable.rs
@@ -1,5 +1,7 @@
 //! The log that is written. Not for: deciding when to write.
 
+use std::sync;
+
 use crate::{error, record, replay, segment, snapshot, storage};
 
 /// Name of the file that holds the node's incarnation.
@@ -42,7 +44,7 @@
 where
     D: storage::StorageFolder,
 {
-    folder: D,
+    folder: sync::Arc<D>,
     settings: LogSettings,
     incarnation: usher_types::IncarnationId,
     vote: record::VoteRecord,
@@ -51,6 +53,8 @@
     closed: Vec<segment::SegmentSpan>,
     /// Highest entry of the open segment.
     last_index: u64,
+    /// Index of the newest snapshot.
+    snapshot_index: u64,
     buffer: Vec<u8>,
     usable: bool,
 }
@@ -84,13 +88,14 @@
         let last = spans.pop();
         let segment = open_segment(&folder, last, tail_bytes, &vote)?;
         let mut log = Self {
-            folder,
+            folder: sync::Arc::new(folder),
             settings,
             incarnation,
             vote: vote.clone(),
             segment,
             closed: spans,
             last_index: last.map_or(0, |span| span.last_index),
+            snapshot_index: snapshot.as_ref().map_or(0, |snapshot| snapshot.index),
             buffer: Vec::new(),
             usable: true,
         };
@@ -189,7 +194,7 @@
 
     fn start_segment(&mut self) -> Result<(), error::LogError> {
         let sequence = self.segment.sequence + 1;
-        let next = segment::OpenSegment::create(&self.folder, sequence, &self.vote)?;
+        let next = segment::OpenSegment::create(&*self.folder, sequence, &self.vote)?;
         self.closed.push(segment::SegmentSpan {
             sequence: self.segment.sequence,
             last_index: self.last_index,
@@ -208,10 +213,32 @@
         &mut self,
         snapshot: &snapshot::StoredSnapshot,
     ) -> Result<(), error::LogError> {
+        self.guard(|log| snapshot.write(&*log.folder, snapshot::OWN_TEMPORARY))?;
+        self.finish_snapshot(snapshot.index)
+    }
+
+    /// Returns a writer by which another thread writes a snapshot beside the log.
+    pub fn snapshot_writer(&self) -> snapshot::SnapshotWriter<D> {
+        snapshot::SnapshotWriter {
+            folder: self.folder.clone(),
+        }
+    }
+
+    /// Takes a snapshot into use that a [`snapshot_writer`](Self::snapshot_writer) wrote, and
+    /// removes the segments that it replaces.
+    ///
+    /// # Errors
+    ///
+    /// After a failure the log refuses all further use.
+    pub fn finish_snapshot(&mut self, index: u64) -> Result<(), error::LogError> {
         self.guard(|log| {
+            // A newer one came from the leader meanwhile.
+            if index <= log.snapshot_index {
+                return log.remove(snapshot::OWN_TEMPORARY);
+            }
             log.write_buffer()?;
-            snapshot.save(&log.folder)?;
-            log.compact(snapshot.index)
+            snapshot::publish(&*log.folder, snapshot::OWN_TEMPORARY, index)?;
+            log.compact(index)
         })
     }
 
@@ -226,7 +253,8 @@
     ) -> Result<(), error::LogError> {
         self.guard(|log| {
             log.write_buffer()?;
-            snapshot.save(&log.folder)?;
+            snapshot.write(&*log.folder, snapshot::TEMPORARY)?;
+            snapshot::publish(&*log.folder, snapshot::TEMPORARY, snapshot.index)?;
             log.reset(snapshot.index);
             log.write_buffer()?;
             log.compact(snapshot.index)
@@ -235,6 +263,7 @@
 
     /// Removes segments and snapshots that a snapshot replaces.
     fn compact(&mut self, index: u64) -> Result<(), error::LogError> {
+        self.snapshot_index = index;
         // The open segment is closed once it is worth it, or it would never be removed.
         if self.segment.bytes > self.settings.segment_bytes / 4 {
             self.start_segment()?;
@@ -271,7 +300,12 @@
     fn remove_leftovers(&self, names: &[String], snapshot: Option<u64>) {
         for name in names {
             let old = snapshot::index_of(name).is_some_and(|index| Some(index) < snapshot);
-            if old || name == snapshot::TEMPORARY || name == IDENTITY_TEMPORARY {
+            let temporary = [
+                snapshot::TEMPORARY,
+                snapshot::OWN_TEMPORARY,
+                IDENTITY_TEMPORARY,
+            ];
+            if old || temporary.contains(&name.as_str()) {
                 if let Err(error) = self.folder.remove(name) {
                     tracing::warn!(%error, file = %name, "removing a leftover file failed");
                 }
--- a/crates/usher_log/src/lib.rs
+++ b/crates/usher_log/src/lib.rs
@@ -19,5 +19,5 @@
 pub use memory::{CrashLoss, MemoryFolder};
 pub use record::{LogRecord, VoteRecord};
 pub use replay::{CutTail, RecoveredLog};
-pub use snapshot::StoredSnapshot;
+pub use snapshot::{SnapshotWriter, StoredSnapshot};
 pub use storage::{StorageFile, StorageFolder};
--- a/crates/usher_log/src/snapshot.rs
+++ b/crates/usher_log/src/snapshot.rs
@@ -1,12 +1,16 @@
 //! Snapshot files, replaced atomically. Not for: what a snapshot contains.
 
+use std::sync;
+
 use crate::{error, record, storage};
 
 const PREFIX: &str = "snapshot-";
 const SUFFIX: &str = ".snap";
 
-/// Name under which a snapshot is written before it is whole.
+/// Name under which a leader's snapshot is written before it is whole.
 pub(crate) const TEMPORARY: &str = "snapshot.tmp";
+/// The same for a snapshot of this node's own state, which may be written at the same time.
+pub(crate) const OWN_TEMPORARY: &str = "own-snapshot.tmp";
 
 /// The state up to an index, opaque here.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -94,25 +98,54 @@
         Ok(Some(snapshot))
     }
 
-    /// Writes the snapshot so that either it or the one before is there after a crash.
-    pub(crate) fn save<D>(&self, folder: &D) -> Result<(), error::LogError>
+    /// Writes the snapshot under a temporary name, durably.
+    pub(crate) fn write<D>(&self, folder: &D, temporary: &str) -> Result<(), error::LogError>
     where
         D: storage::StorageFolder,
     {
         use storage::StorageFile as _;
-        let name = name_of(self.index);
         let mut file = folder
-            .create(TEMPORARY)
-            .map_err(error::LogError::io("creation", TEMPORARY))?;
+            .create(temporary)
+            .map_err(error::LogError::io("creation", temporary))?;
         file.write_all(&self.encode())
-            .map_err(error::LogError::io("writing", TEMPORARY))?;
-        file.sync()
-            .map_err(error::LogError::io("fsync", TEMPORARY))?;
-        folder
-            .rename(TEMPORARY, &name)
-            .map_err(error::LogError::io("renaming to", &name))?;
-        folder
-            .sync()
-            .map_err(error::LogError::io("fsync of the folder", &name))
+            .map_err(error::LogError::io("writing", temporary))?;
+        file.sync().map_err(error::LogError::io("fsync", temporary))
+    }
+}
+
+/// Gives a written snapshot its name; either it or the one before is there after a crash.
+pub(crate) fn publish<D>(folder: &D, temporary: &str, index: u64) -> Result<(), error::LogError>
+where
+    D: storage::StorageFolder,
+{
+    let name = name_of(index);
+    folder
+        .rename(temporary, &name)
+        .map_err(error::LogError::io("renaming to", &name))?;
+    folder
+        .sync()
+        .map_err(error::LogError::io("fsync of the folder", &name))
+}
+
+/// Writes snapshots of this node's own state beside the log, on another thread.
+///
+/// A large snapshot would hold up the entries if it were written between them.
+#[derive(Debug)]
+pub struct SnapshotWriter<D> {
+    pub(crate) folder: sync::Arc<D>,
+}
+
+impl<D> SnapshotWriter<D>
+where
+    D: storage::StorageFolder,
+{
+    /// Writes a snapshot, durably; it counts once the log has finished it, see
+    /// [`finish_snapshot`](crate::DurableLog::finish_snapshot).
+    ///
+    /// # Errors
+    ///
+    /// After a failure the log must not be used any more.
+    pub fn write(&self, snapshot: &StoredSnapshot) -> Result<(), error::LogError> {
+        snapshot.write(&*self.folder, OWN_TEMPORARY)
     }
 }
--- a/crates/usher_log/src/storage.rs
+++ b/crates/usher_log/src/storage.rs
@@ -22,7 +22,7 @@
 /// A flat folder that one process uses at a time.
 ///
 /// New, renamed and removed names are durable only after [`sync`](StorageFolder::sync).
-pub trait StorageFolder: Send + 'static {
+pub trait StorageFolder: Send + Sync + 'static {
     /// Type of its files.
     type File: StorageFile;
 
--- a/crates/usher_log/tests/recovery.rs
+++ b/crates/usher_log/tests/recovery.rs
@@ -271,6 +271,30 @@
     }
 }
 
+/// Guards against an older snapshot of this node that replaces a newer one of the leader, and
+/// against one that a crash left unfinished.
+#[test]
+fn snapshot_written_beside_the_log_counts_once_finished() {
+    let folder = MemoryFolder::default();
+    let (mut log, _) = open(&folder);
+    append(&mut log, 1..=12);
+    log.snapshot_writer().write(&snapshot(9)).unwrap();
+    append(&mut log, 13..=14);
+    folder.crash(CrashLoss::Unsynced);
+    let (mut log, recovered) = open(&folder);
+    assert_eq!(recovered.snapshot, None);
+    assert_eq!(indexes(&recovered), (1..=14).collect::<Vec<_>>());
+    log.snapshot_writer().write(&snapshot(9)).unwrap();
+    log.install_snapshot(&snapshot(20)).unwrap();
+    log.finish_snapshot(9).unwrap();
+    append(&mut log, 21..=22);
+    let (_, recovered) = open(&folder);
+    assert_eq!(recovered.snapshot, Some(snapshot(20)));
+    assert_eq!(indexes(&recovered), [21, 22]);
+    let leftovers = folder.list().unwrap();
+    assert!(leftovers.iter().all(|name| !name.ends_with(".tmp")));
+}
+
 /// Guards against two processes that write one folder.
 #[test]
 fn folder_is_locked_for_one_process() {
--- a/crates/usher_replica/src/driver/mod.rs
+++ b/crates/usher_replica/src/driver/mod.rs
@@ -241,10 +241,16 @@
             stopping,
             ..
         } = self;
-        let StorageThread { jobs, thread, .. } = storage;
-        // The thread ends once the sender is dropped and everything before is written.
-        drop(jobs);
-        let _ = tokio::task::spawn_blocking(move || thread.join()).await;
+        let StorageThread {
+            jobs,
+            snapshots,
+            threads,
+            ..
+        } = storage;
+        // The threads end once the senders are dropped and everything before is written.
+        drop((snapshots, jobs));
+        let join = move || threads.map(std::thread::JoinHandle::join);
+        let _ = tokio::task::spawn_blocking(join).await;
         if let Some(reason) = stopping.as_ref().filter(|reason| !reason.is_empty()) {
             tracing::error!(%reason, "replica stopped");
         }
--- a/crates/usher_replica/src/driver/output.rs
+++ b/crates/usher_replica/src/driver/output.rs
@@ -195,12 +195,7 @@
         };
         self.snapshot_index = image.index;
         self.snapshot_running = true;
-        if self
-            .storage
-            .jobs
-            .send(storage::StorageJob::Snapshot(image))
-            .is_err()
-        {
+        if self.storage.snapshots.send(image).is_err() {
             self.stopping = Some("storage thread ended".to_owned());
         }
     }
--- a/crates/usher_replica/src/driver/storage.rs
+++ b/crates/usher_replica/src/driver/storage.rs
@@ -13,8 +13,8 @@
 pub(crate) enum StorageJob {
     /// Write the changes of a batch.
     Batch(Box<OutputBatch>),
-    /// Save a snapshot of this node's own state.
-    Snapshot(sync::Arc<SnapshotImage>),
+    /// Take a snapshot of this node's own state into use that was written.
+    FinishSnapshot(u64),
 }
 
 /// What the thread reports.
@@ -28,12 +28,14 @@
     Failed(String),
 }
 
-/// Handle of the storage thread; the thread ends when it is dropped.
+/// Handle of the storage threads; they end when it is dropped.
 #[derive(Debug)]
 pub(crate) struct StorageThread {
     pub(crate) jobs: sync::mpsc::Sender<StorageJob>,
+    /// Snapshots of this node's own state, written beside the log.
+    pub(crate) snapshots: sync::mpsc::Sender<sync::Arc<SnapshotImage>>,
     pub(crate) events: mpsc::UnboundedReceiver<StorageEvent>,
-    pub(crate) thread: thread::JoinHandle<()>,
+    pub(crate) threads: [thread::JoinHandle<()>; 2],
 }
 
 impl StorageThread {
@@ -44,17 +46,48 @@
     {
         let (jobs, source) = sync::mpsc::channel();
         let (reports, events) = mpsc::unbounded_channel();
-        let thread = thread::Builder::new()
+        let (snapshots, images) = sync::mpsc::channel();
+        let writer = log.snapshot_writer();
+        let (finished, failed) = (jobs.clone(), reports.clone());
+        let snapshot_thread = thread::Builder::new()
+            .name("usher-snapshot".to_owned())
+            .spawn(move || run_snapshots(&writer, &images, &finished, &failed))?;
+        let log_thread = thread::Builder::new()
             .name("usher-storage".to_owned())
             .spawn(move || run(log, &source, &reports))?;
         Ok(Self {
             jobs,
+            snapshots,
             events,
-            thread,
+            threads: [snapshot_thread, log_thread],
         })
     }
 }
 
+/// Writes snapshots; the log takes them into use between its own writes.
+fn run_snapshots<D>(
+    writer: &usher_log::SnapshotWriter<D>,
+    images: &sync::mpsc::Receiver<sync::Arc<SnapshotImage>>,
+    finished: &sync::mpsc::Sender<StorageJob>,
+    failed: &mpsc::UnboundedSender<StorageEvent>,
+) where
+    D: StorageFolder,
+{
+    while let Ok(image) = images.recv() {
+        if let Err(error) = writer.write(&bridge::stored_snapshot(&image)) {
+            tracing::error!(%error, "writing a snapshot failed");
+            let _ = failed.send(StorageEvent::Failed(error.to_string()));
+            return;
+        }
+        if finished
+            .send(StorageJob::FinishSnapshot(image.index))
+            .is_err()
+        {
+            return;
+        }
+    }
+}
+
 fn run<D>(
     mut log: usher_log::DurableLog<D>,
     jobs: &sync::mpsc::Receiver<StorageJob>,
@@ -90,8 +123,8 @@
                 bridge::write_batch(log, &batch)?;
                 sequence = Some(batch.sequence);
             }
-            StorageJob::Snapshot(image) => {
-                log.save_snapshot(&bridge::stored_snapshot(&image))?;
+            StorageJob::FinishSnapshot(index) => {
+                log.finish_snapshot(index)?;
                 saved += 1;
             }
         }
--- a/crates/usher_replica/tests/sim/node.rs
+++ b/crates/usher_replica/tests/sim/node.rs
@@ -2,9 +2,7 @@
 
 use std::{collections, time};
 
-use usher_consensus::{
-    ConsensusCore, ConsensusSettings, MemberTable, NodeId, OutputBatch, SnapshotImage,
-};
+use usher_consensus::{ConsensusCore, ConsensusSettings, MemberTable, NodeId, OutputBatch};
 use usher_log::{CrashLoss, DurableLog, LogSettings, MemoryFolder};
 use usher_types::IncarnationId;
 use usher_wire::message::{self, ConsensusMessage};
@@ -14,7 +12,7 @@
 /// Work for the storage of a node, in order.
 pub enum StoreJob {
     Batch(Box<OutputBatch>),
-    Snapshot(std::sync::Arc<SnapshotImage>),
+    FinishSnapshot(u64),
 }
 
 pub struct PendingBatch {
@@ -40,6 +38,7 @@
     pub list: Vec<u64>,
     pub applied: u64,
     pub snapshot_index: u64,
+    pub snapshot_running: bool,
     /// Hash of the whole log up to each index that this node holds.
     pub chains: collections::BTreeMap<u64, u64>,
     pub commands: collections::BTreeMap<u64, PendingCommand>,
@@ -160,6 +159,7 @@
             list,
             applied: base,
             snapshot_index: base,
+            snapshot_running: false,
             chains,
             commands: collections::BTreeMap::new(),
             reads: collections::BTreeMap::new(),
@@ -196,9 +196,9 @@
                 usher_replica::write_batch(&mut process.log, &batch)?;
                 sequence = Some(batch.sequence);
             }
-            StoreJob::Snapshot(image) => {
-                let stored = usher_replica::stored_snapshot(&image);
-                process.log.save_snapshot(&stored)?;
+            StoreJob::FinishSnapshot(index) => {
+                process.log.finish_snapshot(index)?;
+                process.snapshot_running = false;
             }
         }
     }
--- a/crates/usher_replica/tests/sim/world.rs
+++ b/crates/usher_replica/tests/sim/world.rs
@@ -707,13 +707,19 @@
         let Some(process) = &mut self.nodes[place].process else {
             return;
         };
-        if process.applied < process.snapshot_index + SNAPSHOT_ENTRIES {
+        let due = process.applied >= process.snapshot_index + SNAPSHOT_ENTRIES;
+        if !due || process.snapshot_running {
             return;
         }
         let data = encode_list(&process.list);
         if let Some(image) = process.core.snapshot_taken(process.applied, data) {
             process.snapshot_index = image.index;
-            process.queue.push(StoreJob::Snapshot(image));
+            // It is written beside the log and taken into use with a later write.
+            let stored = usher_replica::stored_snapshot(&image);
+            if process.log.snapshot_writer().write(&stored).is_ok() {
+                process.snapshot_running = true;
+                process.queue.push(StoreJob::FinishSnapshot(image.index));
+            }
         }
     }
 
