Send entries only the changes of the registry

Cause: each change of the registry sent all targets to all entries: about 100 KB at 760 targets, 50 s of an entry's budget of 2 KB/s. Change: an entry that sets takes_delta gets the changed targets and the names of those that are gone; the registry keeps the version of each target's newest change. An entry that doesn't set it gets all targets as before. Conclusion: the entry daemon should set takes_delta.

--- a/crates/usher_control/src/grant/sync_service.rs
+++ b/crates/usher_control/src/grant/sync_service.rs
@@ -31,7 +31,15 @@
     config_version: u64,
     sheet: Option<String>,
     registry_version: u64,
-    targets: Option<Vec<message::TargetRecord>>,
+    registry: Option<RegistryDelta>,
+}
+
+/// The registry, or what changed of it.
+#[derive(Default)]
+struct RegistryDelta {
+    partial: bool,
+    targets: Vec<message::TargetRecord>,
+    gone: Vec<String>,
 }
 
 impl<C> SyncService<C>
@@ -84,6 +92,7 @@
         };
         let regions = self.regions();
         let (config_known, registry_known) = (request.config_version, request.registry_version);
+        let takes_delta = request.takes_delta;
         let sequence = request.sequence;
         let (loads, shares, issuer) = {
             let mut served = self.served();
@@ -92,28 +101,32 @@
             let shares = served.shares_for(&entry, now);
             (loads, shares, served.issuer.clone())
         };
-        let delta = self.delta(config_known, registry_known);
+        let delta = self.delta(config_known, registry_known, takes_delta);
         let behind = config_known > delta.config_version || registry_known > delta.registry_version;
         let right = if behind {
             std::time::Duration::ZERO
         } else {
             issuer.right(now, delta.index)
         };
+        let registry_changed = delta.registry.is_some();
+        let registry = delta.registry.unwrap_or_default();
         message::SyncReply {
             sequence,
             config_version: delta.config_version,
             config_changed: delta.sheet.is_some(),
             sheet: delta.sheet.unwrap_or_default(),
             registry_version: delta.registry_version,
-            registry_changed: delta.targets.is_some(),
-            targets: delta.targets.unwrap_or_default(),
+            registry_changed,
+            registry_delta: registry.partial,
+            targets: registry.targets,
+            gone: registry.gone,
             loads,
             shares,
             right_ms: right.as_millis() as u64,
         }
     }
 
-    fn delta(&self, config_known: u64, registry_known: u64) -> StateDelta {
+    fn delta(&self, config_known: u64, registry_known: u64, takes_delta: bool) -> StateDelta {
         self.access.view(|state| {
             let config = state.config();
             let targets = state.targets();
@@ -124,8 +137,36 @@
                 config_version: config.version(),
                 sheet,
                 registry_version: targets.version(),
-                targets: changed.then(|| targets.present().cloned().collect()),
+                registry: changed.then(|| {
+                    if takes_delta && registry_known > 0 {
+                        changed_targets(targets, registry_known)
+                    } else {
+                        all_targets(targets)
+                    }
+                }),
             }
         })
     }
 }
+
+fn all_targets(targets: &usher_state::TargetTable) -> RegistryDelta {
+    RegistryDelta {
+        targets: targets.present().cloned().collect(),
+        ..RegistryDelta::default()
+    }
+}
+
+fn changed_targets(targets: &usher_state::TargetTable, known: u64) -> RegistryDelta {
+    let mut delta = RegistryDelta {
+        partial: true,
+        ..RegistryDelta::default()
+    };
+    for slot in targets.changed_since(known) {
+        if slot.gone {
+            delta.gone.push(slot.record.name.clone());
+        } else {
+            delta.targets.push(slot.record.clone());
+        }
+    }
+    delta
+}
--- a/crates/usher_control/tests/control.rs
+++ b/crates/usher_control/tests/control.rs
@@ -77,3 +77,48 @@
     };
     group::until("a ready follower", ready).await;
 }
+
+/// Guards against an entry whose targets differ from the registry because it takes only changes,
+/// and against a whole registry that is sent for each change.
+#[tokio::test(flavor = "multi_thread")]
+async fn changes_of_the_registry_add_up_to_the_registry() {
+    let group = ControlGroup::start("control-delta", 3).await;
+    let follower = group.follower().await;
+    let mut whole = StandInEntry::new("e1", 1, group.wire_address(follower));
+    let mut partial = StandInEntry::new("e2", 1, group.wire_address(follower));
+    partial.takes_delta = true;
+    let engine = |number: u64, incarnation| {
+        let name = format!("engine-{number}");
+        group::engine(&name, incarnation, "127.0.0.1:1")
+    };
+    whole.announced = (0..30).map(|number| engine(number, 1)).collect();
+    while whole.targets.len() < 30 || partial.targets.len() < 30 {
+        whole.wait_for_right().await;
+        partial.wait_for_right().await;
+    }
+    // One restarts, one leaves, and the others report on; the last one falls silent.
+    whole.announced = vec![engine(3, 2)];
+    whole.announced[0].leaving = true;
+    whole.loads = (0..29)
+        .map(|number| group::load(&format!("engine-{number}"), 1))
+        .collect();
+    whole.loads[3].incarnation = 2;
+    let known = partial.registry_version;
+    while whole.targets.len() > 29 || partial.targets.len() > 29 {
+        whole.wait_for_right().await;
+        let before = partial.registry_version;
+        let reply = partial.wait_for_right().await;
+        assert!(
+            before == 0 || reply.targets.len() <= 1,
+            "{}",
+            reply.targets.len()
+        );
+    }
+    assert!(partial.registry_version >= known + 2);
+    assert_eq!(whole.registry_version, partial.registry_version);
+    assert_eq!(whole.targets, partial.targets);
+    assert!(whole
+        .targets
+        .iter()
+        .any(|one| one.incarnation == 2 && one.leaving));
+}
--- a/crates/usher_control/tests/group/mod.rs
+++ b/crates/usher_control/tests/group/mod.rs
@@ -162,6 +162,7 @@
     pub(crate) announced: Vec<message::TargetRecord>,
     pub(crate) loads: Vec<message::LoadReport>,
     pub(crate) demands: Vec<message::ServiceDemand>,
+    pub(crate) takes_delta: bool,
 }
 
 impl StandInEntry {
@@ -180,6 +181,7 @@
             announced: Vec::new(),
             loads: Vec::new(),
             demands: Vec::new(),
+            takes_delta: false,
         }
     }
 
@@ -202,6 +204,7 @@
             demands: self.demands.clone(),
             sequence: self.sequence,
             stopping: false,
+            takes_delta: self.takes_delta,
         }
     }
 
@@ -223,7 +226,7 @@
                 "older targets"
             );
             self.registry_version = reply.registry_version;
-            self.targets = reply.targets.clone();
+            self.take_targets(&reply);
         }
         if reply.right_ms > 0 {
             assert_eq!(reply.config_version, self.config_version);
@@ -232,6 +235,18 @@
         Ok(reply)
     }
 
+    fn take_targets(&mut self, reply: &message::SyncReply) {
+        if !reply.registry_delta {
+            self.targets = reply.targets.clone();
+            return;
+        }
+        let changed = |name: &String| reply.targets.iter().any(|one| one.name == *name);
+        self.targets
+            .retain(|known| !changed(&known.name) && !reply.gone.contains(&known.name));
+        self.targets.extend(reply.targets.iter().cloned());
+        self.targets.sort_by(|a, b| a.name.cmp(&b.name));
+    }
+
     /// Sends heartbeats until one gives a routing right.
     pub(crate) async fn wait_for_right(&mut self) -> message::SyncReply {
         let limit = Instant::now() + HANG_LIMIT;
--- a/crates/usher_control/tests/plans.rs
+++ b/crates/usher_control/tests/plans.rs
@@ -159,6 +159,7 @@
         },
         gone,
         leaving_by: String::new(),
+        changed_at: 1,
         retired: Vec::new(),
     }
 }
--- a/crates/usher_state/src/snapshot.rs
+++ b/crates/usher_state/src/snapshot.rs
@@ -120,6 +120,8 @@
     pub(crate) retired: Vec<u64>,
     #[prost(string, tag = "4")]
     pub(crate) leaving_by: String,
+    #[prost(uint64, tag = "5")]
+    pub(crate) changed_at: u64,
 }
 
 /// Writes a snapshot: magic, version, body.
--- a/crates/usher_state/src/target_table.rs
+++ b/crates/usher_state/src/target_table.rs
@@ -21,6 +21,8 @@
     pub gone: bool,
     /// Operator that marked this incarnation as leaving; empty when it left by itself.
     pub leaving_by: String,
+    /// Version of the registry at its newest change.
+    pub changed_at: u64,
     /// Incarnations that this one replaced, oldest first.
     pub retired: Vec<u64>,
 }
@@ -57,6 +59,12 @@
         self.slots.values()
     }
 
+    /// Returns the targets that changed after a version of the registry, also those that are gone.
+    pub fn changed_since(&self, version: u64) -> impl Iterator<Item = &TargetSlot> {
+        let slots = self.slots.values();
+        slots.filter(move |slot| slot.changed_at > version)
+    }
+
     /// Takes an announcement and returns whether it changed the registry.
     pub(crate) fn announce(
         &mut self,
@@ -91,7 +99,10 @@
             let changed = slot.gone || slot.record != record;
             slot.record = record;
             slot.gone = false;
-            self.version += u64::from(changed);
+            if changed {
+                self.version += 1;
+                slot.changed_at = self.version;
+            }
             return Ok(changed);
         }
         let retired = slot.retired.contains(&record.incarnation);
@@ -117,6 +128,7 @@
         slot.gone = false;
         slot.leaving_by.clear();
         self.version += 1;
+        slot.changed_at = self.version;
         Ok(true)
     }
 
@@ -128,6 +140,7 @@
             record,
             gone: false,
             leaving_by: String::new(),
+            changed_at: self.version + 1,
             retired: Vec::new(),
         };
         self.slots.insert(slot.record.name.clone(), slot);
@@ -155,7 +168,10 @@
         }
         slot.record.leaving = leaving;
         slot.gone = gone;
-        self.version += u64::from(changed);
+        if changed {
+            self.version += 1;
+            slot.changed_at = self.version;
+        }
         Ok(changed)
     }
 
@@ -165,6 +181,7 @@
             record: Some(slot.record.clone()),
             gone: slot.gone,
             leaving_by: slot.leaving_by.clone(),
+            changed_at: slot.changed_at,
             retired: slot.retired.clone(),
         });
         snapshot::TargetPart {
@@ -186,6 +203,7 @@
                 record,
                 gone: slot.gone,
                 leaving_by: slot.leaving_by,
+                changed_at: slot.changed_at,
                 retired: slot.retired,
             };
             table.slots.insert(name, slot);
