--- a/crates/pimentousher/src/command/status.rs
+++ b/crates/pimentousher/src/command/status.rs
@@ -9,10 +9,12 @@
 
 usage: pimentousher status [OPTIONS]
 
-options:";
+options:
+  --sheet            print the sheet in force as CSV instead, to keep a copy";
 
 pub(super) fn run(mut reader: args::ArgReader<'_>) -> Result<CommandOutput, error::CommandError> {
     let mut control = args::ControlArgs::default();
+    let mut sheet = false;
     while let Some(argument) = reader.next()? {
         if control.take(&argument, &mut reader)? {
             continue;
@@ -24,11 +26,13 @@
                     args::CONTROL_HELP
                 )));
             }
+            args::OwnedArg::Long(name) if name == "sheet" => sheet = true,
             _ => return Err(reader.unexpected(&argument)),
         }
     }
     let leader = leader::LeaderClient::new(control.addresses()?, control.timeout);
-    let answer = command::block_on(async { leader.get("/v1/status").await })?;
+    let path = if sheet { "/v1/config" } else { "/v1/status" };
+    let answer = command::block_on(async { leader.get(path).await })?;
     if answer.status != http::StatusCode::OK {
         return Err(error::CommandError::Failed(format!(
             "control refused with {}: {}",
@@ -39,6 +43,10 @@
     if control.format == args::OutputFormat::Json {
         return Ok(CommandOutput::json(&answer.body));
     }
+    if sheet {
+        let text = answer.body.get("sheet").and_then(Value::as_str);
+        return Ok(CommandOutput::ok(text.unwrap_or_default()));
+    }
     Ok(CommandOutput::ok(status_text(&answer.body)))
 }
 
--- a/crates/pimentousher/tests/control_process.rs
+++ b/crates/pimentousher/tests/control_process.rs
@@ -137,6 +137,7 @@
         unchanged.out, "no difference\ncurrent version: 1 by ops; nothing was changed\n",
         "{unchanged:?}"
     );
+    assert_eq!(group.run(&["status", "--sheet"]).out, SHEET);
     let status = group.run(&["status"]);
     assert!(
         status.out.contains("configuration version 1 by ops"),
--- a/crates/pimentousher/tests/tour.rs
+++ b/crates/pimentousher/tests/tour.rs
@@ -97,6 +97,22 @@
         text
     }
 
+    /// Drains the second engine, stops it, and expects the command to notice.
+    fn drain_until_gone(&mut self) {
+        let line = "pimentousher drain engine-2 --wait 50s";
+        let waiting = self
+            .command(line)
+            .stdout(process::Stdio::piped())
+            .spawn()
+            .unwrap();
+        // The targets are the last three processes: two engines and the plain service.
+        let place = self.daemons.len() - 2;
+        assert_eq!(self.daemons.remove(place).terminate(), Some(0));
+        let output = waiting.wait_with_output().unwrap();
+        let text = String::from_utf8(output.stdout).unwrap();
+        assert_eq!(text, "engine-2 is gone: its process may be stopped\n");
+    }
+
     fn logs(&self) -> String {
         let read = |number| {
             let log = self.folder.0.join(format!("{number}.log"));
@@ -123,9 +139,15 @@
             for daemon in &mut shell.daemons {
                 assert!(daemon.is_running(), "a process ended early: {}", line);
             }
+            shell.drain_until_gone();
             // Targets and entries first, so that control answers until the end.
-            for daemon in shell.daemons.iter_mut().rev() {
-                assert_eq!(daemon.terminate(), Some(0));
+            while let Some(mut daemon) = shell.daemons.pop() {
+                assert_eq!(
+                    daemon.terminate(),
+                    Some(0),
+                    "process {}",
+                    shell.daemons.len()
+                );
             }
         } else if !line.starts_with("cargo") && !line.starts_with("export") {
             outputs.push((line.clone(), shell.run(&line)));
