--- a/crates/usher_entry/src/sync.rs
+++ b/crates/usher_entry/src/sync.rs
@@ -6,7 +6,7 @@
 use usher_types::ConfigVersion;
 use usher_wire::message;
 
-use crate::{config, core, link::ControlLink as _, parts, policy::DecisionPolicy as _};
+use crate::{board, config, core, link::ControlLink as _, parts, policy::DecisionPolicy as _};
 
 /// Sends heartbeats until the process stops.
 pub(crate) async fn run_heartbeats<P>(core: sync::Arc<core::EntryCore<P>>)
@@ -79,6 +79,7 @@
         demands: board.take_demands(now.saturating_duration_since(demand_at)),
         sequence,
         stopping: core.stop.is_draining(),
+        takes_delta: true,
     }
 }
 
@@ -103,7 +104,13 @@
     }
     board.reported(sent_at);
     if reply.registry_changed {
-        board.take_registry(reply.registry_version, reply.targets, now);
+        let update = board::RegistryUpdate {
+            version: reply.registry_version,
+            records: reply.targets,
+            partial: reply.registry_delta,
+            gone: reply.gone,
+        };
+        board.take_registry(update, now);
     }
     board.take_loads(reply.loads, now);
     if !reply.shares.is_empty() {
