Repair to the number of first voters instead of always three

Cause: with five first voters, as the control daemon's settings allow, the default repair policy would have removed two of them; a single voter with spares would have become three.

Change: with_initial_members sets the wanted number of voters to theirs.

--- a/crates/usher_replica/src/settings.rs
+++ b/crates/usher_replica/src/settings.rs
@@ -61,7 +61,10 @@
             folder: folder.into(),
             peers: Vec::new(),
             consensus: usher_consensus::ConsensusSettings::default(),
-            repair: Some(usher_consensus::RepairPolicy::default()),
+            repair: Some(usher_consensus::RepairPolicy {
+                voters: 1,
+                ..usher_consensus::RepairPolicy::default()
+            }),
             repair_interval: time::Duration::from_secs(1),
             snapshot_entries: 10_000,
             log: usher_log::LogSettings::default(),
@@ -88,13 +91,17 @@
         self
     }
 
-    /// Sets the first voters; see [`initial_members`](Self::initial_members).
+    /// Sets the first voters; see [`initial_members`](Self::initial_members). Repair keeps their
+    /// number, unless [`with_repair`](Self::with_repair) sets another one afterwards.
     #[must_use]
     pub fn with_initial_members(
         mut self,
         names: impl IntoIterator<Item = usher_types::NodeName>,
     ) -> Self {
         self.initial_members = names.into_iter().collect();
+        if let Some(repair) = &mut self.repair {
+            repair.voters = self.initial_members.len();
+        }
         self
     }
 
--- a/crates/usher_replica/tests/group.rs
+++ b/crates/usher_replica/tests/group.rs
@@ -52,3 +52,14 @@
     assert_eq!(node.handle.view(|machine| machine.commands.len()), 50);
     node.stop().await;
 }
+
+/// Guards against a repair that shrinks a group of five voters to the usual three.
+#[test]
+fn repair_keeps_the_first_number_of_voters() {
+    for count in [1, 3, 5] {
+        let mut group = Group::new("count", 5, count);
+        group.adjust = |settings| settings;
+        let repair = group.settings(0).repair.unwrap();
+        assert_eq!(repair.voters, count);
+    }
+}
