Split the schedule runner into files of one job each

Change: drive.rs carries out outputs, inject.rs injects faults, trace.rs describes, world.rs keeps time and events. No change of behaviour.

--- /dev/null
+++ b/crates/usher_replica/tests/sim/drive.rs
@@ -0,0 +1,386 @@
+//! Feeds the cores and carries out their outputs, as the driver of the replica does.
+
+use std::time;
+
+use rand::Rng as _;
+use usher_consensus::{CoreRole, MemberTable, NodeId, OutputBatch, RepairPolicy};
+use usher_log::CrashLoss;
+use usher_types::NodeName;
+use usher_wire::message::{self, EntryKind};
+
+use super::checks::chain_after;
+use super::node::{decode_list, encode_list, write_jobs, PendingBatch, StoreJob};
+use super::trace;
+use super::world::{Event, World, MS, TICK};
+
+const NOTICE: u64 = 200 * MS;
+const REPAIR: u64 = 500 * MS;
+const SNAPSHOT_ENTRIES: u64 = 25;
+
+impl World {
+    pub(super) fn tick(&mut self, place: usize, local: time::Instant) {
+        let (own, epoch) = (self.nodes[place].member(), self.nodes[place].epoch);
+        let names: Vec<_> = (0..self.profile.voters)
+            .map(|place| NodeName::new(format!("n{place}")))
+            .collect();
+        let all: Vec<_> = self
+            .nodes
+            .iter()
+            .map(|node| NodeName::new(&node.name))
+            .collect();
+        let now = self.now;
+        let Some(process) = &mut self.nodes[place].process else {
+            return;
+        };
+        process.core.tick(local);
+        let member = process.core.members().get(process.core.id()).is_some();
+        let mut notice = None;
+        if now >= process.next_notice && (process.core.leader().is_none() || !member) {
+            process.next_notice = now + NOTICE;
+            notice = Some(process.core.join_notice(own.clone()));
+            let after = local
+                .checked_sub(time::Duration::from_secs(2))
+                .unwrap_or(local);
+            process.core.try_bootstrap(local, &own, &names, &all, after);
+        }
+        if now >= process.next_repair {
+            process.next_repair = now + REPAIR;
+            self.repair(place, local);
+        }
+        if let Some(notice) = notice {
+            for to in (0..self.nodes.len()).filter(|to| *to != place) {
+                self.transmit(place, to, notice.clone());
+            }
+        }
+        self.schedule(now + TICK, place, Event::Tick(epoch));
+    }
+
+    pub(super) fn repair(&mut self, place: usize, local: time::Instant) {
+        let policy = RepairPolicy {
+            voters: self.profile.voters,
+            lost_after: time::Duration::from_secs(2),
+            ..RepairPolicy::default()
+        };
+        let Some(process) = &mut self.nodes[place].process else {
+            return;
+        };
+        let view = process
+            .core
+            .repair_view(local)
+            .filter(|_| self.profile.repair);
+        if let Some(change) = view.and_then(|view| policy.decide(&view)) {
+            if process.core.change_members(local, &change).is_ok() {
+                self.counts.repairs += 1;
+                let vote = !matches!(change, usher_consensus::MembershipChange::AddLearner(_));
+                let percent = self.profile.second_loss_percent;
+                if vote && self.random.random_range(0..100) < percent {
+                    self.second_loss = true;
+                }
+            }
+        }
+    }
+
+    pub(super) fn written(&mut self, place: usize, local: time::Instant) {
+        let Some(process) = &mut self.nodes[place].process else {
+            return;
+        };
+        match write_jobs(process) {
+            Ok(sequence) => self.persisted(place, local, sequence.unwrap_or(0)),
+            Err(_) => {
+                // The process ends; what it didn't sync is lost.
+                self.counts.fsync_failures += 1;
+                let node = &mut self.nodes[place];
+                node.folder.fail_syncs_after(None);
+                node.crash(CrashLoss::Unsynced, false, 0);
+                let at = self.now + self.random.random_range(0..3_000 * MS);
+                self.schedule(at, place, Event::Start);
+            }
+        }
+    }
+
+    /// Tells the core what is durable and sends what waited for that.
+    pub(super) fn persisted(&mut self, place: usize, local: time::Instant, sequence: u64) {
+        let Some(process) = &mut self.nodes[place].process else {
+            return;
+        };
+        let mut durable = sequence;
+        let mut ready = Vec::new();
+        while let Some(batch) = process.pending.front_mut() {
+            if batch.sequence > sequence && batch.has_writes {
+                break;
+            }
+            durable = durable.max(batch.sequence);
+            ready.append(&mut batch.messages);
+            process.pending.pop_front();
+        }
+        if durable > 0 {
+            process.core.persisted(local, durable);
+            let held = process.core.durable();
+            self.nodes[place].durable = held;
+            self.held.insert(self.nodes[place].id(), held);
+        }
+        for message in ready {
+            self.send(place, message);
+        }
+    }
+
+    pub(super) fn drain(&mut self, place: usize) {
+        let local = self.nodes[place].local(self.base, self.now);
+        loop {
+            let Some(process) = &mut self.nodes[place].process else {
+                return;
+            };
+            let Some(batch) = process.core.take_output() else {
+                break;
+            };
+            self.carry_out(place, local, batch);
+        }
+        self.write(place);
+        let Some(process) = &mut self.nodes[place].process else {
+            return;
+        };
+        let key = (process.core.members_index(), process.core.term());
+        if process.members_key != key {
+            process.members_key = key;
+            self.nodes[place].members = process.core.members().clone();
+        }
+        let Some(process) = &mut self.nodes[place].process else {
+            return;
+        };
+        if process.core.role() == CoreRole::Leader {
+            self.counts.leader_changes +=
+                u64::from(self.checks.leads(&process.core, &process.chains));
+            let commit = process.core.commit();
+            if process
+                .commits
+                .back()
+                .is_none_or(|(_, known)| *known != commit)
+            {
+                process.commits.push_back((self.now, commit));
+            }
+        } else {
+            process.commits.clear();
+        }
+    }
+
+    pub(super) fn carry_out(&mut self, place: usize, local: time::Instant, mut batch: OutputBatch) {
+        self.note(|| format!("n{place} {}", trace::summary(&batch)));
+        for message in std::mem::take(&mut batch.messages) {
+            self.send(place, message);
+        }
+        self.note_entries(place, &batch);
+        let Some(process) = &mut self.nodes[place].process else {
+            return;
+        };
+        process.pending.push_back(PendingBatch {
+            sequence: batch.sequence,
+            has_writes: batch.has_writes(),
+            messages: std::mem::take(&mut batch.messages_after_write),
+        });
+        if let Some(image) = &batch.snapshot {
+            self.counts.snapshots_installed += 1;
+            process.list = decode_list(&image.data);
+            self.checks
+                .restores(&process.core, image.index, &process.list);
+            process.applied = image.index;
+            process.snapshot_index = image.index;
+        }
+        let committed = std::mem::take(&mut batch.committed);
+        let ready = std::mem::take(&mut batch.reads_ready);
+        let failed = std::mem::take(&mut batch.reads_failed);
+        if batch.has_writes() {
+            process.queue.push(StoreJob::Batch(Box::new(batch)));
+        }
+        for read in ready {
+            if let Some(known) = process.reads.remove(&read.id) {
+                process.ready_reads.push((read.index, known));
+            }
+        }
+        for id in failed {
+            process.reads.remove(&id);
+        }
+        for entry in committed {
+            self.apply(place, &entry);
+        }
+        self.answer_reads(place);
+        self.take_snapshot(place);
+        self.persisted(place, local, 0);
+    }
+
+    /// Log matching, and that a promoted learner holds what it must.
+    pub(super) fn note_entries(&mut self, place: usize, batch: &OutputBatch) {
+        let Some(process) = &mut self.nodes[place].process else {
+            return;
+        };
+        if let Some(image) = &batch.snapshot {
+            let chain = self.checks.committed_chain(image.index);
+            self.checks.require(chain.is_some(), || {
+                format!("snapshot of index {} that was never committed", image.index)
+            });
+            if !batch.keeps_log {
+                process.chains.clear();
+            }
+            process
+                .chains
+                .insert(image.index, chain.unwrap_or_default());
+        }
+        let replaced = batch.snapshot.as_ref().filter(|_| !batch.keeps_log);
+        if let Some(image) = replaced {
+            let durable = &mut self.nodes[place].durable;
+            *durable = (*durable).min(image.index);
+        }
+        let Some(process) = &mut self.nodes[place].process else {
+            return;
+        };
+        if let Some(from) = batch.truncate_from {
+            process.chains.split_off(&from);
+            // A crash may leave the truncation on the disk without the entries behind it.
+            let durable = &mut self.nodes[place].durable;
+            *durable = (*durable).min(from - 1);
+        }
+        let Some(process) = &mut self.nodes[place].process else {
+            return;
+        };
+        let mut promoted = Vec::new();
+        for entry in &batch.entries {
+            let before = process.chains.get(&(entry.index - 1)).copied();
+            self.checks.require(before.is_some(), || {
+                format!("gap in the written log before {}", entry.index)
+            });
+            let chain = chain_after(before.unwrap_or_default(), entry);
+            process.chains.insert(entry.index, chain);
+            self.checks.holds(process.core.id(), entry, chain);
+            let own = process.core.role() == CoreRole::Leader && entry.term == process.core.term();
+            if own && entry.kind() == EntryKind::Membership && entry.index > 2 {
+                promoted.extend(MemberTable::decode(&entry.payload));
+            }
+        }
+        let old = &self.nodes[place].members;
+        let voters = promoted.iter().flat_map(MemberTable::voters);
+        let promoted: Vec<_> = voters
+            .filter(|voter| !old.is_voter(voter))
+            .cloned()
+            .collect();
+        for voter in promoted {
+            self.check_promotion(place, &voter);
+        }
+    }
+
+    /// A learner votes only once it durably holds what was committed when that was decided.
+    pub(super) fn check_promotion(&mut self, place: usize, voter: &NodeId) {
+        let Some(process) = &self.nodes[place].process else {
+            return;
+        };
+        // The decision is at most one election timeout old, by the leader's clock.
+        let decided = self.now.saturating_sub(2_200 * MS);
+        let committed = process
+            .commits
+            .iter()
+            .take_while(|(at, _)| *at <= decided)
+            .last();
+        let expected = committed.map_or(0, |(_, commit)| *commit);
+        // Its disk may be lost by now; what counts is what it held when it acknowledged.
+        let held = self.held.get(voter).copied().unwrap_or(0);
+        self.checks.require(held >= expected, || {
+            format!("promotion: {voter} holds {held} durably, {expected} were committed before")
+        });
+    }
+
+    pub(super) fn apply(&mut self, place: usize, entry: &message::LogEntry) {
+        let Some(process) = &mut self.nodes[place].process else {
+            return;
+        };
+        let chain = process
+            .chains
+            .get(&entry.index)
+            .copied()
+            .unwrap_or_default();
+        self.checks.applies(&process.core, entry.index, chain);
+        self.checks.require(entry.index == process.applied + 1, || {
+            format!("entry {} applied after {}", entry.index, process.applied)
+        });
+        process.applied = entry.index;
+        let command = entry.kind() == EntryKind::Command;
+        let first = entry.payload.first_chunk().filter(|_| command);
+        process
+            .list
+            .extend(first.map(|bytes| u64::from_le_bytes(*bytes)));
+        self.checks
+            .reaches(&process.core, entry.index, &process.list);
+        if entry.kind() == EntryKind::Membership {
+            process.next_repair = self.now;
+        }
+        if entry.kind() != EntryKind::Command {
+            return;
+        }
+        let id = entry
+            .payload
+            .first_chunk()
+            .map_or(0, |bytes| u64::from_le_bytes(*bytes));
+        let position = process.list.len() as u64;
+        if let Some(command) = process.commands.remove(&entry.index) {
+            if command.term == entry.term {
+                self.checks.require(command.id == id, || {
+                    format!("command {} was answered with command {id}", command.id)
+                });
+                // A write must come after everything that was known.
+                self.checks.completes("write", command.known + 1, position);
+                self.checks.accepted.insert(position, id);
+                self.counts.commands += 1;
+            }
+        }
+    }
+
+    pub(super) fn answer_reads(&mut self, place: usize) {
+        let Some(process) = &mut self.nodes[place].process else {
+            return;
+        };
+        let applied = process.applied;
+        let length = process.list.len() as u64;
+        for (_, known) in process
+            .ready_reads
+            .extract_if(.., |(index, _)| *index <= applied)
+        {
+            self.checks.completes("read", known, length);
+            self.counts.reads += 1;
+        }
+    }
+
+    pub(super) fn take_snapshot(&mut self, place: usize) {
+        let Some(process) = &mut self.nodes[place].process else {
+            return;
+        };
+        let due = process.applied >= process.snapshot_index + SNAPSHOT_ENTRIES;
+        if !due || process.snapshot_running {
+            return;
+        }
+        let data = encode_list(&process.list);
+        if let Some(image) = process.core.snapshot_taken(process.applied, data) {
+            process.snapshot_index = image.index;
+            // It is written beside the log and taken into use with a later write.
+            let stored = usher_replica::stored_snapshot(&image);
+            if process.log.snapshot_writer().write(&stored).is_ok() {
+                process.snapshot_running = true;
+                process.queue.push(StoreJob::FinishSnapshot(image.index));
+            }
+        }
+    }
+
+    /// Starts the next write, which takes some time.
+    pub(super) fn write(&mut self, place: usize) {
+        let slow = self.nodes[place].slow_disk_until > self.now;
+        let delay = if slow {
+            self.random.random_range(100 * MS..1_500 * MS)
+        } else {
+            self.random.random_range(MS / 5..8 * MS)
+        };
+        let epoch = self.nodes[place].epoch;
+        let Some(process) = &mut self.nodes[place].process else {
+            return;
+        };
+        if process.writing.is_empty() && !process.queue.is_empty() {
+            process.writing = std::mem::take(&mut process.queue);
+            self.schedule(self.now + delay, place, Event::Written(epoch));
+        }
+    }
+}
--- a/crates/usher_replica/tests/sim/mod.rs
+++ b/crates/usher_replica/tests/sim/mod.rs
@@ -4,8 +4,11 @@
 #![allow(dead_code, unreachable_pub)]
 
 mod checks;
+mod drive;
 mod faults;
+mod inject;
 mod node;
+mod trace;
 mod world;
 
 pub use faults::FaultProfile;
--- a/crates/usher_replica/tests/sim/world.rs
+++ b/crates/usher_replica/tests/sim/world.rs
@@ -3,30 +3,24 @@
 use std::{cmp, collections, time};
 
 use rand::{Rng as _, SeedableRng as _};
-use usher_consensus::{CoreRole, MemberTable, NodeId, OutputBatch, RepairPolicy};
+use usher_consensus::{CoreRole, MemberTable, NodeId};
 use usher_log::{CrashLoss, MemoryFolder};
-use usher_types::NodeName;
-use usher_wire::message::{self, ConsensusMessage, EntryKind};
+use usher_wire::message::ConsensusMessage;
 
-use super::checks::{chain_after, Checks};
+use super::checks::Checks;
 use super::faults::FaultProfile;
-use super::node::{
-    decode_list, encode_list, write_jobs, PendingBatch, PendingCommand, SimNode, StoreJob,
-};
+use super::node::{PendingCommand, SimNode};
 use super::RunCounts;
 
-const MS: u64 = 1_000;
-const TICK: u64 = 50 * MS;
-const NOTICE: u64 = 200 * MS;
-const REPAIR: u64 = 500 * MS;
-const SNAPSHOT_ENTRIES: u64 = 25;
+pub(super) const MS: u64 = 1_000;
+pub(super) const TICK: u64 = 50 * MS;
 /// Time without faults at the end, in which the group must accept a command.
 const HEAL: u64 = 40_000 * MS;
 
 /// Far more events than a group without a storm of messages has under way.
 const EVENT_LIMIT: usize = 20_000;
 
-enum Event {
+pub(super) enum Event {
     Tick(u64),
     Deliver(Box<ConsensusMessage>),
     Written(u64),
@@ -35,7 +29,7 @@
     Read { known: u64 },
 }
 
-struct Scheduled {
+pub(super) struct Scheduled {
     at: u64,
     order: u64,
     place: usize,
@@ -64,35 +58,35 @@
 }
 
 /// A connection that is cut until a time.
-struct Cut {
-    from: usize,
-    to: usize,
-    until: u64,
+pub(super) struct Cut {
+    pub(super) from: usize,
+    pub(super) to: usize,
+    pub(super) until: u64,
 }
 
 pub struct World {
-    seed: u64,
-    random: rand_chacha::ChaCha8Rng,
-    profile: FaultProfile,
-    base: time::Instant,
-    now: u64,
-    order: u64,
-    events: collections::BinaryHeap<Scheduled>,
-    nodes: Vec<SimNode>,
-    cuts: Vec<Cut>,
-    loss_percent: u32,
-    duplicate_percent: u32,
-    late_percent: u32,
-    next_incarnation: u64,
-    next_command: u64,
+    pub(super) seed: u64,
+    pub(super) random: rand_chacha::ChaCha8Rng,
+    pub(super) profile: FaultProfile,
+    pub(super) base: time::Instant,
+    pub(super) now: u64,
+    pub(super) order: u64,
+    pub(super) events: collections::BinaryHeap<Scheduled>,
+    pub(super) nodes: Vec<SimNode>,
+    pub(super) cuts: Vec<Cut>,
+    pub(super) loss_percent: u32,
+    pub(super) duplicate_percent: u32,
+    pub(super) late_percent: u32,
+    pub(super) next_incarnation: u64,
+    pub(super) next_command: u64,
     pub checks: Checks,
     pub counts: RunCounts,
-    violations_before: u64,
+    pub(super) violations_before: u64,
     /// Highest index that each identity held durably when it last wrote.
-    held: collections::BTreeMap<NodeId, u64>,
+    pub(super) held: collections::BTreeMap<NodeId, u64>,
     /// A repair was committed, so that a second loss is due.
-    second_loss: bool,
-    trace: bool,
+    pub(super) second_loss: bool,
+    pub(super) trace: bool,
 }
 
 impl World {
@@ -173,7 +167,7 @@
         self.heal();
     }
 
-    fn around(&mut self, mean_ms: u64) -> u64 {
+    pub(super) fn around(&mut self, mean_ms: u64) -> u64 {
         self.random.random_range(1..=mean_ms * 2 * MS)
     }
 
@@ -255,7 +249,7 @@
         }
     }
 
-    fn schedule(&mut self, at: u64, place: usize, event: Event) {
+    pub(super) fn schedule(&mut self, at: u64, place: usize, event: Event) {
         self.order += 1;
         self.events.push(Scheduled {
             at,
@@ -300,13 +294,13 @@
     }
 
     /// Prints what happens when a single schedule is looked into.
-    fn note(&self, text: impl FnOnce() -> String) {
+    pub(super) fn note(&self, text: impl FnOnce() -> String) {
         if self.trace {
             eprintln!("{:>9} {}", self.now, text());
         }
     }
 
-    fn start(&mut self, place: usize) {
+    pub(super) fn start(&mut self, place: usize) {
         if self.nodes[place].process.is_some() {
             return;
         }
@@ -329,69 +323,7 @@
         self.schedule(at, place, Event::Tick(epoch));
     }
 
-    fn tick(&mut self, place: usize, local: time::Instant) {
-        let (own, epoch) = (self.nodes[place].member(), self.nodes[place].epoch);
-        let names: Vec<_> = (0..self.profile.voters)
-            .map(|place| NodeName::new(format!("n{place}")))
-            .collect();
-        let all: Vec<_> = self
-            .nodes
-            .iter()
-            .map(|node| NodeName::new(&node.name))
-            .collect();
-        let now = self.now;
-        let Some(process) = &mut self.nodes[place].process else {
-            return;
-        };
-        process.core.tick(local);
-        let member = process.core.members().get(process.core.id()).is_some();
-        let mut notice = None;
-        if now >= process.next_notice && (process.core.leader().is_none() || !member) {
-            process.next_notice = now + NOTICE;
-            notice = Some(process.core.join_notice(own.clone()));
-            let after = local
-                .checked_sub(time::Duration::from_secs(2))
-                .unwrap_or(local);
-            process.core.try_bootstrap(local, &own, &names, &all, after);
-        }
-        if now >= process.next_repair {
-            process.next_repair = now + REPAIR;
-            self.repair(place, local);
-        }
-        if let Some(notice) = notice {
-            for to in (0..self.nodes.len()).filter(|to| *to != place) {
-                self.transmit(place, to, notice.clone());
-            }
-        }
-        self.schedule(now + TICK, place, Event::Tick(epoch));
-    }
-
-    fn repair(&mut self, place: usize, local: time::Instant) {
-        let policy = RepairPolicy {
-            voters: self.profile.voters,
-            lost_after: time::Duration::from_secs(2),
-            ..RepairPolicy::default()
-        };
-        let Some(process) = &mut self.nodes[place].process else {
-            return;
-        };
-        let view = process
-            .core
-            .repair_view(local)
-            .filter(|_| self.profile.repair);
-        if let Some(change) = view.and_then(|view| policy.decide(&view)) {
-            if process.core.change_members(local, &change).is_ok() {
-                self.counts.repairs += 1;
-                let vote = !matches!(change, usher_consensus::MembershipChange::AddLearner(_));
-                let percent = self.profile.second_loss_percent;
-                if vote && self.random.random_range(0..100) < percent {
-                    self.second_loss = true;
-                }
-            }
-        }
-    }
-
-    fn operate(&mut self) {
+    pub(super) fn operate(&mut self) {
         let leads = |node: &SimNode| {
             let process = node.process.as_ref();
             process.is_some_and(|process| process.core.role() == CoreRole::Leader)
@@ -412,7 +344,7 @@
         self.schedule(self.now, place, event);
     }
 
-    fn propose(&mut self, place: usize, known: u64) {
+    pub(super) fn propose(&mut self, place: usize, known: u64) {
         let padding = self.random.random_range(0..80);
         let Some(process) = &mut self.nodes[place].process else {
             return;
@@ -427,7 +359,7 @@
         }
     }
 
-    fn read(&mut self, place: usize, local: time::Instant, known: u64) {
+    pub(super) fn read(&mut self, place: usize, local: time::Instant, known: u64) {
         let Some(process) = &mut self.nodes[place].process else {
             return;
         };
@@ -437,311 +369,7 @@
         }
     }
 
-    fn written(&mut self, place: usize, local: time::Instant) {
-        let Some(process) = &mut self.nodes[place].process else {
-            return;
-        };
-        match write_jobs(process) {
-            Ok(sequence) => self.persisted(place, local, sequence.unwrap_or(0)),
-            Err(_) => {
-                // The process ends; what it didn't sync is lost.
-                self.counts.fsync_failures += 1;
-                let node = &mut self.nodes[place];
-                node.folder.fail_syncs_after(None);
-                node.crash(CrashLoss::Unsynced, false, 0);
-                let at = self.now + self.random.random_range(0..3_000 * MS);
-                self.schedule(at, place, Event::Start);
-            }
-        }
-    }
-
-    /// Tells the core what is durable and sends what waited for that.
-    fn persisted(&mut self, place: usize, local: time::Instant, sequence: u64) {
-        let Some(process) = &mut self.nodes[place].process else {
-            return;
-        };
-        let mut durable = sequence;
-        let mut ready = Vec::new();
-        while let Some(batch) = process.pending.front_mut() {
-            if batch.sequence > sequence && batch.has_writes {
-                break;
-            }
-            durable = durable.max(batch.sequence);
-            ready.append(&mut batch.messages);
-            process.pending.pop_front();
-        }
-        if durable > 0 {
-            process.core.persisted(local, durable);
-            let held = process.core.durable();
-            self.nodes[place].durable = held;
-            self.held.insert(self.nodes[place].id(), held);
-        }
-        for message in ready {
-            self.send(place, message);
-        }
-    }
-
-    fn drain(&mut self, place: usize) {
-        let local = self.nodes[place].local(self.base, self.now);
-        loop {
-            let Some(process) = &mut self.nodes[place].process else {
-                return;
-            };
-            let Some(batch) = process.core.take_output() else {
-                break;
-            };
-            self.carry_out(place, local, batch);
-        }
-        self.write(place);
-        let Some(process) = &mut self.nodes[place].process else {
-            return;
-        };
-        let key = (process.core.members_index(), process.core.term());
-        if process.members_key != key {
-            process.members_key = key;
-            self.nodes[place].members = process.core.members().clone();
-        }
-        let Some(process) = &mut self.nodes[place].process else {
-            return;
-        };
-        if process.core.role() == CoreRole::Leader {
-            self.counts.leader_changes +=
-                u64::from(self.checks.leads(&process.core, &process.chains));
-            let commit = process.core.commit();
-            if process
-                .commits
-                .back()
-                .is_none_or(|(_, known)| *known != commit)
-            {
-                process.commits.push_back((self.now, commit));
-            }
-        } else {
-            process.commits.clear();
-        }
-    }
-
-    fn carry_out(&mut self, place: usize, local: time::Instant, mut batch: OutputBatch) {
-        self.note(|| format!("n{place} {}", summary(&batch)));
-        for message in std::mem::take(&mut batch.messages) {
-            self.send(place, message);
-        }
-        self.note_entries(place, &batch);
-        let Some(process) = &mut self.nodes[place].process else {
-            return;
-        };
-        process.pending.push_back(PendingBatch {
-            sequence: batch.sequence,
-            has_writes: batch.has_writes(),
-            messages: std::mem::take(&mut batch.messages_after_write),
-        });
-        if let Some(image) = &batch.snapshot {
-            self.counts.snapshots_installed += 1;
-            process.list = decode_list(&image.data);
-            self.checks
-                .restores(&process.core, image.index, &process.list);
-            process.applied = image.index;
-            process.snapshot_index = image.index;
-        }
-        let committed = std::mem::take(&mut batch.committed);
-        let ready = std::mem::take(&mut batch.reads_ready);
-        let failed = std::mem::take(&mut batch.reads_failed);
-        if batch.has_writes() {
-            process.queue.push(StoreJob::Batch(Box::new(batch)));
-        }
-        for read in ready {
-            if let Some(known) = process.reads.remove(&read.id) {
-                process.ready_reads.push((read.index, known));
-            }
-        }
-        for id in failed {
-            process.reads.remove(&id);
-        }
-        for entry in committed {
-            self.apply(place, &entry);
-        }
-        self.answer_reads(place);
-        self.take_snapshot(place);
-        self.persisted(place, local, 0);
-    }
-
-    /// Log matching, and that a promoted learner holds what it must.
-    fn note_entries(&mut self, place: usize, batch: &OutputBatch) {
-        let Some(process) = &mut self.nodes[place].process else {
-            return;
-        };
-        if let Some(image) = &batch.snapshot {
-            let chain = self.checks.committed_chain(image.index);
-            self.checks.require(chain.is_some(), || {
-                format!("snapshot of index {} that was never committed", image.index)
-            });
-            if !batch.keeps_log {
-                process.chains.clear();
-            }
-            process
-                .chains
-                .insert(image.index, chain.unwrap_or_default());
-        }
-        let replaced = batch.snapshot.as_ref().filter(|_| !batch.keeps_log);
-        if let Some(image) = replaced {
-            let durable = &mut self.nodes[place].durable;
-            *durable = (*durable).min(image.index);
-        }
-        let Some(process) = &mut self.nodes[place].process else {
-            return;
-        };
-        if let Some(from) = batch.truncate_from {
-            process.chains.split_off(&from);
-            // A crash may leave the truncation on the disk without the entries behind it.
-            let durable = &mut self.nodes[place].durable;
-            *durable = (*durable).min(from - 1);
-        }
-        let Some(process) = &mut self.nodes[place].process else {
-            return;
-        };
-        let mut promoted = Vec::new();
-        for entry in &batch.entries {
-            let before = process.chains.get(&(entry.index - 1)).copied();
-            self.checks.require(before.is_some(), || {
-                format!("gap in the written log before {}", entry.index)
-            });
-            let chain = chain_after(before.unwrap_or_default(), entry);
-            process.chains.insert(entry.index, chain);
-            self.checks.holds(process.core.id(), entry, chain);
-            let own = process.core.role() == CoreRole::Leader && entry.term == process.core.term();
-            if own && entry.kind() == EntryKind::Membership && entry.index > 2 {
-                promoted.extend(MemberTable::decode(&entry.payload));
-            }
-        }
-        let old = &self.nodes[place].members;
-        let voters = promoted.iter().flat_map(MemberTable::voters);
-        let promoted: Vec<_> = voters
-            .filter(|voter| !old.is_voter(voter))
-            .cloned()
-            .collect();
-        for voter in promoted {
-            self.check_promotion(place, &voter);
-        }
-    }
-
-    /// A learner votes only once it durably holds what was committed when that was decided.
-    fn check_promotion(&mut self, place: usize, voter: &NodeId) {
-        let Some(process) = &self.nodes[place].process else {
-            return;
-        };
-        // The decision is at most one election timeout old, by the leader's clock.
-        let decided = self.now.saturating_sub(2_200 * MS);
-        let committed = process
-            .commits
-            .iter()
-            .take_while(|(at, _)| *at <= decided)
-            .last();
-        let expected = committed.map_or(0, |(_, commit)| *commit);
-        // Its disk may be lost by now; what counts is what it held when it acknowledged.
-        let held = self.held.get(voter).copied().unwrap_or(0);
-        self.checks.require(held >= expected, || {
-            format!("promotion: {voter} holds {held} durably, {expected} were committed before")
-        });
-    }
-
-    fn apply(&mut self, place: usize, entry: &message::LogEntry) {
-        let Some(process) = &mut self.nodes[place].process else {
-            return;
-        };
-        let chain = process
-            .chains
-            .get(&entry.index)
-            .copied()
-            .unwrap_or_default();
-        self.checks.applies(&process.core, entry.index, chain);
-        self.checks.require(entry.index == process.applied + 1, || {
-            format!("entry {} applied after {}", entry.index, process.applied)
-        });
-        process.applied = entry.index;
-        let command = entry.kind() == EntryKind::Command;
-        let first = entry.payload.first_chunk().filter(|_| command);
-        process
-            .list
-            .extend(first.map(|bytes| u64::from_le_bytes(*bytes)));
-        self.checks
-            .reaches(&process.core, entry.index, &process.list);
-        if entry.kind() == EntryKind::Membership {
-            process.next_repair = self.now;
-        }
-        if entry.kind() != EntryKind::Command {
-            return;
-        }
-        let id = entry
-            .payload
-            .first_chunk()
-            .map_or(0, |bytes| u64::from_le_bytes(*bytes));
-        let position = process.list.len() as u64;
-        if let Some(command) = process.commands.remove(&entry.index) {
-            if command.term == entry.term {
-                self.checks.require(command.id == id, || {
-                    format!("command {} was answered with command {id}", command.id)
-                });
-                // A write must come after everything that was known.
-                self.checks.completes("write", command.known + 1, position);
-                self.checks.accepted.insert(position, id);
-                self.counts.commands += 1;
-            }
-        }
-    }
-
-    fn answer_reads(&mut self, place: usize) {
-        let Some(process) = &mut self.nodes[place].process else {
-            return;
-        };
-        let applied = process.applied;
-        let length = process.list.len() as u64;
-        for (_, known) in process
-            .ready_reads
-            .extract_if(.., |(index, _)| *index <= applied)
-        {
-            self.checks.completes("read", known, length);
-            self.counts.reads += 1;
-        }
-    }
-
-    fn take_snapshot(&mut self, place: usize) {
-        let Some(process) = &mut self.nodes[place].process else {
-            return;
-        };
-        let due = process.applied >= process.snapshot_index + SNAPSHOT_ENTRIES;
-        if !due || process.snapshot_running {
-            return;
-        }
-        let data = encode_list(&process.list);
-        if let Some(image) = process.core.snapshot_taken(process.applied, data) {
-            process.snapshot_index = image.index;
-            // It is written beside the log and taken into use with a later write.
-            let stored = usher_replica::stored_snapshot(&image);
-            if process.log.snapshot_writer().write(&stored).is_ok() {
-                process.snapshot_running = true;
-                process.queue.push(StoreJob::FinishSnapshot(image.index));
-            }
-        }
-    }
-
-    /// Starts the next write, which takes some time.
-    fn write(&mut self, place: usize) {
-        let slow = self.nodes[place].slow_disk_until > self.now;
-        let delay = if slow {
-            self.random.random_range(100 * MS..1_500 * MS)
-        } else {
-            self.random.random_range(MS / 5..8 * MS)
-        };
-        let epoch = self.nodes[place].epoch;
-        let Some(process) = &mut self.nodes[place].process else {
-            return;
-        };
-        if process.writing.is_empty() && !process.queue.is_empty() {
-            process.writing = std::mem::take(&mut process.queue);
-            self.schedule(self.now + delay, place, Event::Written(epoch));
-        }
-    }
-
-    fn send(&mut self, place: usize, message: ConsensusMessage) {
+    pub(super) fn send(&mut self, place: usize, message: ConsensusMessage) {
         let to = NodeId::from_message(message.to.as_ref());
         let target = self
             .nodes
@@ -752,7 +380,7 @@
         }
     }
 
-    fn transmit(&mut self, from: usize, to: usize, message: ConsensusMessage) {
+    pub(super) fn transmit(&mut self, from: usize, to: usize, message: ConsensusMessage) {
         self.counts.messages += 1;
         let now = self.now;
         let cut = |cut: &Cut| cut.from == from && cut.to == to && cut.until > now;
@@ -770,32 +398,6 @@
         }
     }
 
-    /// Describes all nodes, for a violation.
-    fn state(&self) -> String {
-        let mut text = String::new();
-        for node in &self.nodes {
-            let (id, durable) = (node.id(), node.durable);
-            let Some(process) = &node.process else {
-                text += &format!("\n  {id} down, {durable} durable");
-                continue;
-            };
-            let core = &process.core;
-            let members: Vec<_> = core
-                .members()
-                .iter()
-                .map(|(id, member)| format!("{id}{}", if member.voter { "" } else { "(learner)" }))
-                .collect();
-            text += &format!(
-                "\n  {id} {:?} term {} commit {} last {} {durable} durable, members {members:?}",
-                core.role(),
-                core.term(),
-                core.commit(),
-                core.last_index(),
-            );
-        }
-        text
-    }
-
     fn check_leases(&mut self) {
         let mut leaders = Vec::new();
         for node in &self.nodes {
@@ -822,164 +424,4 @@
             }
         }
     }
-
-    fn inject(&mut self) {
-        let weights = self.profile.weights;
-        let mut pick = self.random.random_range(0..weights.iter().sum());
-        let mut kind = 0;
-        while pick >= weights[kind] {
-            pick -= weights[kind];
-            kind += 1;
-        }
-        let place = self.random.random_range(0..self.nodes.len());
-        let longest = self.random.random_range(100..6_000) * MS;
-        match kind {
-            0 => self.crash(place, longest),
-            1 => self.wipe(place, longest),
-            2 => {
-                self.counts.freezes += 1;
-                self.nodes[place].frozen_until = self.now + longest;
-            }
-            3 => self.cut(place, longest, false),
-            4 => self.cut(place, longest, true),
-            5 => {
-                let syncs = self.random.random_range(0..4);
-                self.nodes[place].folder.fail_syncs_after(Some(syncs));
-            }
-            _ => self.nodes[place].slow_disk_until = self.now + longest,
-        }
-    }
-
-    fn crash(&mut self, place: usize, down: u64) {
-        self.counts.crashes += 1;
-        let torn = self.random.random_range(0..3) == 0;
-        let loss = match self.random.random_range(0..3) {
-            0 => CrashLoss::Nothing,
-            1 => CrashLoss::Unsynced,
-            _ => CrashLoss::KeepBytes(self.random.random_range(0..300)),
-        };
-        self.counts.torn_writes += u64::from(torn);
-        let syncs = self.random.random_range(0..4);
-        self.nodes[place].crash(loss, torn, syncs);
-        self.note(|| format!("n{place} crashes, {loss:?}, torn {torn}"));
-        self.schedule(self.now + down, place, Event::Start);
-    }
-
-    /// Replaces a node with an empty disk under its name, if the guarantee covers that loss.
-    fn wipe(&mut self, place: usize, down: u64) {
-        if !self.may_wipe(place) {
-            self.crash(place, down);
-            return;
-        }
-        self.counts.wipes += 1;
-        self.note(|| format!("n{place} is wiped"));
-        self.counts.second_losses += u64::from(self.second_loss);
-        self.nodes[place].crash(CrashLoss::Unsynced, false, 0);
-        self.next_incarnation += 1;
-        let node = &mut self.nodes[place];
-        node.incarnation = self.next_incarnation;
-        node.folder = MemoryFolder::default();
-        node.durable = 0;
-        node.members = MemberTable::default();
-        self.schedule(self.now + down, place, Event::Start);
-    }
-
-    /// Whether a quorum of disks stays in each membership that some node may go by.
-    ///
-    /// A learner isn't wiped while a voter's disk is lost: it may be just about to be promoted,
-    /// and these would be two losses before the repair of the first one.
-    fn may_wipe(&self, place: usize) -> bool {
-        let founded = !self.checks.accepted.is_empty();
-        let lost = self.nodes[place].id();
-        founded
-            && self.nodes.iter().all(|node| {
-                let table = &node.members;
-                let intact = table.voters().filter(|voter| {
-                    **voter != lost && self.nodes.iter().any(|other| other.id() == **voter)
-                });
-                let intact = intact.count();
-                let all = table.voters().count();
-                let learner = table.get(&lost).is_some_and(|member| !member.voter);
-                table.is_empty() || (intact >= table.quorum() && (!learner || intact == all))
-            })
-    }
-
-    fn cut(&mut self, place: usize, length: u64, one_way: bool) {
-        self.counts.cuts += 1;
-        self.counts.one_way_cuts += u64::from(one_way);
-        let whole = self.random.random_range(0..2) == 0;
-        let single = self.random.random_range(0..self.nodes.len());
-        let until = self.now + length;
-        self.cuts.retain(|cut| cut.until > self.now);
-        for other in (0..self.nodes.len()).filter(|other| *other != place) {
-            if !whole && other != single {
-                continue;
-            }
-            self.cuts.push(Cut {
-                from: place,
-                to: other,
-                until,
-            });
-            if !one_way {
-                self.cuts.push(Cut {
-                    from: other,
-                    to: place,
-                    until,
-                });
-            }
-        }
-    }
-}
-
-fn summary(batch: &OutputBatch) -> String {
-    let entry = |entry: &message::LogEntry| {
-        let table = MemberTable::decode(&entry.payload).unwrap_or_default();
-        let voters: Vec<_> = table.voters().map(NodeId::to_string).collect();
-        let members = entry.kind() == EntryKind::Membership;
-        let voters = if members {
-            voters.join("+")
-        } else {
-            String::new()
-        };
-        format!("{}/{} {voters}", entry.index, entry.term)
-    };
-    let message = |message: &ConsensusMessage| {
-        use message::consensus_message::Kind;
-        let to = NodeId::from_message(message.to.as_ref());
-        let kind = match &message.kind {
-            Some(Kind::AppendRequest(request)) => format!(
-                "append {}/{} +{} commit {} round {}",
-                request.previous_index,
-                request.previous_term,
-                request.entries.len(),
-                request.commit,
-                request.round
-            ),
-            other => format!("{other:?}").chars().take(160).collect(),
-        };
-        format!("{to} term {} {kind}", message.term)
-    };
-    let sent = |messages: &[ConsensusMessage]| -> String {
-        let lines = messages.iter().map(message);
-        lines
-            .map(|line| format!("\n              -> {line}"))
-            .collect()
-    };
-    format!(
-        "{:?} snapshot {:?} truncate {:?} entries {:?} committed {:?}{}\n    after write:{}",
-        batch.hard_state,
-        batch
-            .snapshot
-            .as_ref()
-            .map(|image| (image.index, batch.keeps_log)),
-        batch.truncate_from,
-        batch.entries.iter().map(entry).collect::<Vec<_>>(),
-        batch
-            .committed
-            .iter()
-            .map(|entry| entry.index)
-            .collect::<Vec<_>>(),
-        sent(&batch.messages),
-        sent(&batch.messages_after_write),
-    )
 }
