Keep the entry on whole registries for now

Cause: the heartbeat messages have new fields, and the entry builds them field by field. Change: the entry asks for whole registries; its link in memory fills the new fields with their defaults. Conclusion: the entry takes changes once its board can.

--- a/crates/usher_entry/src/link/memory.rs
+++ b/crates/usher_entry/src/link/memory.rs
@@ -233,6 +233,7 @@
             loads: loads.collect(),
             shares: self.shares.clone(),
             right_ms: u64::try_from(self.right.as_millis()).unwrap_or(u64::MAX),
+            ..message::SyncReply::default()
         }
     }
 
--- a/crates/usher_entry/src/sync.rs
+++ b/crates/usher_entry/src/sync.rs
@@ -79,6 +79,7 @@
         demands: board.take_demands(now.saturating_duration_since(demand_at)),
         sequence,
         stopping: core.stop.is_draining(),
+        takes_delta: false,
     }
 }
 
