--- a/crates/usher_control/src/node.rs
+++ b/crates/usher_control/src/node.rs
@@ -240,9 +240,7 @@
             access: services.access.clone(),
             router: services.router.clone(),
             link: order::EngineLink::new(options.engine_timeout),
-            rules: plan::PlanRules {
-                per_service: options.orders_per_service,
-            },
+            rules: plan::PlanRules::new(options.orders_per_service),
             bucket,
             stop,
             clock: self.clock.clone(),
--- a/crates/usher_control/src/plan/fleet_plan.rs
+++ b/crates/usher_control/src/plan/fleet_plan.rs
@@ -13,11 +13,24 @@
 pub struct PlanRules {
     /// How many engines of one service may be under order at once.
     pub per_service: usize,
+    /// Removed only by tests that show what the floor prevents.
+    #[doc(hidden)]
+    pub keep_floor: bool,
+}
+
+impl PlanRules {
+    /// Makes the rules for this many engines of one service at once.
+    pub fn new(per_service: usize) -> Self {
+        Self {
+            per_service,
+            keep_floor: true,
+        }
+    }
 }
 
 impl Default for PlanRules {
     fn default() -> Self {
-        Self { per_service: 1 }
+        Self::new(1)
     }
 }
 
@@ -59,7 +72,7 @@
         let mut room = rules.per_service.saturating_sub(ordered);
         let rows = view.sheet.service_rows(service);
         for row in rows.filter(|row| row.kind == usher_types::TargetKind::Engine) {
-            let mut fleet = RowFleet::new(row, view);
+            let mut fleet = RowFleet::new(row, view, rules);
             while room > 0 {
                 let Some(intent) = fleet.next_order() else {
                     break;
@@ -82,11 +95,12 @@
     engines: Vec<&'a message::TargetRecord>,
     taken: collections::BTreeSet<String>,
     held_back: &'a collections::BTreeSet<String>,
+    keep_floor: bool,
     roles: collections::BTreeMap<EngineRole, u32>,
 }
 
 impl<'a> RowFleet<'a> {
-    fn new(row: &'a usher_config::SheetRow, view: FleetView<'a>) -> Self {
+    fn new(row: &'a usher_config::SheetRow, view: FleetView<'a>, rules: PlanRules) -> Self {
         let engines: Vec<_> = view
             .targets
             .iter()
@@ -106,6 +120,7 @@
             engines,
             taken: view.busy.clone(),
             held_back: view.held_back,
+            keep_floor: rules.keep_floor,
             roles,
         }
     }
@@ -128,11 +143,24 @@
     fn keeps_floor(&self, engine: &message::TargetRecord) -> bool {
         let serving = self.engines.iter().filter(|other| self.serves(other));
         let serving = serving.count() as u32;
-        !self.serves(engine) || serving > self.row.floor
+        !self.keep_floor || !self.serves(engine) || serving > self.row.floor
     }
 
     fn take(&mut self, intent: &message::OrderIntent) {
+        let count = |fleet: &Self| {
+            let serving = fleet.engines.iter().filter(|one| fleet.serves(one));
+            serving.count() as u32
+        };
+        let before = count(self);
         self.taken.insert(intent.engine.clone());
+        let after = count(self);
+        usher_types::invariant!(
+            "plan.floor",
+            after == before || after >= self.row.floor,
+            "an order to {} leaves {after} engines in service, the floor is {}",
+            intent.engine,
+            self.row.floor
+        );
         if intent.kind() != message::OrderKind::Role {
             return;
         }
--- a/crates/usher_control/src/plan/right_issuer.rs
+++ b/crates/usher_control/src/plan/right_issuer.rs
@@ -25,6 +25,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct RightIssuer {
     confirmations: collections::VecDeque<(time::Instant, u64)>,
+    ignores_commit: bool,
 }
 
 impl RightIssuer {
@@ -33,6 +34,15 @@
         Self::default()
     }
 
+    /// Makes an issuer that renews rights with any state, for tests of the bound.
+    #[doc(hidden)]
+    pub fn without_commit_check() -> Self {
+        Self {
+            ignores_commit: true,
+            ..Self::default()
+        }
+    }
+
     /// Records that the leader held its lease when it answered a request sent at `sent`.
     pub fn confirm(&mut self, sent: time::Instant, commit: u64) {
         if self.confirmations.len() == MAX_CONFIRMATIONS {
@@ -44,7 +54,8 @@
     /// Returns the right to give to an entry now; zero gives none.
     pub fn right(&self, now: time::Instant, applied: u64) -> time::Duration {
         let fresh = self.confirmations.iter().any(|(sent, commit)| {
-            now.saturating_duration_since(*sent) < timing::RELAY_CONFIRM && applied >= *commit
+            let known = applied >= *commit || self.ignores_commit;
+            now.saturating_duration_since(*sent) < timing::RELAY_CONFIRM && known
         });
         if fresh {
             timing::RIGHT_TIME
--- a/crates/usher_control/tests/group/mod.rs
+++ b/crates/usher_control/tests/group/mod.rs
@@ -5,7 +5,8 @@
 pub(crate) mod fake;
 
 use std::{
-    fs, future, net, path,
+    fs, future, net, path, process,
+    sync::atomic::{AtomicU32, Ordering},
     time::{Duration, Instant},
 };
 
@@ -53,10 +54,8 @@
     fn plan(name: &str, count: usize) -> Self {
         let folder = path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
         let _ = fs::remove_dir_all(&folder);
-        let listeners: Vec<_> = (0..2 * count)
-            .map(|_| net::TcpListener::bind("127.0.0.1:0").unwrap())
-            .collect();
-        let address = |place: usize| listeners[place].local_addr().unwrap();
+        let addresses = free_addresses(2 * count);
+        let address = |place: usize| addresses[place];
         let peers = (0..count).map(|place| ControlPeer {
             node: NodeName::new(format!("c{place}")),
             wire_address: address(2 * place),
@@ -134,6 +133,22 @@
     }
 }
 
+/// Returns addresses with free ports.
+///
+/// They are below the ports that the system gives to outgoing connections: between looking for a
+/// port and listening on it, a connection of another test would otherwise take it at times.
+fn free_addresses(count: usize) -> Vec<net::SocketAddr> {
+    static GROUPS: AtomicU32 = AtomicU32::new(0);
+    let slot = process::id() + 37 * GROUPS.fetch_add(1, Ordering::Relaxed);
+    let first = 20_000 + (slot % 750) * 16;
+    let ports = (first..32_000).chain(20_000..first);
+    let addresses = ports.filter_map(|port| {
+        let address = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, port as u16));
+        net::TcpListener::bind(address).ok().map(|_| address)
+    });
+    addresses.take(count).collect()
+}
+
 /// Waits until `look` gives a value.
 pub(crate) async fn until<T, F, W>(what: &str, mut look: F) -> T
 where
--- a/crates/usher_control/tests/plans.rs
+++ b/crates/usher_control/tests/plans.rs
@@ -45,7 +45,7 @@
         busy: &busy,
         held_back: &held_back,
     };
-    plan::plan_fleet(view, plan::PlanRules { per_service })
+    plan::plan_fleet(view, plan::PlanRules::new(per_service))
 }
 
 /// Carries out planned orders one by one and returns how many it took.
