--- a/crates/usher_entry/src/link/memory.rs
+++ b/crates/usher_entry/src/link/memory.rs
@@ -43,8 +43,11 @@
     config_version: u64,
     sheet: String,
     registry_version: u64,
+    // Version at which each target changed or went away last.
+    changes: collections::BTreeMap<String, u64>,
     targets: collections::BTreeMap<String, message::TargetRecord>,
     marked: collections::BTreeSet<String>,
+    removed: collections::BTreeSet<String>,
     loads: collections::BTreeMap<String, (time::Instant, message::LoadReport)>,
     shares: Vec<message::CapacityShare>,
     claims: collections::BTreeMap<String, ClaimRecord>,
@@ -64,8 +67,10 @@
             config_version: 0,
             sheet: String::new(),
             registry_version: 1,
+            changes: collections::BTreeMap::new(),
             targets: collections::BTreeMap::new(),
             marked: collections::BTreeSet::new(),
+            removed: collections::BTreeSet::new(),
             loads: collections::BTreeMap::new(),
             shares: Vec::new(),
             claims: collections::BTreeMap::new(),
@@ -139,12 +144,20 @@
     pub fn drain_target(&self, name: &str) {
         let mut state = self.lock();
         state.marked.insert(name.to_owned());
-        state.registry_version += 1;
+        state.note_change(name);
         if let Some(target) = state.targets.get_mut(name) {
             target.leaving = true;
         }
     }
 
+    /// Removes a target for good, as control does with an incarnation that is gone.
+    pub fn remove_target(&self, name: &str) {
+        let mut state = self.lock();
+        state.targets.remove(name);
+        state.removed.insert(name.to_owned());
+        state.note_change(name);
+    }
+
     /// Returns whether a target is known to be leaving.
     pub fn is_leaving(&self, name: &str) -> bool {
         let state = self.lock();
@@ -192,11 +205,33 @@
         }
     }
 
+    fn note_change(&mut self, name: &str) {
+        self.registry_version += 1;
+        self.changes.insert(name.to_owned(), self.registry_version);
+    }
+
+    /// Returns the targets to send to an entry that knows the registry of a version.
+    fn targets_since(&self, known: u64) -> (Vec<message::TargetRecord>, Vec<String>) {
+        let changed = self.changes.iter().filter(|(_, version)| **version > known);
+        let mut records = Vec::new();
+        let mut gone = Vec::new();
+        for (name, _) in changed {
+            match self.targets.get(name) {
+                Some(target) => records.push(target.clone()),
+                None => gone.push(name.clone()),
+            }
+        }
+        (records, gone)
+    }
+
     fn take_announced(&mut self, announced: Vec<message::TargetRecord>) {
         for mut target in announced {
+            if self.removed.contains(&target.name) {
+                continue;
+            }
             target.leaving |= self.marked.contains(&target.name);
             if self.targets.get(&target.name) != Some(&target) {
-                self.registry_version += 1;
+                self.note_change(&target.name);
                 self.targets.insert(target.name.clone(), target);
             }
         }
@@ -226,6 +261,14 @@
             age_ms: u64::try_from((now - *at).as_millis()).unwrap_or(u64::MAX),
             ..load.clone()
         });
+        let registry_delta = request.takes_delta && request.registry_version > 0;
+        let (targets, gone) = if !registry_changed {
+            Default::default()
+        } else if registry_delta {
+            self.targets_since(request.registry_version)
+        } else {
+            (self.targets.values().cloned().collect(), Vec::new())
+        };
         message::SyncReply {
             sequence: request.sequence,
             config_version: self.config_version,
@@ -237,11 +280,9 @@
             },
             registry_version: self.registry_version,
             registry_changed,
-            targets: if registry_changed {
-                self.targets.values().cloned().collect()
-            } else {
-                Vec::new()
-            },
+            registry_delta,
+            targets,
+            gone,
             loads: loads.collect(),
             shares: self.shares.clone(),
             right_ms: u64::try_from(self.right.as_millis()).unwrap_or(u64::MAX),
