--- a/crates/usher_policy/src/admit.rs
+++ b/crates/usher_policy/src/admit.rs
@@ -20,8 +20,8 @@
 const TARGET_PRESSURE: f64 = 0.25;
 /// Change of the level per second and unit of pressure; down faster than up, because a rise of the
 /// demand comes within seconds.
-const LEVEL_UP: f64 = 0.3;
-const LEVEL_DOWN: f64 = 1.2;
+const LEVEL_UP: f64 = 0.075;
+const LEVEL_DOWN: f64 = 0.3;
 /// Longest time between two calls that counts for the level.
 const LEVEL_STEP: time::Duration = time::Duration::from_millis(500);
 /// Goals for the first token that a call without a deadline may wait, and how many times longer
--- a/crates/usher_policy/src/route.rs
+++ b/crates/usher_policy/src/route.rs
@@ -24,6 +24,9 @@
 const PRIORITY_LONG: u8 = 5;
 /// Bytes that a token takes on the wire, both as text in and as an event out.
 const BYTES_PER_TOKEN: f64 = 6.0;
+/// Seconds that a certain failure costs in the score. Large against any wait: a retry takes from a
+/// budget of a tenth of the calls, which a third of the targets would use up.
+const FAILURE_SECONDS: f64 = 10.0;
 /// Seconds added for each own straggler on a target.
 const STRAGGLER_SECONDS: f64 = 0.05;
 /// Seconds added for long work on an engine that is kept for short work, while batches are empty.
@@ -383,7 +386,8 @@
     } else {
         0.0
     };
-    let crowding = f64::from(state.stragglers) * STRAGGLER_SECONDS;
+    let crowding = f64::from(state.stragglers) * STRAGGLER_SECONDS
+        + state.failure_share(now) * FAILURE_SECONDS;
     let kept = request.class == WorkClass::Long && !state.for_long;
     let mut reserve = if kept {
         KEPT_SECONDS * table.room()
--- a/crates/usher_policy/src/share.rs
+++ b/crates/usher_policy/src/share.rs
@@ -4,8 +4,9 @@
 
 use usher_types::{FirmName, TeamName, WorkClass};
 
-/// Time over which recent use fades to a third.
-const USE_MEMORY: time::Duration = time::Duration::from_secs(5);
+/// Time over which recent use fades to a third. One entry sees a few calls of a small firm per
+/// second; over a shorter time their noise looks like unfair use.
+const USE_MEMORY: time::Duration = time::Duration::from_secs(15);
 /// Calls of usual size that a team may have had above its share: one entry sees only a few calls of a
 /// team, and one more or less must not count as unfair.
 const ALLOWED_CALLS: f64 = 4.0;
@@ -41,6 +42,17 @@
     parts
 }
 
+/// Returns the part that an account of weight 1 gets when it asks for more than its part. Use is
+/// compared with this and not with the own part, which for a small demand is the demand itself.
+fn water_level(capacity: f64, demands: &[(f64, f64)]) -> f64 {
+    let parts = max_min(capacity, demands);
+    let levels = parts.iter().zip(demands);
+    levels
+        .filter(|(_, (_, weight))| *weight > 0.0)
+        .map(|(part, (_, weight))| part / weight)
+        .fold(0.0, f64::max)
+}
+
 /// Use relative to a share; nothing used is never over.
 fn relative(used: f64, part: f64) -> f64 {
     if used <= 0.0 {
@@ -133,35 +145,32 @@
         team_meter.used += work;
     }
 
-    /// Returns the use of the firm, or of the team within its firm, relative to its fair share:
-    /// the larger of both.
+    /// Returns the use of the firm relative to its fair share, increased by how far the team is above
+    /// its fair share of the firm.
     ///
     /// The capacity divided is what all firms together used recently.
     pub fn over(&mut self, firm: &FirmName, team: &TeamName, now: time::Instant) -> f64 {
         self.fade(now);
         let capacity: f64 = self.firms.values().map(|f| f.meter.used).sum();
         let demands = self.firms.values().map(|f| (f.meter.asked, f.weight));
-        let parts = max_min(capacity, &demands.collect::<Vec<_>>());
-        let position = self.firms.keys().position(|name| name == firm);
-        let part = position.and_then(|at| parts.get(at).copied());
-        let (Some(meter), Some(part)) = (self.firms.get(firm), part) else {
+        let level = water_level(capacity, &demands.collect::<Vec<_>>());
+        let Some(meter) = self.firms.get(firm) else {
             return 0.0;
         };
         let allowed = self.mean_work * ALLOWED_CALLS;
-        let firm_over = relative(meter.meter.used, part);
-        firm_over.max(Self::team_over(meter, team, allowed))
+        let firm_over = relative(meter.meter.used, level * meter.weight);
+        // Inside a firm that leaves a part of its share, no team takes anything from another.
+        firm_over * Self::team_over(meter, team, allowed).max(1.0)
     }
 
     fn team_over(firm: &FirmMeter, team: &TeamName, allowed: f64) -> f64 {
         let teams = firm.teams.values();
         let demands = teams.map(|(meter, weight)| (meter.asked, *weight));
-        let parts = max_min(firm.meter.used, &demands.collect::<Vec<_>>());
-        let position = firm.teams.keys().position(|name| name == team);
-        let part = position.and_then(|at| parts.get(at).copied());
-        match (firm.teams.get(team), part) {
-            (Some((meter, _)), Some(part)) => relative(meter.used - allowed, part),
-            _ => 0.0,
-        }
+        let level = water_level(firm.meter.used, &demands.collect::<Vec<_>>());
+        let team = firm.teams.get(team);
+        team.map_or(0.0, |(meter, weight)| {
+            relative(meter.used - allowed, level * weight)
+        })
     }
 
     /// Notes work of a class that was asked for, and whether it was accepted.
--- a/crates/usher_policy/src/state.rs
+++ b/crates/usher_policy/src/state.rs
@@ -55,6 +55,10 @@
     }
 }
 
+/// Weight of an attempt in the share of failed ones, and the time over which it fades.
+const FAILURE_GAIN: f64 = 0.2;
+const FAILURE_MEMORY: time::Duration = time::Duration::from_secs(10);
+
 /// Whether a target may get new work.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum TargetStanding {
@@ -85,6 +89,8 @@
     /// Failures in a row without a success.
     pub(crate) failures: u32,
     pub(crate) failed_at: Option<time::Instant>,
+    /// Share of the recent attempts that failed, as of `failed_at`.
+    failure_share: f64,
     /// Weight from the detector of slow targets.
     pub(crate) weight: f64,
     /// Calls of others for each own call, over all targets of the service.
@@ -114,6 +120,7 @@
             stragglers: 0,
             failures: 0,
             failed_at: None,
+            failure_share: 0.0,
             weight: 1.0,
             others_ratio: 0.0,
             own_share: 0.0,
@@ -167,6 +174,26 @@
         }
     }
 
+    /// Notes how an attempt ended.
+    pub(crate) fn note_end(&mut self, failed: bool, now: time::Instant) {
+        let share = self.failure_share(now);
+        self.failure_share = share + FAILURE_GAIN * (f64::from(u8::from(failed)) - share);
+        if failed {
+            self.failures += 1;
+        } else {
+            self.failures = 0;
+        }
+        self.failed_at = Some(now);
+    }
+
+    /// Returns the share of the recent attempts that failed; it fades, so that the target is tried
+    /// again.
+    pub(crate) fn failure_share(&self, now: time::Instant) -> f64 {
+        let since = self.failed_at.unwrap_or(now);
+        let elapsed = now.saturating_duration_since(since).as_secs_f64();
+        self.failure_share * (-elapsed / FAILURE_MEMORY.as_secs_f64()).exp()
+    }
+
     /// Takes a time per token relative to that of a step without prefill.
     pub(crate) fn learn_token(&mut self, ratio: f64, now: time::Instant) {
         self.token_ratios.0 += ratio;
--- a/crates/usher_policy/src/table.rs
+++ b/crates/usher_policy/src/table.rs
@@ -315,9 +315,7 @@
     /// Notes that an attempt ended with its whole answer.
     pub fn on_finished(&mut self, id: slot::AttemptId, now: time::Instant) {
         if let Some(slot) = self.release(id, now) {
-            let state = &mut self.states[slot.index()];
-            state.failures = 0;
-            state.failed_at = None;
+            self.states[slot.index()].note_end(false, now);
         }
     }
 
@@ -334,9 +332,7 @@
         if kind == target::FailureKind::Cancelled {
             return;
         }
-        let state = &mut self.states[slot.index()];
-        state.failures += 1;
-        state.failed_at = Some(now);
+        self.states[slot.index()].note_end(true, now);
     }
 
     fn release(&mut self, id: slot::AttemptId, now: time::Instant) -> Option<slot::TargetSlot> {
