usher_policy: the wait of short work is bounded by the first-token goal

Cause: short work with much slack to its deadline was accepted into long queues; under a slowdown the first tokens of all others waited behind it, and at the crest the queue was longer than full batches need. Change: the slack of short work is at most 1.5 goals for the first token (tried: 1, 1.5, 2.5, none); weights of large pools are refreshed less often.

--- a/crates/usher_policy/src/admit.rs
+++ b/crates/usher_policy/src/admit.rs
@@ -28,6 +28,9 @@
 /// long work may.
 const PATIENCE: f64 = 10.0;
 const LONG_PATIENCE: f64 = 5.0;
+/// Goals for the first token that short work with a deadline may wait at most, however much slack
+/// it has: the first token is promised as well as the last.
+const SHORT_PATIENCE: f64 = 1.5;
 /// Part of the goal for the first token that a call without a prompt takes on an idle engine.
 const IDLE_FIRST: f64 = 0.1;
 /// Longest Retry-After before jitter.
@@ -196,7 +199,11 @@
     let slack = match (request.deadline, request.class) {
         (Some(deadline), _) => {
             let left = deadline.saturating_duration_since(now).as_secs_f64();
-            left - output * route::DEADLINE_MARGIN
+            let slack = left - output * route::DEADLINE_MARGIN;
+            match request.class {
+                WorkClass::Short => slack.min(goal * SHORT_PATIENCE),
+                WorkClass::Long => slack,
+            }
         }
         // Without a deadline nothing is late, but a queue this long helps nobody.
         (None, WorkClass::Short) => goal * PATIENCE,
--- a/crates/usher_policy/src/table.rs
+++ b/crates/usher_policy/src/table.rs
@@ -43,7 +43,9 @@
 const LONG_MARGIN: f64 = 0.4;
 
 /// How old the weights of targets may be; sorting all targets for each decision costs too much.
+/// It grows with the number of targets, so that the cost per time stays the same.
 const REFRESH_EVERY: time::Duration = time::Duration::from_millis(20);
+const REFRESH_TARGETS: usize = 100;
 
 #[derive(Clone, Debug)]
 struct AttemptState {
@@ -435,7 +437,9 @@
             return;
         };
         let fresh = self.refreshed.get(service);
-        if fresh.is_some_and(|at| now.duration_since(*at) < REFRESH_EVERY) {
+        let targets: usize = regions.values().map(Vec::len).sum();
+        let every = REFRESH_EVERY * (targets / REFRESH_TARGETS + 1) as u32;
+        if fresh.is_some_and(|at| now.duration_since(*at) < every) {
             return;
         }
         let groups: Vec<Vec<slot::TargetSlot>> = regions.values().cloned().collect();
