usher_policy: long work is placed by its first token as well

Cause: the slower output on engines for long work, 13 s for a usual answer, outweighed what keeps long work off the others, so it leaked onto engines kept for short work. Change: the output of long work counts a tenth in the score; its deadline still counts.

--- a/crates/usher_policy/src/route.rs
+++ b/crates/usher_policy/src/route.rs
@@ -43,7 +43,7 @@
 /// Share of the expected time per output token that counts for short and long work: short work
 /// wants its first token, long work its last.
 const SHORT_OUTPUT_WEIGHT: f64 = 0.1;
-const LONG_OUTPUT_WEIGHT: f64 = 1.0;
+const LONG_OUTPUT_WEIGHT: f64 = 0.1;
 
 usher_types::value_type! {
     /// Why a decision has no target.
