usher_bench: plots of goodput and tail as SVG with one page

Change: write_plots draws bars for each experiment, scenario, fleet and seed. Conclusion: done; the command line passes its folder in BenchOptions::plot.

--- a/crates/usher_bench/src/experiments/mod.rs
+++ b/crates/usher_bench/src/experiments/mod.rs
@@ -9,7 +9,7 @@
 mod region;
 mod slowdown;
 
-use crate::{error, options, report};
+use crate::{error, options, plot, report};
 
 /// Runs an experiment.
 ///
@@ -19,13 +19,23 @@
 /// println!("{report}");
 /// ```
 pub fn run(options: &options::BenchOptions) -> Result<report::ExperimentReport, error::BenchError> {
+    let report = run_each(options)?;
+    if let Some(folder) = &options.plot {
+        plot::write_plots(&report, folder)?;
+    }
+    Ok(report)
+}
+
+fn run_each(
+    options: &options::BenchOptions,
+) -> Result<report::ExperimentReport, error::BenchError> {
     let mut report = report::ExperimentReport::default();
     match options.experiment {
         options::ExperimentName::All => {
             for experiment in options::ExperimentName::EACH {
                 let mut options = options.clone();
                 options.experiment = experiment;
-                report.extend(run(&options)?);
+                report.extend(run_each(&options)?);
             }
         }
         options::ExperimentName::Blocking => report.extend(blocking::run(options)),
