--- /dev/null
+++ b/crates/usher_config/src/settings/limits.rs
@@ -0,0 +1,62 @@
+//! Limits of an entry. Not for: shares of capacity, which control leases.
+
+use std::time;
+
+use crate::settings::reader;
+
+/// The largest body that an entry takes.
+const MAX_BODY: u64 = 8 << 20;
+
+usher_types::value_type! {
+    /// Section `limits` of an entry.
+    #[derive(Copy)]
+    pub struct LimitSettings {
+        /// Largest request body.
+        pub body: usher_types::ByteSize,
+        /// How late a first token may be before the attempt counts as failed.
+        pub first_token: time::Duration,
+        /// How long a stream may make no progress before it is resumed elsewhere.
+        pub stall: time::Duration,
+        /// How long a plain call without a deadline may take.
+        pub plain: time::Duration,
+        /// How long a caller may make no progress before it is cut off.
+        pub caller: time::Duration,
+        /// Most time that running requests get after SIGTERM.
+        pub drain: time::Duration,
+    }
+}
+
+impl LimitSettings {
+    pub(crate) fn read(file: &reader::SettingsReader) -> Self {
+        let section = file.section("limits");
+        let settings = Self {
+            body: section.or("body", usher_types::ByteSize::new(MAX_BODY)),
+            first_token: section.or("first-token", time::Duration::from_secs(10)),
+            stall: section.or("stall", time::Duration::from_secs(4)),
+            plain: section.or("plain", time::Duration::from_secs(60)),
+            caller: section.or("caller", time::Duration::from_secs(30)),
+            drain: section.or("drain", time::Duration::from_secs(600)),
+        };
+        section.check(
+            (1024..=MAX_BODY).contains(&settings.body.get()),
+            "body",
+            "expected a size from 1 KiB to 8 MiB",
+        );
+        let durations = [
+            ("first-token", settings.first_token),
+            ("stall", settings.stall),
+            ("plain", settings.plain),
+            ("caller", settings.caller),
+            ("drain", settings.drain),
+        ];
+        let range = time::Duration::from_secs(1)..=time::Duration::from_secs(24 * 3600);
+        for (key, duration) in durations {
+            section.check(
+                range.contains(&duration),
+                key,
+                "expected a duration from 1s to 24h",
+            );
+        }
+        settings
+    }
+}
--- /dev/null
+++ b/crates/usher_consensus/src/core/lead.rs
@@ -0,0 +1,317 @@
+//! What a leader does: rounds, appends and commits. Not for: reads and membership changes.
+
+use std::time;
+
+use usher_wire::message;
+
+use super::{ConsensusCore, CoreRole, LeaderState};
+use crate::{error, identity, progress};
+
+impl ConsensusCore {
+    pub(super) fn start_leading(&mut self, now: time::Instant) {
+        self.role = CoreRole::Leader;
+        self.leader = Some(self.id.clone());
+        self.lead = LeaderState {
+            since: Some(now),
+            term_start: self.log.last_index() + 1,
+            ..LeaderState::default()
+        };
+        self.track_members(now);
+        if self.provisional {
+            let payload = self.members().encode();
+            self.append_own(message::EntryKind::Membership, payload);
+        } else {
+            self.append_own(message::EntryKind::Noop, Vec::new());
+        }
+        self.start_round(now);
+    }
+
+    /// Keeps progress for exactly the other members.
+    pub(super) fn track_members(&mut self, now: time::Instant) {
+        let members = self.members().clone();
+        let next = self.log.last_index() + 1;
+        self.lead
+            .progress
+            .retain(|node, _| members.get(node).is_some());
+        for (node, _) in members.iter().filter(|(node, _)| **node != self.id) {
+            self.lead
+                .progress
+                .entry(node.clone())
+                .or_insert_with(|| progress::PeerProgress::new(next, now));
+        }
+    }
+
+    /// Appends a command.
+    ///
+    /// Returns its index and term: it is committed if and only if that entry is.
+    ///
+    /// # Errors
+    ///
+    /// Fails when this node doesn't lead, or the group is still being founded; nothing was
+    /// appended.
+    pub fn propose(&mut self, payload: Vec<u8>) -> Result<(u64, u64), error::NotLeaderError> {
+        // A command accepted while all first voters must agree to everything would be out of
+        // reach once one of them is lost.
+        if self.role != CoreRole::Leader || self.is_founding() {
+            return Err(error::NotLeaderError);
+        }
+        let index = self.append_own(message::EntryKind::Command, payload);
+        Ok((index, self.hard.term))
+    }
+
+    pub(super) fn append_own(&mut self, kind: message::EntryKind, payload: Vec<u8>) -> u64 {
+        let entry = message::LogEntry {
+            index: self.log.last_index() + 1,
+            term: self.hard.term,
+            kind: kind.into(),
+            payload,
+        };
+        let index = entry.index;
+        self.note_membership(&entry);
+        self.log.push(entry);
+        index
+    }
+
+    pub(super) fn tick_leader(&mut self, now: time::Instant) {
+        let confirmed = self.confirmed_at().max(self.lead.since);
+        let lost = confirmed.is_none_or(|at| now >= at + self.settings.election_min);
+        if lost && !self.is_only_voter() {
+            self.leader = None;
+            self.follow(now);
+            return;
+        }
+        if self.lead.heartbeat_at.is_none_or(|at| now >= at) {
+            self.recover_peers();
+            self.start_round(now);
+        }
+    }
+
+    pub(super) fn is_only_voter(&self) -> bool {
+        self.is_voter() && self.members().voters().count() == 1
+    }
+
+    /// Looks again for the place where the logs agree with peers that didn't answer.
+    fn recover_peers(&mut self) {
+        for peer in self.lead.progress.values_mut() {
+            peer.silent = !std::mem::take(&mut peer.answered);
+            if peer.silent && peer.streaming {
+                peer.streaming = false;
+                peer.next = peer.matched + 1;
+            }
+        }
+    }
+
+    /// Starts a round: whoever answers it followed this leader after the round began.
+    pub(super) fn start_round(&mut self, now: time::Instant) {
+        self.lead.round += 1;
+        self.lead.rounds.push_back((self.lead.round, now));
+        // Rounds before the newest confirmed one are of no further use.
+        let confirmed = self.confirmed_round();
+        let old = self
+            .lead
+            .rounds
+            .partition_point(|(number, _)| *number < confirmed);
+        self.lead.rounds.drain(..old);
+        self.lead.heartbeat_at = Some(now + self.settings.heartbeat);
+        let peers: Vec<_> = self.lead.progress.keys().cloned().collect();
+        for peer in &peers {
+            self.send_append(peer, true);
+        }
+    }
+
+    /// Sends new entries to all peers that take them.
+    pub(super) fn send_entries(&mut self) {
+        if self.role != CoreRole::Leader {
+            return;
+        }
+        let last = self.log.last_index();
+        let peers: Vec<_> = self
+            .lead
+            .progress
+            .iter()
+            .filter(|(_, peer)| peer.streaming && peer.next <= last)
+            .map(|(node, _)| node.clone())
+            .collect();
+        for peer in &peers {
+            self.send_append(peer, false);
+        }
+    }
+
+    /// Sends the next entries to a peer; with `heartbeat` also when there are none.
+    pub(super) fn send_append(&mut self, node: &identity::NodeId, heartbeat: bool) {
+        let Some(peer) = self.lead.progress.get(node) else {
+            return;
+        };
+        if !peer.streaming {
+            if heartbeat {
+                self.send_probe(node);
+            }
+            return;
+        }
+        let through = peer.matched + self.settings.append_window;
+        let mut sent_any = false;
+        let mut next = peer.next;
+        loop {
+            let Some(previous_term) = self.log.term(next - 1) else {
+                // The peer fell behind what is kept in memory.
+                self.look_behind(node);
+                return;
+            };
+            let entries = self.log.slice(next, through, self.settings.append_bytes);
+            if entries.is_empty() && (sent_any || !heartbeat) {
+                break;
+            }
+            sent_any = true;
+            let count = entries.len() as u64;
+            self.send_request(node, next - 1, previous_term, entries);
+            next += count;
+            if count == 0 {
+                break;
+            }
+        }
+        if let Some(peer) = self.lead.progress.get_mut(node) {
+            peer.next = next;
+        }
+    }
+
+    fn look_behind(&mut self, node: &identity::NodeId) {
+        if let Some(peer) = self.lead.progress.get_mut(node) {
+            peer.streaming = false;
+            peer.next = peer.matched + 1;
+        }
+        self.send_probe(node);
+    }
+
+    /// Asks a peer whether the logs agree where it is expected to be, or sends a snapshot.
+    fn send_probe(&mut self, node: &identity::NodeId) {
+        let Some(peer) = self.lead.progress.get(node) else {
+            return;
+        };
+        let previous = peer.next - 1;
+        match self.log.term(previous) {
+            Some(term) => self.send_request(node, previous, term, Vec::new()),
+            None if peer.silent => {
+                let base = self.log.base_index();
+                let term = self.log.term(base).unwrap_or_default();
+                self.send_request(node, base, term, Vec::new());
+            }
+            None => self.send_piece(node),
+        }
+    }
+
+    fn send_request(
+        &mut self,
+        node: &identity::NodeId,
+        previous_index: u64,
+        previous_term: u64,
+        entries: Vec<message::LogEntry>,
+    ) {
+        let request = message::AppendRequest {
+            previous_index,
+            previous_term,
+            entries,
+            commit: self.commit,
+            round: self.lead.round,
+        };
+        self.send(
+            node,
+            message::consensus_message::Kind::AppendRequest(request),
+        );
+    }
+
+    pub(super) fn on_append_reply(
+        &mut self,
+        now: time::Instant,
+        from: &identity::NodeId,
+        term: u64,
+        reply: &message::AppendReply,
+    ) {
+        if !self.accept_reply(now, from, term, reply.round) {
+            return;
+        }
+        let last = self.log.last_index();
+        let Some(peer) = self.lead.progress.get_mut(from) else {
+            return;
+        };
+        if reply.accepted {
+            peer.matched = peer.matched.max(reply.index.min(last));
+            if !peer.streaming {
+                peer.streaming = true;
+                peer.next = peer.matched + 1;
+            }
+            peer.next = peer.next.max(peer.matched + 1);
+            peer.transfer = None;
+            self.advance_commit(now);
+            if self.role == CoreRole::Leader {
+                self.send_append(from, false);
+            }
+            return;
+        }
+        // A late refusal must neither undo later progress nor start a second search.
+        let current = if peer.streaming {
+            reply.refused_index >= peer.matched
+        } else {
+            reply.refused_index + 1 == peer.next
+        };
+        if current && reply.refused_index > reply.index {
+            peer.streaming = false;
+            peer.next = (reply.index + 1).max(peer.matched + 1);
+            self.send_probe(from);
+        }
+    }
+
+    /// Notes a peer's answer; returns whether it belongs to this leader's term.
+    pub(super) fn accept_reply(
+        &mut self,
+        now: time::Instant,
+        from: &identity::NodeId,
+        term: u64,
+        round: u64,
+    ) -> bool {
+        self.enter_term_as_follower(now, term);
+        if self.role != CoreRole::Leader || term != self.hard.term {
+            return false;
+        }
+        let Some(peer) = self.lead.progress.get_mut(from) else {
+            return false;
+        };
+        peer.acked_round = peer.acked_round.max(round);
+        peer.contact = now;
+        peer.answered = true;
+        peer.silent = false;
+        self.resolve_reads(now);
+        true
+    }
+
+    /// Commits what a quorum holds durably, if it is of this leader's term.
+    pub(super) fn advance_commit(&mut self, now: time::Instant) {
+        if self.role != CoreRole::Leader {
+            return;
+        }
+        let reached = self.quorum_value(|node| {
+            if *node == self.id {
+                return self.durable;
+            }
+            self.lead.progress.get(node).map_or(0, |peer| peer.matched)
+        });
+        // An entry of an earlier term is committed only together with one of this term, because
+        // a later leader could still replace it.
+        if reached <= self.commit || self.log.term(reached) != Some(self.hard.term) {
+            return;
+        }
+        let founded = self.is_founding();
+        self.commit = reached;
+        if founded {
+            // Everyone holds the first membership; from the second one on a majority decides.
+            let payload = self.members().encode();
+            self.append_own(message::EntryKind::Membership, payload);
+        }
+        let removed = !self.is_voter() && self.members_index() <= self.commit;
+        if removed {
+            // The others learn of the commit from this last round.
+            self.start_round(now);
+            self.leader = None;
+            self.follow(now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/usher_entry/src/model/relay.rs
@@ -0,0 +1,412 @@
+//! Relays one call's answer from engines to its caller: hedges, retries, resumes. Not for: HTTP.
+
+use std::{sync, time};
+
+use usher_policy::{CallRequest, RouteDecision, TargetSlot};
+use usher_types::{RunState, TokenCount};
+
+use crate::{
+    core,
+    error::CallError,
+    identity,
+    model::{call, chunk, sse, stream},
+    outcome::{self, OutcomeCause},
+    parts,
+    policy::DecisionPolicy as _,
+};
+
+/// How often a waiting resume looks for a target or for the routing right.
+const RESUME_PAUSE: time::Duration = time::Duration::from_millis(20);
+
+/// Stands for "no timeout" where tests remove timeouts.
+pub(super) const NO_TIMEOUT: time::Duration = time::Duration::from_secs(86_400);
+
+/// A call on its way: its live stream, and what its caller has got so far.
+pub(crate) struct Relay<P>
+where
+    P: parts::EntryParts,
+{
+    pub(super) core: sync::Arc<core::EntryCore<P>>,
+    _running: core::RunningGuard<P>,
+    pub(super) identity: identity::CallIdentity,
+    pub(super) request: CallRequest,
+    pub(super) engine: stream::EngineRequest,
+    pub(super) include_usage: bool,
+    pub(super) live: Option<stream::LiveStream<P>>,
+    /// Engine that decodes, while the stream is on the one that did the prefill.
+    pub(super) decode_on: Option<TargetSlot>,
+    pub(super) moving: tokio::task::JoinSet<Result<stream::LiveStream<P>, String>>,
+    pub(super) delivered: u64,
+    pub(super) attempts: u32,
+    pub(super) resumes: u32,
+    pub(super) hedged: bool,
+    pub(super) slow: bool,
+    pub(super) first_token: Option<time::Instant>,
+    // The first chunk, whose id and time all later ones carry.
+    pub(super) first: Option<serde_json::Value>,
+    pub(super) finished: bool,
+    pub(super) done: bool,
+    pub(super) recorded: bool,
+}
+
+/// An event for the caller.
+#[derive(Debug)]
+pub(crate) struct RelayEvent {
+    pub(crate) raw: bytes::Bytes,
+    pub(crate) facts: chunk::ChunkFacts,
+}
+
+impl<P> Relay<P>
+where
+    P: parts::EntryParts,
+{
+    pub(crate) fn new(
+        core: sync::Arc<core::EntryCore<P>>,
+        identity: identity::CallIdentity,
+        request: CallRequest,
+        call: &call::ModelCall,
+    ) -> Self {
+        let adapter = request
+            .adapter
+            .as_ref()
+            .map(usher_types::AdapterName::as_str);
+        let engine = stream::EngineRequest {
+            path: call.path(),
+            body: sync::Arc::new(call.engine_body(&identity.engine_id, adapter)),
+            priority: 0,
+            resume_from: 0,
+            id: identity.engine_id.clone(),
+        };
+        Self {
+            _running: core::RunningGuard::new(core.clone()),
+            core,
+            identity,
+            request,
+            engine,
+            include_usage: call.include_usage,
+            live: None,
+            decode_on: None,
+            moving: tokio::task::JoinSet::new(),
+            delivered: 0,
+            attempts: 0,
+            resumes: 0,
+            hedged: false,
+            slow: false,
+            first_token: None,
+            first: None,
+            finished: false,
+            done: false,
+            recorded: false,
+        }
+    }
+
+    /// Admits and sends the call and waits for its first token.
+    pub(crate) async fn open(&mut self) -> Result<(), CallError> {
+        let deadline = self.request.deadline;
+        let opened = match deadline {
+            Some(deadline) => {
+                let left = deadline.saturating_duration_since(self.core.now());
+                tokio::time::timeout(left, self.open_attempts()).await
+            }
+            None => Ok(self.open_attempts().await),
+        };
+        match opened {
+            Ok(result) => result,
+            Err(_) => {
+                self.record(OutcomeCause::Late);
+                Err(CallError::deadline())
+            }
+        }
+    }
+
+    async fn open_attempts(&mut self) -> Result<(), CallError> {
+        let mut decision = self.admit()?;
+        loop {
+            let failure = match self.race(&decision).await {
+                Ok(live) => {
+                    self.live = Some(live);
+                    self.plan_handover(&decision);
+                    return Ok(());
+                }
+                Err(failure) => failure,
+            };
+            decision = self.after_failure(failure)?;
+        }
+    }
+
+    pub(super) fn stall_timeout(&self) -> time::Duration {
+        if self.core.options.removed.stall {
+            NO_TIMEOUT
+        } else {
+            self.core.options.stall_timeout
+        }
+    }
+
+    /// Returns the next event for the caller; `None` after the last.
+    pub(crate) async fn next(&mut self) -> Result<Option<RelayEvent>, CallError> {
+        while !self.done {
+            if self.decode_on.is_some() {
+                self.begin_handover();
+            }
+            let Some(live) = self.live.as_mut() else {
+                self.resume().await?;
+                continue;
+            };
+            live.polled(self.core.now());
+            let stall = if self.core.options.removed.stall {
+                NO_TIMEOUT
+            } else {
+                self.core.options.stall_timeout
+            };
+            let core = &self.core;
+            let next = live.next(stall, || core.now());
+            let event = if core.options.removed.drain {
+                tokio::select! {
+                    event = next => event,
+                    () = core.stop.draining() => Err(sse::StreamFault::Stopping),
+                }
+            } else if self.moving.is_empty() {
+                next.await
+            } else {
+                tokio::select! {
+                    event = next => event,
+                    Some(moved) = self.moving.join_next() => {
+                        self.end_handover(moved.unwrap_or_else(|error| Err(error.to_string())));
+                        continue;
+                    }
+                }
+            };
+            let accepted = event.and_then(|event| self.accept(event));
+            match accepted {
+                Ok(Some(event)) => return Ok(Some(event)),
+                Ok(None) => {}
+                Err(fault) => {
+                    if let Some(event) = self.on_fault(&fault)? {
+                        return Ok(Some(event));
+                    }
+                }
+            }
+        }
+        Ok(None)
+    }
+
+    /// Checks an event and returns what the caller gets of it.
+    fn accept(
+        &mut self,
+        event: stream::StreamEvent,
+    ) -> Result<Option<RelayEvent>, sse::StreamFault> {
+        let stream::StreamEvent { raw, facts } = event;
+        if facts.done {
+            if !self.finished {
+                return Err(sse::StreamFault::Cut);
+            }
+            self.complete();
+            return Ok(Some(RelayEvent { raw, facts }));
+        }
+        if let Some(index) = facts.token_index {
+            // A resumed engine may repeat tokens; a token that is missing can't be made up.
+            if index < self.delivered {
+                return Ok(None);
+            }
+            if index > self.delivered {
+                return Err(sse::StreamFault::Garbage("a token is missing"));
+            }
+        }
+        if facts.usage.is_some() && !facts.token && facts.finish.is_none() && !self.include_usage {
+            return Ok(None);
+        }
+        self.finished |= facts.finish.is_some();
+        if facts.token {
+            self.delivered += 1;
+            if self.first_token.is_none() {
+                self.first_token = Some(self.core.now());
+            }
+        }
+        let raw = self.unify(raw)?;
+        Ok(raw.map(|raw| RelayEvent { raw, facts }))
+    }
+
+    /// Makes chunks of several engines look like one answer.
+    fn unify(&mut self, raw: bytes::Bytes) -> Result<Option<bytes::Bytes>, sse::StreamFault> {
+        if self.resumes == 0 {
+            if self.first.is_none() && !self.core.options.removed.checks {
+                let data = sse::event_data(&raw)?;
+                self.first = data.and_then(|data| serde_json::from_str(data).ok());
+            }
+            return Ok(Some(raw));
+        }
+        let (Some(first), Some(data)) = (&self.first, sse::event_data(&raw)?) else {
+            return Ok(Some(raw));
+        };
+        Ok(Some(
+            chunk::rewrite_chunk(data, first).map_or(raw, Into::into),
+        ))
+    }
+
+    /// Ends the live stream after a fault; the next event comes from a resumed one.
+    fn on_fault(&mut self, fault: &sse::StreamFault) -> Result<Option<RelayEvent>, CallError> {
+        let Some(live) = self.live.take() else {
+            return Ok(None);
+        };
+        let target = live.target().0.clone();
+        tracing::info!(
+            request = %self.identity.id, %target, reason = %fault, tokens = self.delivered,
+            "stream broke"
+        );
+        self.slow |= *fault == sse::StreamFault::Stalled;
+        live.fail();
+        self.decode_on = None;
+        self.moving.abort_all();
+        self.moving = tokio::task::JoinSet::new();
+        self.request.avoid.push(target);
+        if self.finished {
+            // The answer is whole; only its formal end is missing.
+            self.complete();
+            let facts = chunk::ChunkFacts {
+                done: true,
+                ..chunk::ChunkFacts::default()
+            };
+            let raw = bytes::Bytes::from_static(chunk::DONE_EVENT.as_bytes());
+            return Ok(Some(RelayEvent { raw, facts }));
+        }
+        let removed = self.core.options.removed.resume;
+        let given_up = removed || self.resumes >= self.core.options.max_resumes;
+        if given_up || *fault == sse::StreamFault::Stopping {
+            self.record_failure();
+            let message = format!("stream broke after {} tokens: {fault}", self.delivered);
+            return Err(CallError::target(
+                "stream_broken",
+                message,
+                RunState::Unknown,
+            ));
+        }
+        Ok(None)
+    }
+
+    /// Opens the stream again on another engine, from the tokens delivered.
+    async fn resume(&mut self) -> Result<(), CallError> {
+        let give_up = self.core.now() + self.core.options.resume_wait;
+        self.resumes += 1;
+        self.core.metrics.add("entry.resumes");
+        self.request.delivered = TokenCount::new(self.delivered);
+        loop {
+            if let Some(decision) = self.choose_resume() {
+                match self.attempt(&decision).await {
+                    Ok(live) => {
+                        self.live = Some(live);
+                        self.plan_handover(&decision);
+                        return Ok(());
+                    }
+                    Err(failure) => {
+                        self.slow |= failure.slow;
+                        self.request.avoid.push(failure.target);
+                    }
+                }
+            }
+            if self.core.now() >= give_up {
+                self.record_failure();
+                let message = "stream broke and no other engine could continue it";
+                return Err(CallError::target(
+                    "stream_broken",
+                    message,
+                    RunState::Unknown,
+                ));
+            }
+            tokio::time::sleep(RESUME_PAUSE).await;
+        }
+    }
+
+    /// Chooses an engine for a resume; one that failed before is better than none.
+    fn choose_resume(&mut self) -> Option<RouteDecision> {
+        if !self.core.has_right() {
+            return None;
+        }
+        let now = self.core.now();
+        let decision = {
+            let mut board = self.core.board();
+            let decision = board.policy.choose(&self.request, now);
+            if decision.target.is_ok() {
+                decision
+            } else {
+                self.request.avoid.clear();
+                board.policy.choose(&self.request, now)
+            }
+        };
+        decision.target.ok()?;
+        let reason = format!("continue after {} tokens", self.delivered);
+        self.note("resume", &decision, reason);
+        Some(decision)
+    }
+
+    fn complete(&mut self) {
+        self.done = true;
+        let now = self.core.now();
+        let late = self.request.deadline.is_some_and(|deadline| now > deadline);
+        let cause = match (late, self.slow) {
+            (true, true) => OutcomeCause::SlowTarget,
+            (true, false) => OutcomeCause::Late,
+            (false, _) => OutcomeCause::Ok,
+        };
+        self.record(cause);
+        if let Some(live) = self.live.take() {
+            live.finish();
+        }
+    }
+
+    pub(super) fn record_failure(&mut self) {
+        let cause = if self.slow {
+            OutcomeCause::SlowTarget
+        } else {
+            OutcomeCause::Failed
+        };
+        self.record(cause);
+    }
+
+    pub(super) fn record(&mut self, cause: OutcomeCause) {
+        if std::mem::replace(&mut self.recorded, true) {
+            return;
+        }
+        let now = self.core.now();
+        let since = |at: time::Instant| at.saturating_duration_since(self.identity.arrived);
+        let target = self.live.as_ref().map(stream::LiveStream::target);
+        let event = outcome::OutcomeEvent {
+            request: self.identity.id.clone(),
+            service: self.request.service.clone(),
+            team: self.identity.team.clone(),
+            firm: self.identity.firm.clone(),
+            class: self.request.class,
+            cause,
+            at: self.identity.arrived_wall,
+            first_token: self.first_token.map(since),
+            total: since(now),
+            tokens: self.delivered,
+            retries: self.attempts.saturating_sub(1),
+            hedged: self.hedged,
+            target: target.map(|target| target.0.clone()),
+            region: target.map(|target| target.1.clone()),
+        };
+        self.core.finish_call(event);
+    }
+
+    pub(super) fn note(&self, step: &'static str, decision: &RouteDecision, reason: String) {
+        self.core.explain(&self.identity, step, decision, reason);
+    }
+}
+
+impl<P> Drop for Relay<P>
+where
+    P: parts::EntryParts,
+{
+    fn drop(&mut self) {
+        self.record(OutcomeCause::Cancelled);
+        if self.core.options.removed.cancel {
+            // Without the mechanism nobody tells the engine, and its stream is read to the end.
+            if let Some(mut live) = self.live.take() {
+                let core = self.core.clone();
+                tokio::spawn(
+                    async move { while live.next(NO_TIMEOUT, || core.now()).await.is_ok() {} },
+                );
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/usher_replica/src/driver/storage.rs
@@ -0,0 +1,141 @@
+//! The thread that writes and syncs the log. Not for: deciding what is written.
+
+use std::{io, sync, thread};
+
+use tokio::sync::mpsc;
+use usher_consensus::{OutputBatch, SnapshotImage};
+use usher_log::StorageFolder;
+
+use crate::bridge;
+
+/// What the thread is asked to do, in order.
+#[derive(Debug)]
+pub(crate) enum StorageJob {
+    /// Write the changes of a batch.
+    Batch(Box<OutputBatch>),
+    /// Take a snapshot of this node's own state into use that was written.
+    FinishSnapshot(u64),
+}
+
+/// What the thread reports.
+#[derive(Debug)]
+pub(crate) enum StorageEvent {
+    /// All batches up to this number are durable.
+    Persisted(u64),
+    /// A snapshot is durable.
+    SnapshotSaved,
+    /// The log is unusable; nothing more is written.
+    Failed(String),
+}
+
+/// Handle of the storage threads; they end when it is dropped.
+#[derive(Debug)]
+pub(crate) struct StorageThread {
+    pub(crate) jobs: sync::mpsc::Sender<StorageJob>,
+    /// Snapshots of this node's own state, written beside the log.
+    pub(crate) snapshots: sync::mpsc::Sender<sync::Arc<SnapshotImage>>,
+    pub(crate) events: mpsc::UnboundedReceiver<StorageEvent>,
+    pub(crate) threads: [thread::JoinHandle<()>; 2],
+}
+
+impl StorageThread {
+    pub(crate) fn start<D>(log: usher_log::DurableLog<D>) -> io::Result<Self>
+    where
+        D: StorageFolder,
+        D::File: Send,
+    {
+        let (jobs, source) = sync::mpsc::channel();
+        let (reports, events) = mpsc::unbounded_channel();
+        let (snapshots, images) = sync::mpsc::channel();
+        let writer = log.snapshot_writer();
+        let (finished, failed) = (jobs.clone(), reports.clone());
+        let snapshot_thread = thread::Builder::new()
+            .name("usher-snapshot".to_owned())
+            .spawn(move || run_snapshots(&writer, &images, &finished, &failed))?;
+        let log_thread = thread::Builder::new()
+            .name("usher-storage".to_owned())
+            .spawn(move || run(log, &source, &reports))?;
+        Ok(Self {
+            jobs,
+            snapshots,
+            events,
+            threads: [snapshot_thread, log_thread],
+        })
+    }
+}
+
+/// Writes snapshots; the log takes them into use between its own writes.
+fn run_snapshots<D>(
+    writer: &usher_log::SnapshotWriter<D>,
+    images: &sync::mpsc::Receiver<sync::Arc<SnapshotImage>>,
+    finished: &sync::mpsc::Sender<StorageJob>,
+    failed: &mpsc::UnboundedSender<StorageEvent>,
+) where
+    D: StorageFolder,
+{
+    while let Ok(image) = images.recv() {
+        if let Err(error) = writer.write(&bridge::stored_snapshot(&image)) {
+            tracing::error!(%error, "writing a snapshot failed");
+            let _ = failed.send(StorageEvent::Failed(error.to_string()));
+            return;
+        }
+        if finished
+            .send(StorageJob::FinishSnapshot(image.index))
+            .is_err()
+        {
+            return;
+        }
+    }
+}
+
+fn run<D>(
+    mut log: usher_log::DurableLog<D>,
+    jobs: &sync::mpsc::Receiver<StorageJob>,
+    reports: &mpsc::UnboundedSender<StorageEvent>,
+) where
+    D: StorageFolder,
+{
+    while let Ok(first) = jobs.recv() {
+        if let Err(error) = write_group(&mut log, first, jobs, reports) {
+            tracing::error!(%error, "writing the log failed");
+            let _ = reports.send(StorageEvent::Failed(error.to_string()));
+            return;
+        }
+    }
+}
+
+/// Writes all jobs that wait, with one fsync.
+fn write_group<D>(
+    log: &mut usher_log::DurableLog<D>,
+    first: StorageJob,
+    jobs: &sync::mpsc::Receiver<StorageJob>,
+    reports: &mpsc::UnboundedSender<StorageEvent>,
+) -> Result<(), usher_log::LogError>
+where
+    D: StorageFolder,
+{
+    let mut next = Some(first);
+    let mut sequence = None;
+    let mut saved = 0;
+    while let Some(job) = next {
+        match job {
+            StorageJob::Batch(batch) => {
+                bridge::write_batch(log, &batch)?;
+                sequence = Some(batch.sequence);
+            }
+            StorageJob::FinishSnapshot(index) => {
+                log.finish_snapshot(index)?;
+                saved += 1;
+            }
+        }
+        next = jobs.try_recv().ok();
+    }
+    log.sync()?;
+    for _ in 0..saved {
+        let _ = reports.send(StorageEvent::SnapshotSaved);
+    }
+    if let Some(sequence) = sequence {
+        let _ = reports.send(StorageEvent::Persisted(sequence));
+    }
+    Ok(())
+}
