Drive the connections to engines from the task that reads the stream

Change: StreamPool keeps connections to engines that make progress only while their stream is read; a request of which nothing was written is sent again over another connection. Plain services stay with the hyper-util client.

--- a/crates/usher_entry/src/builder.rs
+++ b/crates/usher_entry/src/builder.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     board, client, config, core, explain, identity, link, metrics, node, options, outcome, parts,
-    policy, right,
+    policy, right, stream_pool,
 };
 
 /// Holds the parts of an entry until it starts.
@@ -117,6 +117,7 @@
             board: sync::Mutex::new(board::Board::new(self.policy, &self.options)),
             config: config::ConfigKeeper::new(),
             client: client::TargetClient::new(self.options.connect_timeout),
+            streams: stream_pool::StreamPool::new(self.options.connect_timeout),
             records: explain::RecordRing::new(),
             ids: identity::IdSource::new(self.options.incarnation),
             drained_at: sync::OnceLock::new(),
--- a/crates/usher_entry/src/core.rs
+++ b/crates/usher_entry/src/core.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     announce, board, client, config, error, explain, identity, metrics, options, outcome, parts,
-    right,
+    right, stream_pool,
 };
 
 /// The state that handlers get.
@@ -27,6 +27,7 @@
     pub(crate) right: right::RoutingRight,
     pub(crate) config: config::ConfigKeeper,
     pub(crate) client: client::TargetClient,
+    pub(crate) streams: stream_pool::StreamPool,
     pub(crate) records: explain::RecordRing,
     pub(crate) ids: identity::IdSource,
     pub(crate) stop: usher_kernel::StopSignal,
--- a/crates/usher_entry/src/lib.rs
+++ b/crates/usher_entry/src/lib.rs
@@ -28,6 +28,7 @@
 mod policy;
 mod right;
 mod server;
+mod stream_pool;
 mod sync;
 
 pub use announce::{AnnounceReply, AnnouncedLoad, Announcement};
--- a/crates/usher_entry/src/model/sse.rs
+++ b/crates/usher_entry/src/model/sse.rs
@@ -1,6 +1,6 @@
 //! Splits an engine's response into SSE events. Not for: what an event means.
 
-use http_body_util::BodyExt as _;
+use crate::stream_pool;
 
 /// The longest event that is accepted, in bytes.
 const MAX_EVENT_BYTES: usize = 1 << 20;
@@ -31,6 +31,7 @@
 /// Reads events from a response body; keeps at most one event in memory.
 #[derive(Debug)]
 pub(crate) struct SseReader {
+    connection: stream_pool::EngineConnection,
     body: hyper::body::Incoming,
     buffer: bytes::BytesMut,
     // How far the buffer has been searched for the end of an event.
@@ -38,8 +39,12 @@
 }
 
 impl SseReader {
-    pub(crate) fn new(body: hyper::body::Incoming) -> Self {
+    pub(crate) fn new(
+        connection: stream_pool::EngineConnection,
+        body: hyper::body::Incoming,
+    ) -> Self {
         Self {
+            connection,
             body,
             buffer: bytes::BytesMut::new(),
             searched: 0,
@@ -55,7 +60,7 @@
             if self.buffer.len() > MAX_EVENT_BYTES {
                 return Err(StreamFault::Garbage("event is too long"));
             }
-            match self.body.frame().await {
+            match self.connection.frame(&mut self.body).await {
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
                         self.buffer.extend_from_slice(&data);
@@ -68,6 +73,11 @@
         }
     }
 
+    /// Returns the connection and what is left of the body.
+    pub(crate) fn into_parts(self) -> (stream_pool::EngineConnection, hyper::body::Incoming) {
+        (self.connection, self.body)
+    }
+
     fn split(&mut self) -> Option<bytes::Bytes> {
         let start = self.searched.saturating_sub(3);
         let found = find_end(self.buffer.get(start..)?);
--- a/crates/usher_entry/src/model/stream.rs
+++ b/crates/usher_entry/src/model/stream.rs
@@ -9,7 +9,7 @@
     client::SendError,
     core, error,
     model::{chunk, sse},
-    parts,
+    parts, stream_pool,
 };
 
 /// Events before the first token that are kept until it arrives.
@@ -76,6 +76,7 @@
 {
     guard: AttemptGuard<P>,
     reader: sse::SseReader,
+    pool: stream_pool::StreamPool,
     early: std::collections::VecDeque<StreamEvent>,
     // Tokens that others delivered before this stream began.
     start: u64,
@@ -113,6 +114,7 @@
                 Ok(Self {
                     guard,
                     reader,
+                    pool: core.streams.clone(),
                     early,
                     start: request.resume_from,
                     tokens: 0,
@@ -158,12 +160,16 @@
         let request = request
             .to_http(guard.address)
             .map_err(|error| SendError::NotSent(error.to_string()))?;
-        let response = core.client.send(request).await?;
+        let sent = core.streams.send(guard.address, request).await?;
+        let (mut connection, response) = sent;
         let status = response.status();
         if status != http::StatusCode::OK {
-            return Err(OpenError::Status(status, read_error(response).await));
+            return Err(OpenError::Status(
+                status,
+                read_error(&mut connection, response).await,
+            ));
         }
-        let mut reader = sse::SseReader::new(response.into_body());
+        let mut reader = sse::SseReader::new(connection, response.into_body());
         let mut early = std::collections::VecDeque::new();
         let checked = !core.options.removed.checks;
         while early.len() < MAX_EARLY_EVENTS {
@@ -227,6 +233,8 @@
 
     /// Ends the stream after its last event.
     pub(crate) fn finish(self) {
+        let (connection, body) = self.reader.into_parts();
+        self.pool.give_back(connection, body);
         self.guard.finish();
     }
 
@@ -293,13 +301,19 @@
     fault.then(|| error::CallError::invalid(None, message))
 }
 
-async fn read_error(response: http::Response<hyper::body::Incoming>) -> String {
-    use http_body_util::BodyExt as _;
-    let limited = http_body_util::Limited::new(response.into_body(), MAX_ERROR_BYTES);
-    let Ok(body) = limited.collect().await else {
-        return "without a readable body".to_owned();
-    };
-    let bytes = body.to_bytes();
+async fn read_error(
+    connection: &mut stream_pool::EngineConnection,
+    response: http::Response<hyper::body::Incoming>,
+) -> String {
+    let mut body = response.into_body();
+    let mut bytes = Vec::new();
+    while let Some(frame) = connection.frame(&mut body).await {
+        let data = frame.ok().and_then(|frame| frame.into_data().ok());
+        bytes.extend_from_slice(&data.unwrap_or_default());
+        if bytes.len() > MAX_ERROR_BYTES {
+            return "with a body that is too long".to_owned();
+        }
+    }
     let value: Option<serde_json::Value> = serde_json::from_slice(&bytes).ok();
     let message = value
         .as_ref()
--- /dev/null
+++ b/crates/usher_entry/src/stream_pool.rs
@@ -0,0 +1,210 @@
+//! Connections to engines that their reader drives itself. Not for: plain services.
+
+use std::{collections, future, future::Future as _, net, pin, sync, task, time};
+
+use hyper::{body::Body as _, client::conn::http1};
+use tokio::net as tokio_net;
+
+use crate::client::SendError;
+
+/// How long bytes to an engine may stay unacknowledged before the connection counts as broken.
+const USER_TIMEOUT: time::Duration = time::Duration::from_secs(5);
+
+/// How long an idle connection is kept; shorter than engines usually keep theirs.
+const IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(15);
+
+/// Idle connections kept for each engine.
+const MAX_IDLE: usize = 64;
+
+/// How long a finished stream may take to its formal end before its connection is given up.
+const END_WAIT: time::Duration = time::Duration::from_millis(200);
+
+type FullBody = http_body_util::Full<bytes::Bytes>;
+type FrameResult = Option<Result<hyper::body::Frame<bytes::Bytes>, hyper::Error>>;
+
+/// A connection that makes progress only while one of its methods is awaited.
+///
+/// With a task for each connection, every token would wake two tasks, often on two threads.
+pub(crate) struct EngineConnection {
+    sender: http1::SendRequest<FullBody>,
+    connection: http1::Connection<hyper_util::rt::TokioIo<tokio_net::TcpStream>, FullBody>,
+    ended: bool,
+    address: net::SocketAddr,
+    used_at: time::Instant,
+}
+
+impl std::fmt::Debug for EngineConnection {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("EngineConnection")
+            .field("address", &self.address)
+            .field("ended", &self.ended)
+            .finish_non_exhaustive()
+    }
+}
+
+impl EngineConnection {
+    async fn connect(address: net::SocketAddr, timeout: time::Duration) -> Result<Self, SendError> {
+        let socket = tokio::time::timeout(timeout, tokio_net::TcpStream::connect(address))
+            .await
+            .map_err(|_| SendError::NotSent("connecting took too long".to_owned()))?
+            .map_err(not_sent)?;
+        socket.set_nodelay(true).map_err(not_sent)?;
+        socket2::SockRef::from(&socket)
+            .set_tcp_user_timeout(Some(USER_TIMEOUT))
+            .map_err(not_sent)?;
+        let io = hyper_util::rt::TokioIo::new(socket);
+        let (sender, connection) = http1::handshake(io).await.map_err(not_sent)?;
+        Ok(Self {
+            sender,
+            connection,
+            ended: false,
+            address,
+            used_at: time::Instant::now(),
+        })
+    }
+
+    fn drive(&mut self, context: &mut task::Context<'_>) {
+        if !self.ended {
+            let connection = pin::Pin::new(&mut self.connection);
+            self.ended = future::Future::poll(connection, context).is_ready();
+        }
+    }
+
+    /// Sends a request; gives it back when none of it was written.
+    async fn send(
+        &mut self,
+        request: http::Request<FullBody>,
+    ) -> Result<http::Response<hyper::body::Incoming>, (SendError, Option<http::Request<FullBody>>)>
+    {
+        let response = self.sender.try_send_request(request);
+        tokio::pin!(response);
+        let result = future::poll_fn(|context| {
+            if let task::Poll::Ready(result) = response.as_mut().poll(context) {
+                return task::Poll::Ready(result);
+            }
+            self.drive(context);
+            response.as_mut().poll(context)
+        })
+        .await;
+        result.map_err(|mut error| {
+            let request = error.take_message();
+            let message = error.into_error().to_string();
+            (SendError::Unknown(message), request)
+        })
+    }
+
+    /// Returns the next frame of the body that this connection carries.
+    pub(crate) async fn frame(&mut self, body: &mut hyper::body::Incoming) -> FrameResult {
+        future::poll_fn(|context| {
+            if let task::Poll::Ready(frame) = pin::Pin::new(&mut *body).poll_frame(context) {
+                return task::Poll::Ready(frame);
+            }
+            self.drive(context);
+            pin::Pin::new(&mut *body).poll_frame(context)
+        })
+        .await
+    }
+
+    /// Returns whether another request can be sent.
+    fn is_usable(&mut self) -> bool {
+        let mut context = task::Context::from_waker(task::Waker::noop());
+        self.drive(&mut context);
+        !self.ended && self.sender.is_ready()
+    }
+}
+
+fn not_sent(error: impl std::fmt::Display) -> SendError {
+    SendError::NotSent(error.to_string())
+}
+
+/// Keeps idle connections to engines; cheap to clone.
+#[derive(Clone, Debug)]
+pub(crate) struct StreamPool {
+    connect_timeout: time::Duration,
+    idle: sync::Arc<sync::Mutex<collections::HashMap<net::SocketAddr, Vec<EngineConnection>>>>,
+}
+
+impl StreamPool {
+    pub(crate) fn new(connect_timeout: time::Duration) -> Self {
+        Self {
+            connect_timeout,
+            idle: sync::Arc::default(),
+        }
+    }
+
+    /// Sends a request over an idle or a new connection.
+    pub(crate) async fn send(
+        &self,
+        address: net::SocketAddr,
+        mut request: http::Request<FullBody>,
+    ) -> Result<(EngineConnection, http::Response<hyper::body::Incoming>), SendError> {
+        while let Some(mut connection) = self.take(address) {
+            match connection.send(request).await {
+                Ok(response) => return Ok((connection, response)),
+                // The engine closed the idle connection meanwhile; nothing was written.
+                Err((_, Some(unsent))) => request = unsent,
+                Err((error, None)) => return Err(error),
+            }
+        }
+        let mut connection = EngineConnection::connect(address, self.connect_timeout).await?;
+        match connection.send(request).await {
+            Ok(response) => Ok((connection, response)),
+            Err((error, Some(_))) => Err(SendError::NotSent(error.to_string())),
+            Err((error, None)) => Err(error),
+        }
+    }
+
+    /// Takes a connection back after the end of its response, or once that has arrived.
+    pub(crate) fn give_back(
+        &self,
+        mut connection: EngineConnection,
+        mut body: hyper::body::Incoming,
+    ) {
+        use futures_util::FutureExt as _;
+        match connection.frame(&mut body).now_or_never() {
+            Some(None) => self.put(connection),
+            Some(Some(_)) => {}
+            None => {
+                let pool = self.clone();
+                tokio::spawn(async move {
+                    let end = connection.frame(&mut body);
+                    if let Ok(None) = tokio::time::timeout(END_WAIT, end).await {
+                        pool.put(connection);
+                    }
+                });
+            }
+        }
+    }
+
+    fn put(&self, mut connection: EngineConnection) {
+        if !connection.is_usable() {
+            return;
+        }
+        connection.used_at = time::Instant::now();
+        let mut idle = self.lock();
+        let connections = idle.entry(connection.address).or_default();
+        if connections.len() < MAX_IDLE {
+            connections.push(connection);
+        }
+    }
+
+    fn take(&self, address: net::SocketAddr) -> Option<EngineConnection> {
+        let mut idle = self.lock();
+        let connections = idle.get_mut(&address)?;
+        while let Some(mut connection) = connections.pop() {
+            if connection.used_at.elapsed() < IDLE_TIMEOUT && connection.is_usable() {
+                return Some(connection);
+            }
+        }
+        idle.remove(&address);
+        None
+    }
+
+    fn lock(
+        &self,
+    ) -> sync::MutexGuard<'_, collections::HashMap<net::SocketAddr, Vec<EngineConnection>>> {
+        self.idle
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
