--- a/crates/usher_entry/src/model/chunk.rs
+++ b/crates/usher_entry/src/model/chunk.rs
@@ -107,7 +107,8 @@
 }
 
 /// Gives an event of a resumed stream the id and time of the first part.
-pub(crate) fn rewrite_chunk(data: &str, first: &serde_json::Value) -> Option<String> {
+pub(crate) fn rewrite_chunk(data: &str, first: &str) -> Option<String> {
+    let first: serde_json::Value = serde_json::from_str(first).ok()?;
     let mut chunk: serde_json::Value = serde_json::from_str(data).ok()?;
     for field in ["id", "created", "model"] {
         if let Some(value) = first.get(field) {
--- a/crates/usher_entry/src/model/handover.rs
+++ b/crates/usher_entry/src/model/handover.rs
@@ -76,6 +76,7 @@
     pub(super) fn end_handover(&mut self, moved: Result<stream::LiveStream<P>, String>) {
         match moved {
             Ok(live) => {
+                self.moved = true;
                 if let Some(old) = self.live.replace(live) {
                     old.hand_over();
                 }
