Test that hedges answer short work past a stalled engine

Cause: hedging was only exercised by chance. Change: a call to a stalled engine is answered by the second attempt and the loser is cancelled; the same call waits with hedges removed. Conclusion: the mechanism is shown with and without.

--- a/crates/usher_entry/tests/entry/streams.rs
+++ b/crates/usher_entry/tests/entry/streams.rs
@@ -230,3 +230,40 @@
     }
     fleet.wait_idle().await;
 }
+
+/// Sends calls until one of them has gone to a stalled engine; tells whether it was answered.
+async fn call_past_a_stalled_engine(options: EntryOptions) -> (Fleet, FakeEngine, bool) {
+    let fleet = Fleet::start(options).await;
+    let stalled = fleet.engine(steady("engine-1")).await;
+    let _other = fleet.engine(steady("engine-2")).await;
+    fleet.fill_budget().await;
+    let before = stalled.requests().len();
+    stalled.faults().stall(true);
+    let mut answered = true;
+    while answered && stalled.requests().len() == before {
+        let call = tokio::time::timeout(time::Duration::from_secs(3), fleet.stream(3));
+        match call.await {
+            Ok(reply) => reply.assert_whole(3),
+            Err(_) => answered = false,
+        }
+    }
+    (fleet, stalled, answered)
+}
+
+/// Guards against short work that waits for an engine that doesn't begin, and against a loser of
+/// the race that goes on.
+#[tokio::test]
+async fn late_first_token_is_hedged() {
+    let (fleet, stalled, answered) = call_past_a_stalled_engine(options()).await;
+    assert!(answered);
+    stalled.faults().clear();
+    wait_for("the loser is cancelled", || stalled.open_streams() == 0).await;
+    fleet.wait_idle().await;
+}
+
+/// Shows that such a call waits without hedges.
+#[tokio::test]
+async fn late_first_token_waits_without_hedge() {
+    let (_fleet, _stalled, answered) = call_past_a_stalled_engine(options().without_hedge()).await;
+    assert!(!answered);
+}
