--- a/crates/usher_entry/src/lib.rs
+++ b/crates/usher_entry/src/lib.rs
@@ -29,6 +29,7 @@
 mod policy;
 mod right;
 mod server;
+mod stream_pool;
 mod sync;
 
 pub use accounts::AccountDirectory;
