Measure slopes of state, messages and processor time with bench scale

Cause: the page on capacity needs slopes measured by one command. Change: bench scale with a line fit and its residual for each figure, and bench overhead on the command line.

--- a/crates/pimentousher/src/command/bench.rs
+++ b/crates/pimentousher/src/command/bench.rs
@@ -1,8 +1,8 @@
 //! `bench`: measures routing decisions in virtual time. Not for: real traffic.
 
-use std::{path, str};
+use std::{io, path, str};
 
-use crate::{args, command::CommandOutput, error};
+use crate::{args, command::CommandOutput, error, overhead, scale};
 
 const HELP: &str = "\
 Measures the routing decisions in virtual time against baselines, with small fake engines.
@@ -41,6 +41,11 @@
     let Some(arguments) = read(&mut reader)? else {
         return Ok(CommandOutput::ok(format!("{HELP}\n")));
     };
+    match arguments.experiment.as_deref() {
+        Some("scale") => return measure(scale::measure_scale(), &arguments),
+        Some("overhead") => return measure_overhead(&arguments),
+        _ => {}
+    }
     let options = options(&reader, &arguments)?;
     let report = usher_bench::run(&options).map_err(error::CommandError::failed)?;
     let text = match arguments.format {
@@ -51,6 +56,37 @@
     Ok(CommandOutput { text, failed })
 }
 
+/// Measures real parts over loopback, for docs/CAPACITY.md; the figures vary from run to run.
+fn measure(
+    report: io::Result<scale::ScaleReport>,
+    arguments: &BenchArgs,
+) -> Result<CommandOutput, error::CommandError> {
+    let report = report.map_err(error::CommandError::failed)?;
+    let text = match arguments.format {
+        args::OutputFormat::Json => report.to_json().map_err(error::CommandError::failed)? + "\n",
+        _ => report.to_string(),
+    };
+    Ok(CommandOutput::ok(text))
+}
+
+fn measure_overhead(arguments: &BenchArgs) -> Result<CommandOutput, error::CommandError> {
+    let options = overhead::OverheadOptions::default();
+    let report = overhead::measure_overhead(&options).map_err(error::CommandError::failed)?;
+    let text = match arguments.format {
+        args::OutputFormat::Json => {
+            let body = serde_json::json!({
+                "p50_ratio": report.p50_ratio(),
+                "p99_ratio": report.p99_ratio(),
+                "rate_ratio": report.rate_ratio(),
+                "calls_per_core": report.calls_per_core(),
+            });
+            format!("{body}\n")
+        }
+        _ => report.to_string(),
+    };
+    Ok(CommandOutput::ok(text))
+}
+
 fn read(reader: &mut args::ArgReader<'_>) -> Result<Option<BenchArgs>, error::CommandError> {
     let mut found = BenchArgs {
         seed: 1,
--- a/crates/pimentousher/src/lib.rs
+++ b/crates/pimentousher/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod file;
 pub mod leader;
 pub mod overhead;
+pub mod scale;
 pub mod thread_time;
--- /dev/null
+++ b/crates/pimentousher/src/scale/control_part.rs
@@ -0,0 +1,189 @@
+//! Processor time and bytes of a control node for its entries. Not for: claims.
+
+use std::{fs, io, net, time};
+
+use prost::Message as _;
+use usher_control::{ControlNode, ControlOptions};
+use usher_wire::{
+    message::{self, envelope},
+    CallClient, WireIdentity,
+};
+
+use crate::{
+    scale::{report, state_part},
+    thread_time,
+};
+
+/// Entries of the target size that one of 8 control nodes serves.
+const TARGET_ENTRIES: f64 = 43.0;
+
+/// Targets of the target size.
+const TARGET_TARGETS: f64 = 760.0;
+
+/// Interval of heartbeats.
+const HEARTBEAT: time::Duration = time::Duration::from_millis(500);
+
+/// How long one size is measured, after the registry is known everywhere.
+const MEASURED: time::Duration = time::Duration::from_secs(4);
+
+/// How long connections and the registry may take to settle.
+const SETTLE: time::Duration = time::Duration::from_secs(3);
+
+/// How long the node may take to lead and to answer.
+const CALL_LIMIT: time::Duration = time::Duration::from_secs(5);
+
+/// Name that the threads of the control node begin with.
+const CONTROL_THREADS: &str = "scale-control";
+
+/// Bytes of a frame beside its message.
+const FRAME_BYTES: usize = 12;
+
+pub(crate) fn measure() -> io::Result<Vec<report::ScaleRow>> {
+    let mut bytes = Vec::new();
+    for targets in [21, 100, 300, 760] {
+        let traffic = serve(8, targets)?;
+        bytes.push((targets as f64, traffic.bytes_per_second));
+    }
+    let mut cpu = Vec::new();
+    for entries in [20, 40, 80, 160] {
+        let traffic = serve(entries, 100)?;
+        cpu.push((entries as f64, traffic.core_percent));
+    }
+    Ok(vec![
+        report::ScaleRow::new(
+            "entry",
+            "control traffic of an entry, both ways",
+            "bytes/s",
+            "targets",
+            bytes,
+            TARGET_TARGETS,
+        ),
+        report::ScaleRow::new(
+            "control",
+            "processor time of a node for its entries",
+            "% of a core",
+            "entries",
+            cpu,
+            TARGET_ENTRIES,
+        ),
+    ])
+}
+
+struct EntryTraffic {
+    bytes_per_second: f64,
+    core_percent: f64,
+}
+
+/// Runs one control node and stand-in entries, each with threads of its own.
+fn serve(entries: usize, targets: usize) -> io::Result<EntryTraffic> {
+    let runtime = |name: &str| {
+        tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(2)
+            .thread_name(name)
+            .enable_all()
+            .build()
+    };
+    let control = runtime(CONTROL_THREADS)?;
+    let callers = runtime("scale-entry")?;
+    let folder = std::env::temp_dir().join(format!("pimentousher-scale-{}", std::process::id()));
+    let _ = fs::remove_dir_all(&folder);
+    let node = ControlNode::new(ControlOptions::new("control-1", &folder));
+    let running = control
+        .block_on(node.start())
+        .map_err(|error| io::Error::other(error.to_string()))?;
+    let address = running.wire_address();
+    let tasks: Vec<_> = (0..entries)
+        .map(|number| callers.spawn(run_entry(number, entries, targets, address)))
+        .collect();
+    std::thread::sleep(SETTLE);
+    let before = thread_time::of_threads(CONTROL_THREADS)?;
+    std::thread::sleep(MEASURED);
+    let used = thread_time::of_threads(CONTROL_THREADS)? - before;
+    let mut bytes = 0.0;
+    for task in tasks {
+        bytes += callers.block_on(task).map_err(io::Error::other)?;
+    }
+    control.block_on(running.stop());
+    fs::remove_dir_all(&folder)?;
+    Ok(EntryTraffic {
+        bytes_per_second: bytes / entries as f64,
+        core_percent: 100.0 * used.as_secs_f64() / MEASURED.as_secs_f64(),
+    })
+}
+
+/// Sends heartbeats until the measurement is over; returns the bytes per second once settled.
+async fn run_entry(number: usize, entries: usize, targets: usize, address: net::SocketAddr) -> f64 {
+    let entry = message::NodeIdentity {
+        name: format!("entry-{number}"),
+        incarnation: 1,
+    };
+    let identity = WireIdentity {
+        cluster: "pimentousher".to_owned(),
+        node: usher_types::NodeName::new(entry.name.clone()),
+        incarnation: usher_types::IncarnationId::new(1),
+    };
+    let client = CallClient::new(address, identity);
+    let own: Vec<_> = (0..targets)
+        .filter(|target| target % entries == number)
+        .collect();
+    tokio::time::sleep(HEARTBEAT * number as u32 / entries as u32).await;
+    let start = time::Instant::now();
+    let mut ticks = tokio::time::interval(HEARTBEAT);
+    let (mut registry, mut bytes) = (0, 0);
+    for beat in 1_u64.. {
+        ticks.tick().await;
+        if start.elapsed() > SETTLE + MEASURED {
+            break;
+        }
+        let request = heartbeat(&entry, &own, registry, beat);
+        let sent = request.encoded_len();
+        let body = envelope::Body::SyncRequest(request);
+        let Ok(envelope::Body::SyncReply(reply)) = client.call(body, CALL_LIMIT).await else {
+            continue;
+        };
+        registry = reply.registry_version;
+        if start.elapsed() > SETTLE {
+            bytes += sent + reply.encoded_len() + 2 * FRAME_BYTES;
+        }
+    }
+    bytes as f64 / MEASURED.as_secs_f64()
+}
+
+fn heartbeat(
+    entry: &message::NodeIdentity,
+    own: &[usize],
+    registry_version: u64,
+    sequence: u64,
+) -> message::SyncRequest {
+    let records = own.iter().map(|target| state_part::engine_record(*target));
+    let loads = own.iter().map(|target| message::LoadReport {
+        target: state_part::engine_record(*target).name,
+        incarnation: *target as u64 + 1,
+        age_ms: 120,
+        running: 25,
+        waiting: 3,
+        prefill_tokens_waiting: 50_000 + sequence,
+        kv_pieces_used: 700,
+    });
+    // Targets report every second, so with every other heartbeat; new ones are sent at first.
+    let reporting = sequence.is_multiple_of(2);
+    message::SyncRequest {
+        entry: Some(entry.clone()),
+        region: "south-a".to_owned(),
+        domain: "south-a-1".to_owned(),
+        registry_version,
+        announced: if sequence <= 4 {
+            records.collect()
+        } else {
+            Vec::new()
+        },
+        loads: if reporting {
+            loads.collect()
+        } else {
+            Vec::new()
+        },
+        sequence,
+        takes_delta: true,
+        ..message::SyncRequest::default()
+    }
+}
--- /dev/null
+++ b/crates/pimentousher/src/scale/entry_part.rs
@@ -0,0 +1,48 @@
+//! Processor time of an entry for requests and tokens. Not for: its control traffic.
+
+use std::io;
+
+use crate::{overhead, scale::report};
+
+/// Requests per second of one daemon at the target size: 4,900 over 340.
+const TARGET_REQUESTS: f64 = 14.4;
+
+/// Tokens of a request at the target size: 1.4 million over 4,900.
+const TARGET_TOKENS: f64 = 286.0;
+
+pub(crate) fn measure() -> io::Result<Vec<report::ScaleRow>> {
+    let mut points = Vec::new();
+    for tokens in [1, 64, 128, 256] {
+        let options = overhead::OverheadOptions {
+            calls: 400,
+            rounds: 2,
+            callers: 8,
+            tokens,
+            stream: true,
+        };
+        let report = overhead::measure_overhead(&options)?;
+        points.push((tokens as f64, report.entry_time.as_secs_f64() * 1e6));
+    }
+    let request = report::ScaleRow::new(
+        "entry",
+        "processor time of a streamed request",
+        "us",
+        "tokens",
+        points,
+        TARGET_TOKENS,
+    );
+    let share = request.at_target * TARGET_REQUESTS / 1e6 * 100.0;
+    let rates = [0.25, 0.5, 0.75, 1.0].map(|part| {
+        let rate = TARGET_REQUESTS * part;
+        (rate, share * part)
+    });
+    let daemon = report::ScaleRow::new(
+        "entry",
+        "processor time of a daemon's requests, worked out",
+        "% of a core",
+        "requests/s",
+        rates.to_vec(),
+        TARGET_REQUESTS,
+    );
+    Ok(vec![request, daemon])
+}
--- /dev/null
+++ b/crates/pimentousher/src/scale/fit.rs
@@ -0,0 +1,59 @@
+//! Least squares over a few sizes. Not for: choosing the sizes.
+
+usher_types::value_type! {
+    /// A line through measured points, with its largest residual.
+    ///
+    /// ```
+    /// use pimentousher::scale::LineFit;
+    /// let fit = LineFit::of(&[(1.0, 3.0), (2.0, 5.0), (4.0, 9.0), (8.0, 17.0)]);
+    /// assert!((fit.at(16.0) - 33.0).abs() < 1e-9);
+    /// assert!(fit.residual < 1e-9);
+    /// ```
+    #[derive(Copy, serde::Serialize)]
+    pub struct LineFit {
+        /// Value at size 0.
+        pub intercept: f64,
+        /// Growth for each unit of size.
+        pub slope: f64,
+        /// Largest distance of a point from the line, as a share of the largest value.
+        pub residual: f64,
+    }
+}
+
+impl LineFit {
+    /// Fits points of size and value; one size alone gives a level line.
+    pub fn of(points: &[(f64, f64)]) -> Self {
+        let count = points.len().max(1) as f64;
+        let mean_size = points.iter().map(|(size, _)| size).sum::<f64>() / count;
+        let mean_value = points.iter().map(|(_, value)| value).sum::<f64>() / count;
+        let spread: f64 = points
+            .iter()
+            .map(|(size, _)| (size - mean_size).powi(2))
+            .sum();
+        let joint: f64 = points
+            .iter()
+            .map(|(size, value)| (size - mean_size) * (value - mean_value))
+            .sum();
+        let slope = if spread > 0.0 { joint / spread } else { 0.0 };
+        let mut fit = Self {
+            intercept: mean_value - slope * mean_size,
+            slope,
+            residual: 0.0,
+        };
+        let largest = points
+            .iter()
+            .map(|(_, value)| value.abs())
+            .fold(f64::MIN_POSITIVE, f64::max);
+        let furthest = points
+            .iter()
+            .map(|(size, value)| (value - fit.at(*size)).abs())
+            .fold(0.0, f64::max);
+        fit.residual = furthest / largest;
+        fit
+    }
+
+    /// Returns the value of the line at a size.
+    pub fn at(&self, size: f64) -> f64 {
+        self.intercept + self.slope * size
+    }
+}
--- /dev/null
+++ b/crates/pimentousher/src/scale/policy_part.rs
@@ -0,0 +1,147 @@
+//! Cost of routing and of fair shares in an entry. Not for: the quality of decisions.
+
+use std::time;
+
+use usher_policy::{
+    CallRequest, FairShare, LoadReport, RegistryChange, RoutePolicy, RouteSettings, RouteTable,
+    TargetInfo,
+};
+use usher_types::{FirmName, PieceCount, TargetName, TeamName, TokenCount};
+
+use crate::scale::{report, resident};
+
+/// Engines of the target size, and teams.
+const TARGET_ENGINES: f64 = 760.0;
+const TARGET_TEAMS: f64 = 11_000.0;
+
+/// Decisions measured at each size.
+const DECISIONS: u32 = 5_000;
+
+/// Time between decisions; 4,900 requests per second over 340 daemons is one in 69 ms.
+const STEP: time::Duration = time::Duration::from_millis(69);
+
+const REGIONS: [&str; 3] = ["south-a", "north-a", "west-a"];
+const FIRMS: usize = 400;
+
+pub(crate) fn measure() -> Vec<report::ScaleRow> {
+    vec![
+        decision_time(),
+        table_memory(),
+        share_memory(),
+        share_time(),
+    ]
+}
+
+fn add_engine(table: &mut RouteTable, number: usize) {
+    let region = REGIONS[number % REGIONS.len()];
+    let text = format!("engine-{number}");
+    let info = TargetInfo::engine(&text, "assist", region)
+        .with_model("m")
+        .with_pieces(384);
+    table.on_registry(RegistryChange::Put(info));
+    let report = LoadReport {
+        taken_at: time::Instant::now(),
+        running: (number % 40) as u32,
+        waiting: 0,
+        prefill_waiting: TokenCount::new(number as u64 % 900),
+        pieces_used: PieceCount::new(number as u64 % 300),
+    };
+    table.on_report(&TargetName::new(text), &report);
+}
+
+fn decision_time() -> report::ScaleRow {
+    let points = [21, 100, 760, 2_000].map(|engines| {
+        let mut table = RouteTable::new(RouteSettings::new("south-a"));
+        (0..engines).for_each(|number| add_engine(&mut table, number));
+        let mut policy = RoutePolicy::new(1);
+        let mut now = time::Instant::now();
+        let request = CallRequest::new("r", "assist", now)
+            .with_model("m")
+            .with_tokens(TokenCount::new(4_000), TokenCount::new(300));
+        let start = time::Instant::now();
+        for _ in 0..DECISIONS {
+            now += STEP;
+            let decision = policy.choose(&request, &mut table, now);
+            std::hint::black_box(decision);
+        }
+        let each = start.elapsed() / DECISIONS;
+        (engines as f64, each.as_secs_f64() * 1e6)
+    });
+    report::ScaleRow::new(
+        "entry",
+        "time of a routing decision",
+        "us",
+        "engines",
+        points.to_vec(),
+        TARGET_ENGINES,
+    )
+}
+
+fn table_memory() -> report::ScaleRow {
+    let mut table = RouteTable::new(RouteSettings::new("south-a"));
+    let sizes = [4_000, 8_000, 16_000, 32_000];
+    let points = resident::grow(&mut table, &sizes, add_engine);
+    report::ScaleRow::new(
+        "entry",
+        "memory of the route table",
+        "KiB",
+        "engines",
+        points,
+        TARGET_ENGINES,
+    )
+}
+
+fn account(number: usize) -> (FirmName, TeamName) {
+    (
+        FirmName::new(format!("firm-{}", number % FIRMS)),
+        TeamName::new(format!("team-{number}")),
+    )
+}
+
+fn share_memory() -> report::ScaleRow {
+    let now = time::Instant::now();
+    let mut share = FairShare::new();
+    let sizes = [11_000, 22_000, 44_000, 88_000];
+    let points = resident::grow(&mut share, &sizes, |share, number| {
+        let (firm, team) = account(number);
+        share.on_asked(&firm, &team, 0.1, now);
+        share.on_accepted(&firm, &team, 0.1, now);
+    });
+    report::ScaleRow::new(
+        "entry",
+        "memory of the fair shares",
+        "KiB",
+        "teams",
+        points,
+        TARGET_TEAMS,
+    )
+}
+
+fn share_time() -> report::ScaleRow {
+    let points = [1_375, 2_750, 5_500, 11_000].map(|teams| {
+        let mut now = time::Instant::now();
+        let mut share = FairShare::new();
+        let accounts: Vec<_> = (0..teams).map(account).collect();
+        for (firm, team) in &accounts {
+            share.on_asked(firm, team, 0.1, now);
+        }
+        let start = time::Instant::now();
+        for number in 0..DECISIONS as usize {
+            now += STEP;
+            let (firm, team) = &accounts[number * 7 % teams];
+            share.on_asked(firm, team, 0.1, now);
+            std::hint::black_box(share.over(firm, team, now));
+            share.on_accepted(firm, team, 0.1, now);
+        }
+        let each = start.elapsed() / DECISIONS;
+        (teams as f64, each.as_secs_f64() * 1e6)
+    });
+    report::ScaleRow::new(
+        "entry",
+        "time of a fair-share decision",
+        "us",
+        "teams",
+        points.to_vec(),
+        TARGET_TEAMS,
+    )
+}
--- /dev/null
+++ b/crates/pimentousher/src/scale/resident.rs
@@ -0,0 +1,34 @@
+//! Resident memory of this process. Not for: the memory of one structure alone.
+
+use std::fs;
+
+/// Size of a page of memory on the machines that Linux runs this on, in bytes.
+const PAGE_BYTES: u64 = 4_096;
+
+/// Returns the resident memory in KiB; 0 where the system doesn't tell.
+pub(crate) fn resident_kib() -> f64 {
+    let text = fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text.split_whitespace().nth(1);
+    let pages: u64 = pages.and_then(|pages| pages.parse().ok()).unwrap_or(0);
+    (pages * PAGE_BYTES) as f64 / 1_024.0
+}
+
+/// Builds something of growing size and returns the memory it added, in KiB, at each size.
+///
+/// The thing is built in steps of one run, because freed memory isn't always returned.
+pub(crate) fn grow<S, F>(state: &mut S, sizes: &[usize], mut add: F) -> Vec<(f64, f64)>
+where
+    F: FnMut(&mut S, usize),
+{
+    let before = resident_kib();
+    let mut done = 0;
+    let mut points = Vec::new();
+    for size in sizes {
+        for number in done..*size {
+            add(state, number);
+        }
+        done = *size;
+        points.push((*size as f64, resident_kib() - before));
+    }
+    points
+}
