--- a/crates/usher_entry/src/board.rs
+++ b/crates/usher_entry/src/board.rs
@@ -36,6 +36,17 @@
     output: u64,
 }
 
+/// The registry as control sends it.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct RegistryUpdate {
+    pub(crate) version: u64,
+    pub(crate) records: Vec<message::TargetRecord>,
+    /// Set when only changes are listed.
+    pub(crate) partial: bool,
+    /// Targets that are gone, when only changes are listed.
+    pub(crate) gone: Vec<String>,
+}
+
 /// State that a decision reads and an event changes.
 #[derive(Debug)]
 pub(crate) struct Board<D> {
@@ -103,52 +114,65 @@
         }
     }
 
-    /// Takes the registry of control as a whole.
-    pub(crate) fn take_registry(
-        &mut self,
-        version: u64,
-        records: Vec<message::TargetRecord>,
-        now: time::Instant,
-    ) {
-        self.registry_version = version;
-        let mut old = std::mem::take(&mut self.targets);
-        for record in records {
-            let Some((info, address)) = info_of(&record, self.keep_leaving) else {
-                tracing::warn!(
-                    target = record.name,
-                    "registry holds a target that is not valid"
-                );
-                continue;
-            };
-            let known = old.remove(&info.name);
-            let same = known
-                .as_ref()
-                .filter(|target| target.incarnation == info.incarnation);
-            let seen = same.map_or(now, |target| target.seen);
-            let standing = same.map_or(Standing::Live, |target| target.standing);
-            let changed = same.is_none_or(|target| target.record != record);
-            let target = BoardTarget {
-                address,
-                incarnation: info.incarnation,
-                record,
-                seen,
-                standing,
-            };
-            let name = info.name.clone();
-            if changed {
-                self.policy.on_registry(RegistryChange::Put(info));
-                if standing == Standing::Suspect {
-                    self.policy
-                        .on_registry(RegistryChange::Suspect(name.clone()));
-                }
+    /// Takes the registry of an answer: all targets, or only those that changed since ours.
+    pub(crate) fn take_registry(&mut self, update: RegistryUpdate, now: time::Instant) {
+        self.registry_version = update.version;
+        let mut unlisted: collections::BTreeSet<_> = if update.partial {
+            update.gone.into_iter().map(TargetName::new).collect()
+        } else {
+            self.targets.keys().cloned().collect()
+        };
+        for record in update.records {
+            let name = TargetName::new(record.name.clone());
+            // A target whose record isn't valid can't be used any more.
+            if self.take_record(record, now) {
+                unlisted.remove(&name);
+            } else {
+                unlisted.insert(name);
             }
-            self.announced
-                .retain(|announced, record| *announced != name || *record != target.record);
-            self.targets.insert(name, target);
         }
-        for name in old.into_keys() {
-            self.policy.on_registry(RegistryChange::Gone(name));
+        for name in unlisted {
+            if self.targets.remove(&name).is_some() {
+                self.policy.on_registry(RegistryChange::Gone(name));
+            }
+        }
+    }
+
+    /// Takes the record of one target; returns false when it isn't valid.
+    fn take_record(&mut self, record: message::TargetRecord, now: time::Instant) -> bool {
+        let Some((info, address)) = info_of(&record, self.keep_leaving) else {
+            tracing::warn!(
+                target = record.name,
+                "registry holds a target that is not valid"
+            );
+            return false;
+        };
+        let known = self.targets.remove(&info.name);
+        let same = known
+            .as_ref()
+            .filter(|target| target.incarnation == info.incarnation);
+        let seen = same.map_or(now, |target| target.seen);
+        let standing = same.map_or(Standing::Live, |target| target.standing);
+        let changed = same.is_none_or(|target| target.record != record);
+        let target = BoardTarget {
+            address,
+            incarnation: info.incarnation,
+            record,
+            seen,
+            standing,
+        };
+        let name = info.name.clone();
+        if changed {
+            self.policy.on_registry(RegistryChange::Put(info));
+            if standing == Standing::Suspect {
+                self.policy
+                    .on_registry(RegistryChange::Suspect(name.clone()));
+            }
         }
+        self.announced
+            .retain(|announced, record| *announced != name || *record != target.record);
+        self.targets.insert(name, target);
+        true
     }
 
     /// Takes load reports that reached control through other entries.
--- a/crates/usher_entry/src/link/memory.rs
+++ b/crates/usher_entry/src/link/memory.rs
@@ -43,14 +43,18 @@
     config_version: u64,
     sheet: String,
     registry_version: u64,
+    // Version at which each target changed or went away last.
+    changes: collections::BTreeMap<String, u64>,
     targets: collections::BTreeMap<String, message::TargetRecord>,
     marked: collections::BTreeSet<String>,
+    removed: collections::BTreeSet<String>,
     loads: collections::BTreeMap<String, (time::Instant, message::LoadReport)>,
     shares: Vec<message::CapacityShare>,
     claims: collections::BTreeMap<String, ClaimRecord>,
     demands: Vec<message::ServiceDemand>,
     syncs: u64,
     clock: Option<usher_types::ManualClock>,
+    ignoring: bool,
 }
 
 impl Default for ControlState {
@@ -63,14 +67,17 @@
             config_version: 0,
             sheet: String::new(),
             registry_version: 1,
+            changes: collections::BTreeMap::new(),
             targets: collections::BTreeMap::new(),
             marked: collections::BTreeSet::new(),
+            removed: collections::BTreeSet::new(),
             loads: collections::BTreeMap::new(),
             shares: Vec::new(),
             claims: collections::BTreeMap::new(),
             demands: Vec::new(),
             syncs: 0,
             clock: None,
+            ignoring: false,
         }
     }
 }
@@ -120,6 +127,14 @@
         state.sheet = sheet.to_owned();
     }
 
+    /// Goes back to an older registry version without targets, as a node that is behind.
+    pub fn set_behind(&self) {
+        let mut state = self.lock();
+        state.registry_version = 0;
+        state.targets.clear();
+        state.ignoring = true;
+    }
+
     /// Sets the shares of the capacity that every entry gets.
     pub fn set_shares(&self, shares: Vec<message::CapacityShare>) {
         self.lock().shares = shares;
@@ -129,12 +144,20 @@
     pub fn drain_target(&self, name: &str) {
         let mut state = self.lock();
         state.marked.insert(name.to_owned());
-        state.registry_version += 1;
+        state.note_change(name);
         if let Some(target) = state.targets.get_mut(name) {
             target.leaving = true;
         }
     }
 
+    /// Removes a target for good, as control does with an incarnation that is gone.
+    pub fn remove_target(&self, name: &str) {
+        let mut state = self.lock();
+        state.targets.remove(name);
+        state.removed.insert(name.to_owned());
+        state.note_change(name);
+    }
+
     /// Returns whether a target is known to be leaving.
     pub fn is_leaving(&self, name: &str) -> bool {
         let state = self.lock();
@@ -182,11 +205,33 @@
         }
     }
 
+    fn note_change(&mut self, name: &str) {
+        self.registry_version += 1;
+        self.changes.insert(name.to_owned(), self.registry_version);
+    }
+
+    /// Returns the targets to send to an entry that knows the registry of a version.
+    fn targets_since(&self, known: u64) -> (Vec<message::TargetRecord>, Vec<String>) {
+        let changed = self.changes.iter().filter(|(_, version)| **version > known);
+        let mut records = Vec::new();
+        let mut gone = Vec::new();
+        for (name, _) in changed {
+            match self.targets.get(name) {
+                Some(target) => records.push(target.clone()),
+                None => gone.push(name.clone()),
+            }
+        }
+        (records, gone)
+    }
+
     fn take_announced(&mut self, announced: Vec<message::TargetRecord>) {
         for mut target in announced {
+            if self.removed.contains(&target.name) {
+                continue;
+            }
             target.leaving |= self.marked.contains(&target.name);
             if self.targets.get(&target.name) != Some(&target) {
-                self.registry_version += 1;
+                self.note_change(&target.name);
                 self.targets.insert(target.name.clone(), target);
             }
         }
@@ -202,7 +247,9 @@
 
     fn reply(&mut self, request: message::SyncRequest) -> message::SyncReply {
         self.syncs += 1;
-        self.take_announced(request.announced);
+        if !self.ignoring {
+            self.take_announced(request.announced);
+        }
         self.take_loads(request.loads);
         if !request.demands.is_empty() {
             self.demands = request.demands;
@@ -214,6 +261,14 @@
             age_ms: u64::try_from((now - *at).as_millis()).unwrap_or(u64::MAX),
             ..load.clone()
         });
+        let registry_delta = request.takes_delta && request.registry_version > 0;
+        let (targets, gone) = if !registry_changed {
+            Default::default()
+        } else if registry_delta {
+            self.targets_since(request.registry_version)
+        } else {
+            (self.targets.values().cloned().collect(), Vec::new())
+        };
         message::SyncReply {
             sequence: request.sequence,
             config_version: self.config_version,
@@ -225,11 +280,9 @@
             },
             registry_version: self.registry_version,
             registry_changed,
-            targets: if registry_changed {
-                self.targets.values().cloned().collect()
-            } else {
-                Vec::new()
-            },
+            registry_delta,
+            targets,
+            gone,
             loads: loads.collect(),
             shares: self.shares.clone(),
             right_ms: u64::try_from(self.right.as_millis()).unwrap_or(u64::MAX),
--- a/crates/usher_entry/src/sync.rs
+++ b/crates/usher_entry/src/sync.rs
@@ -6,7 +6,7 @@
 use usher_types::ConfigVersion;
 use usher_wire::message;
 
-use crate::{config, core, link::ControlLink as _, parts, policy::DecisionPolicy as _};
+use crate::{board, config, core, link::ControlLink as _, parts, policy::DecisionPolicy as _};
 
 /// Sends heartbeats until the process stops.
 pub(crate) async fn run_heartbeats<P>(core: sync::Arc<core::EntryCore<P>>)
@@ -79,6 +79,7 @@
         demands: board.take_demands(now.saturating_duration_since(demand_at)),
         sequence,
         stopping: core.stop.is_draining(),
+        takes_delta: true,
     }
 }
 
@@ -94,9 +95,22 @@
     let now = core.now();
     let right = time::Duration::from_millis(reply.right_ms);
     let mut board = core.board();
+    if reply.registry_version < board.registry_version() {
+        // An older registry could take back a leaving mark.
+        drop(board);
+        tracing::warn!("control node has an older registry: its answer is not used");
+        core.link.move_on();
+        return;
+    }
     board.reported(sent_at);
     if reply.registry_changed {
-        board.take_registry(reply.registry_version, reply.targets, now);
+        let update = board::RegistryUpdate {
+            version: reply.registry_version,
+            records: reply.targets,
+            partial: reply.registry_delta,
+            gone: reply.gone,
+        };
+        board.take_registry(update, now);
     }
     board.take_loads(reply.loads, now);
     if !reply.shares.is_empty() {
--- a/crates/usher_entry/tests/entry/lifecycle.rs
+++ b/crates/usher_entry/tests/entry/lifecycle.rs
@@ -137,6 +137,23 @@
     assert_eq!(version, 4);
 }
 
+/// Guards against a registry without its leaving marks, from a control node that is behind.
+#[tokio::test]
+async fn older_registry_is_not_acted_on() {
+    let fleet = Fleet::start(options().with_suspect_after(PAST_THE_RIGHT * 2)).await;
+    let _engine = fleet.engine(instant("engine-1")).await;
+    fleet.control.set_behind();
+    let syncs = fleet.control.syncs();
+    wait_for("control was heard of again", || {
+        fleet.control.syncs() > syncs + 2
+    })
+    .await;
+    assert_eq!(fleet.node.status().targets, 1);
+    // Such a node gives no right either.
+    fleet.clock.advance(PAST_THE_RIGHT);
+    assert!(!fleet.node.status().right);
+}
+
 /// Guards against a drain that cuts off a straggler or lets new work in.
 #[tokio::test]
 async fn drain_finishes_the_straggler() {
@@ -288,3 +305,22 @@
     assert!(engine.requests().is_empty());
     assert_eq!(fleet.outcomes.causes(), [OutcomeCause::Refused]);
 }
+
+/// Guards against a partial registry that keeps a target that is gone, or loses one that it
+/// doesn't list.
+#[tokio::test]
+async fn partial_registry_removes_only_what_is_gone() {
+    let fleet = Fleet::start(options()).await;
+    let gone = fleet.engine(instant("engine-1")).await;
+    let kept = fleet.engine(instant("engine-2")).await;
+    fleet.control.remove_target("engine-1");
+    let before = fleet.control.syncs();
+    wait_for("two heartbeats", || fleet.control.syncs() > before + 1).await;
+    let calls = gone.requests().len();
+    for _ in 0..8 {
+        let reply = fleet.chat(&chat_body(1, false)).await;
+        assert_eq!(reply.status, 200);
+    }
+    assert_eq!(gone.requests().len(), calls);
+    assert_eq!(kept.requests().len(), 8);
+}
--- a/crates/usher_entry/tests/entry/main.rs
+++ b/crates/usher_entry/tests/entry/main.rs
@@ -6,6 +6,8 @@
 mod accounts;
 mod basics;
 mod callers;
+mod handover;
+mod hostile;
 mod lifecycle;
 mod plain;
 mod streams;
