--- a/crates/usher_consensus/tests/core_cases.rs
+++ b/crates/usher_consensus/tests/core_cases.rs
@@ -1,91 +1,16 @@
 //! Single situations of the core that went wrong once.
 
+mod support;
+
 use std::{sync, time};
 
+use support::{ack, from, leader, member_of, members, node, run, settle};
 use usher_consensus::{
     ConsensusCore, ConsensusSettings, CoreRole, HardState, InitialState, MemberTable,
-    MembershipChange, NodeId, OutputBatch, SnapshotImage,
+    MembershipChange, NodeId, SnapshotImage,
 };
 use usher_wire::message::{self, consensus_message::Kind};
 
-fn node(name: &str) -> NodeId {
-    NodeId::new(name, 1)
-}
-
-fn member_of(id: &NodeId) -> message::Member {
-    message::Member {
-        identity: Some(id.to_message()),
-        voter: true,
-        ..Default::default()
-    }
-}
-
-fn members() -> Vec<message::Member> {
-    ["a", "b", "c"]
-        .iter()
-        .map(|name| member_of(&node(name)))
-        .collect()
-}
-
-fn from(id: &NodeId, to: &NodeId, term: u64, kind: Kind) -> message::ConsensusMessage {
-    message::ConsensusMessage {
-        from: Some(id.to_message()),
-        to: Some(to.to_message()),
-        term,
-        kind: Some(kind),
-    }
-}
-
-fn run(core: &mut ConsensusCore, now: time::Instant) -> Vec<OutputBatch> {
-    let mut all = Vec::new();
-    while let Some(batch) = core.take_output() {
-        core.persisted(now, batch.sequence);
-        all.push(batch);
-    }
-    all
-}
-
-fn vote(pre_vote: bool) -> Kind {
-    Kind::VoteReply(message::VoteReply {
-        pre_vote,
-        granted: true,
-    })
-}
-
-fn ack(index: u64, round: u64) -> Kind {
-    Kind::AppendReply(message::AppendReply {
-        accepted: true,
-        index,
-        round,
-        refused_index: 0,
-    })
-}
-
-/// Makes a leader of term 1 with the lease confirmed at `now`.
-fn leader(now: time::Instant) -> ConsensusCore {
-    let a = node("a");
-    let settings = ConsensusSettings::default();
-    let mut core = ConsensusCore::new(a.clone(), settings, InitialState::default(), 1, now);
-    core.bootstrap(now, members());
-    core.tick(now);
-    run(&mut core, now);
-    for pre in [true, false] {
-        for peer in ["b", "c"] {
-            core.receive(now, from(&node(peer), &a, 1, vote(pre)));
-            run(&mut core, now);
-        }
-    }
-    assert_eq!(core.role(), CoreRole::Leader);
-    for index in [1, 2] {
-        for peer in ["b", "c"] {
-            core.receive(now, from(&node(peer), &a, 1, ack(index, 1)));
-            run(&mut core, now);
-        }
-    }
-    assert_eq!(core.commit(), 2);
-    core
-}
-
 fn empty_append(index: u64) -> Kind {
     Kind::AppendRequest(message::AppendRequest {
         previous_index: index,
@@ -255,27 +180,6 @@
     assert_eq!(ready, 3_000);
 }
 
-/// Delivers messages between cores at once until there are none; messages to others are dropped.
-fn settle(cores: &mut [&mut ConsensusCore], now: time::Instant) {
-    loop {
-        let mut sent = Vec::new();
-        for core in cores.iter_mut() {
-            for batch in run(core, now) {
-                sent.extend(batch.messages);
-                sent.extend(batch.messages_after_write);
-            }
-        }
-        if sent.is_empty() {
-            return;
-        }
-        for message in sent {
-            for core in cores.iter_mut() {
-                core.receive(now, message.clone());
-            }
-        }
-    }
-}
-
 fn founder(incarnation: u64, now: time::Instant) -> ConsensusCore {
     let id = NodeId::new("a", incarnation);
     let settings = ConsensusSettings::default();
