Take test and demo ports below those of outgoing connections

Cause: scenario kill_mid_stream failed once in a full run: control-3 ended with "Address already in use". Its port came from the range that the system gives to outgoing connections, and one of these took it between the choice and the listen. The demo chose its ports in the same way. Change: both take free ports from 18000 to 31999 and begin at a place that differs between processes. Conclusion: the cause is gone for outgoing connections; another process that listens on the chosen port in between can still fail a run.

--- a/crates/pimentousher/src/demo/fleet.rs
+++ b/crates/pimentousher/src/demo/fleet.rs
@@ -165,15 +165,26 @@
     }
 }
 
-/// Takes ports that are free now, because each control node must know those of the others.
+/// Takes ports that are free now, because each control node must know those of the others. They lie
+/// below those that the system gives to outgoing connections, which could take one meanwhile.
 fn free_addresses(count: usize) -> Result<Vec<net::SocketAddr>, error::CommandError> {
-    let loopback = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0));
-    let listeners: Result<Vec<_>, _> = (0..count)
-        .map(|_| net::TcpListener::bind(loopback))
+    const FIRST: u64 = 18_000;
+    const PORTS: u64 = 14_000;
+    // Demos that run at the same time begin at different ports.
+    let start = usher_types::IncarnationSource::random().get() % PORTS;
+    let ports = (0..PORTS).map(|step| FIRST + (start + step) % PORTS);
+    let addresses: Vec<_> = ports
+        .filter_map(|port| u16::try_from(port).ok())
+        .map(|port| net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, port)))
+        .filter(|address| net::TcpListener::bind(address).is_ok())
+        .take(count)
         .collect();
-    let listeners = listeners.map_err(error::CommandError::failed)?;
-    let addresses: Result<Vec<_>, _> = listeners.iter().map(net::TcpListener::local_addr).collect();
-    addresses.map_err(error::CommandError::failed)
+    if addresses.len() < count {
+        return Err(error::CommandError::failed(
+            "too few ports are free on loopback",
+        ));
+    }
+    Ok(addresses)
 }
 
 async fn start_control(
--- a/crates/usher_scenario/src/runner.rs
+++ b/crates/usher_scenario/src/runner.rs
@@ -1,6 +1,6 @@
 //! Runs a script against the real daemons. Not for: reading scripts.
 
-use std::{collections, fs, io, net, path, time};
+use std::{collections, fs, io, net, path, process, sync::atomic, time};
 
 use nix::sys::signal;
 use tokio::{sync, task};
@@ -637,9 +637,24 @@
     }
 }
 
-/// Returns a loopback address with a port that is free now.
+/// Returns a loopback address with a port that is free now and that no earlier call returned.
+///
+/// The port lies below those that the system gives to outgoing connections: one of these could take
+/// it before the process that it is meant for listens on it.
 fn free_address() -> Result<net::SocketAddr, error::ScenarioError> {
-    net::TcpListener::bind("127.0.0.1:0")
-        .and_then(|listener| listener.local_addr())
-        .map_err(|source| io_error("free port", source))
+    const FIRST: u64 = 18_000;
+    const PORTS: u64 = 14_000;
+    static NEXT: atomic::AtomicU64 = atomic::AtomicU64::new(0);
+    // Runs in other processes begin at other ports.
+    let start = u64::from(process::id()) * 61;
+    for _ in 0..PORTS {
+        let step = NEXT.fetch_add(1, atomic::Ordering::SeqCst);
+        let port = u16::try_from(FIRST + (start + step) % PORTS).unwrap_or(u16::MAX);
+        let address = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, port));
+        if net::TcpListener::bind(address).is_ok() {
+            return Ok(address);
+        }
+    }
+    let source = io::Error::from(io::ErrorKind::AddrInUse);
+    Err(io_error("free port", source))
 }
