--- a/crates/pimentousher/tests/tour.rs
+++ b/crates/pimentousher/tests/tour.rs
@@ -161,11 +161,11 @@
     };
     assert_eq!(find("check-config").1, "7 files are accepted\n");
     assert!(find("--dry-run").1.contains("+ assist in south-a"));
-    assert!(
-        find("status").1.contains("targets: 3"),
-        "{}",
-        find("status").1
-    );
+    let (_, status) = outputs
+        .iter()
+        .find(|(line, _)| line == "pimentousher status")
+        .unwrap();
+    assert!(status.contains("targets: 3"), "{status}");
     assert!(find("/v1/models").1.contains("gum-8b"));
     assert!(find("\"stream\":true").1.contains("data: [DONE]"));
     let calls: Vec<_> = outputs
