usher_policy: RouteTable split by job

Change: expected times are in expect.rs, what concerns all targets of a service in refresh.rs; code moved, not changed.

--- a/crates/usher_policy/src/lib.rs
+++ b/crates/usher_policy/src/lib.rs
@@ -5,8 +5,10 @@
 
 mod admit;
 mod entry;
+mod expect;
 mod lease;
 mod prefix;
+mod refresh;
 mod request;
 mod retry;
 mod role;
--- a/crates/usher_policy/src/table.rs
+++ b/crates/usher_policy/src/table.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, time};
 
-use usher_types::{EngineRole, RegionName, ServiceName, TargetName, TokenCount, WorkClass};
+use usher_types::{RegionName, ServiceName, TargetName, TokenCount};
 
 use crate::{prefix, request, settings, slot, slow, state, target};
 
@@ -17,35 +17,6 @@
 const OUTPUT_GAIN: f64 = 0.02;
 /// A call is a straggler when its output exceeds its estimate this many times.
 const STRAGGLER_FACTOR: u64 = 4;
-/// A target that failed this often in a row is avoided for a while.
-const FAILURES_IN_ROW: u32 = 2;
-/// How long a target is avoided after failures in a row.
-const FAILURE_PAUSE: time::Duration = time::Duration::from_secs(2);
-/// Prompt tokens that an engine prefills in one batch step, as most engines do by default.
-const CHUNK_TOKENS: f64 = 512.0;
-/// Most of the others' calls that is taken from own calls instead of reports, and the own calls per
-/// engine at which half of it is: a daemon with few calls has no sample of what others do.
-const OWN_SHARE: f64 = 0.9;
-const OWN_SAMPLE: f64 = 2.0;
-/// Shares of long work outside of which it isn't kept apart, because there is only one class.
-const BOTH_CLASSES: std::ops::Range<f64> = 0.005..0.995;
-/// Fill of the batches above which long work isn't kept apart.
-const FILL_WITHOUT_ROOM: f64 = 0.7;
-/// Calls by which the load of a target is typically misjudged, because reports are late.
-const CALLS_UNSURE: f64 = 8.0;
-/// Time that one more running call adds to a batch step, relative to the step of an empty batch.
-const STEP_GROWTH: f64 = 0.02;
-
-/// Time over which the work of each class is averaged, for confining long work.
-const WORK_MEMORY: time::Duration = time::Duration::from_secs(15);
-/// Part of an engine that is rounded up to a whole one for long work; more of them would leave too
-/// little room for short work, whose deadlines are closer.
-const LONG_MARGIN: f64 = 0.4;
-
-/// How old the weights of targets may be; sorting all targets for each decision costs too much.
-/// It grows with the number of targets, so that the cost per time stays the same.
-const REFRESH_EVERY: time::Duration = time::Duration::from_millis(20);
-const REFRESH_TARGETS: usize = 100;
 
 #[derive(Clone, Debug)]
 struct AttemptState {
@@ -66,28 +37,28 @@
 /// The entry calls one `on_...` method for each event; no method does I/O or reads a clock.
 #[derive(Clone, Debug)]
 pub struct RouteTable {
-    settings: settings::RouteSettings,
-    slots: collections::BTreeMap<TargetName, slot::TargetSlot>,
-    states: Vec<state::TargetState>,
-    pools: collections::BTreeMap<
+    pub(crate) settings: settings::RouteSettings,
+    pub(crate) slots: collections::BTreeMap<TargetName, slot::TargetSlot>,
+    pub(crate) states: Vec<state::TargetState>,
+    pub(crate) pools: collections::BTreeMap<
         ServiceName,
         collections::BTreeMap<RegionName, Vec<slot::TargetSlot>>,
     >,
     attempts: collections::HashMap<slot::AttemptId, AttemptState>,
-    next_attempt: u64,
-    prefixes: prefix::PrefixMap,
-    detector: slow::SlowDetector,
-    mean_output: f64,
+    pub(crate) next_attempt: u64,
+    pub(crate) prefixes: prefix::PrefixMap,
+    pub(crate) detector: slow::SlowDetector,
+    pub(crate) mean_output: f64,
     /// Observed prefill time of all targets relative to the expected one.
-    common_pace: f64,
+    pub(crate) common_pace: f64,
     /// Room in the batches for keeping work apart, from 1 when they are empty to 0.
-    room: f64,
+    pub(crate) room: f64,
     /// Whether long work has engines of its own.
-    confined: bool,
+    pub(crate) confined: bool,
     /// Recent work of short and long calls in engine-seconds, and when it was last faded.
-    work: [f64; 2],
-    work_at: Option<time::Instant>,
-    refreshed: collections::BTreeMap<ServiceName, time::Instant>,
+    pub(crate) work: [f64; 2],
+    pub(crate) work_at: Option<time::Instant>,
+    pub(crate) refreshed: collections::BTreeMap<ServiceName, time::Instant>,
 }
 
 impl RouteTable {
@@ -298,22 +269,6 @@
         self.detector.observe(slot, ratio, allowance <= 0.0, now);
     }
 
-    /// Returns the expected seconds of a step without prefill, and of the prefill that may be in it;
-    /// without what was learned of the target.
-    fn step_bounds(&self, slot: slot::TargetSlot) -> (f64, f64) {
-        let Some(state) = self.state(slot) else {
-            return (1.0, 1.0);
-        };
-        let load = state.load();
-        let plain = self.plain_step(&load);
-        let prefill = if state.for_long {
-            CHUNK_TOKENS
-        } else {
-            CHUNK_TOKENS.min(load.prefill())
-        };
-        (plain, prefill / self.settings.prefill_rate)
-    }
-
     /// Notes that an attempt ended with its whole answer.
     pub fn on_finished(&mut self, id: slot::AttemptId, now: time::Instant) {
         if let Some(slot) = self.release(id, now) {
@@ -431,105 +386,6 @@
         &self.detector
     }
 
-    /// Brings the weights of a service's targets up to date; cheap when that was done a moment ago.
-    pub(crate) fn refresh(&mut self, service: &ServiceName, now: time::Instant) {
-        let Some(regions) = self.pools.get(service) else {
-            return;
-        };
-        let fresh = self.refreshed.get(service);
-        let targets: usize = regions.values().map(Vec::len).sum();
-        let every = REFRESH_EVERY * (targets / REFRESH_TARGETS + 1) as u32;
-        if fresh.is_some_and(|at| now.duration_since(*at) < every) {
-            return;
-        }
-        let groups: Vec<Vec<slot::TargetSlot>> = regions.values().cloned().collect();
-        let weights = self.detector.weights(&groups, now);
-        for (slot, weight) in groups.iter().flatten().zip(weights.iter().flatten()) {
-            let state = &mut self.states[slot.index()];
-            state.weight = *weight;
-            state.slowness = self.detector.slowness(*slot);
-        }
-        self.compare_calls(&groups);
-        self.confine_long(&groups);
-        self.refreshed.insert(service.clone(), now);
-    }
-
-    /// Compares own calls with those of other daemons over all targets of the service.
-    fn compare_calls(&mut self, groups: &[Vec<slot::TargetSlot>]) {
-        let states = || {
-            groups
-                .iter()
-                .flatten()
-                .map(|slot| &self.states[slot.index()])
-        };
-        let own: f64 = states().map(|state| state.own().calls).sum();
-        let others: f64 = states().map(|state| state.others().calls).sum();
-        let ratio = if own > 0.0 { others / own } else { 0.0 };
-        let engines = groups.iter().flatten().count() as f64;
-        let own_share = OWN_SHARE * own / (own + OWN_SAMPLE * engines).max(1.0);
-        let places = engines * f64::from(self.settings.batch_limit);
-        let fill = (own + others) / places.max(1.0);
-        self.room = (1.0 - fill / FILL_WITHOUT_ROOM).max(0.0);
-        for slot in groups.iter().flatten() {
-            let state = &mut self.states[slot.index()];
-            state.others_ratio = ratio;
-            state.own_share = own_share;
-        }
-    }
-
-    /// Marks the mixed engines that long work is confined to: its share of the work, taken in
-    /// turn from each region in the order of names, so that all daemons mark nearly the same.
-    fn confine_long(&mut self, groups: &[Vec<slot::TargetSlot>]) {
-        let mixed = |slot: &&slot::TargetSlot| {
-            let state = &self.states[slot.index()];
-            state.takes_work() && state.info.role == EngineRole::Mixed && state.weight > 0.5
-        };
-        let open: Vec<Vec<slot::TargetSlot>> = groups
-            .iter()
-            .map(|group| group.iter().filter(mixed).copied().collect())
-            .collect();
-        let count: usize = open.iter().map(Vec::len).sum();
-        let [short, long] = self.work;
-        let share = long / (short + long).max(f64::MIN_POSITIVE);
-        self.confined = BOTH_CLASSES.contains(&share);
-        let wanted = ((share * count as f64 + LONG_MARGIN) as usize).max(1);
-        for slot in groups.iter().flatten() {
-            self.states[slot.index()].for_long = false;
-        }
-        let longest = open.iter().map(Vec::len).max().unwrap_or(0);
-        let turns = (0..longest).flat_map(|turn| open.iter().map(move |group| group.get(turn)));
-        let wanted = if self.confined { wanted } else { 0 };
-        let chosen: Vec<slot::TargetSlot> = turns.flatten().take(wanted).copied().collect();
-        for slot in chosen {
-            self.states[slot.index()].for_long = true;
-        }
-    }
-
-    fn note_work(&mut self, request: &request::CallRequest, prefill: f64, now: time::Instant) {
-        let since = self.work_at.replace(now).unwrap_or(now);
-        let elapsed = now.saturating_duration_since(since).as_secs_f64();
-        let factor = (-elapsed / WORK_MEMORY.as_secs_f64()).exp();
-        self.work = self.work.map(|work| work * factor);
-        let token = self.settings.token_time.as_secs_f64()
-            * (1.0 / f64::from(self.settings.batch_limit.max(1)) + STEP_GROWTH);
-        let work = prefill / self.settings.prefill_rate + request.remaining().get() as f64 * token;
-        self.work[usize::from(request.class == WorkClass::Long)] += work;
-    }
-
-    /// Returns a slow target of the service whose probe is due.
-    pub(crate) fn take_probe(
-        &mut self,
-        service: &ServiceName,
-        now: time::Instant,
-    ) -> Option<slot::TargetSlot> {
-        let slots = self.detector.slow_slots();
-        let due = slots.into_iter().find(|slot| {
-            let state = &self.states[slot.index()];
-            state.takes_work() && state.info.service == *service
-        })?;
-        self.detector.take_probe(due, now).then_some(due)
-    }
-
     pub(crate) fn state(&self, slot: slot::TargetSlot) -> Option<&state::TargetState> {
         self.states.get(slot.index())
     }
@@ -542,112 +398,4 @@
         let slot = *self.slots.get(name)?;
         self.states.get_mut(slot.index())
     }
-
-    /// Returns whether a target failed repeatedly a moment ago.
-    pub(crate) fn is_failing(&self, slot: slot::TargetSlot, now: time::Instant) -> bool {
-        self.state(slot).is_some_and(|state| {
-            state.failures >= FAILURES_IN_ROW
-                && state
-                    .failed_at
-                    .is_some_and(|at| now.duration_since(at) < FAILURE_PAUSE)
-        })
-    }
-
-    /// Returns the prompt tokens that the target would have to prefill.
-    pub(crate) fn prefill_work(
-        &self,
-        request: &request::CallRequest,
-        slot: slot::TargetSlot,
-    ) -> f64 {
-        let hit = self.prefixes.hit_tokens(slot, &request.prefixes);
-        let prompt = request.prompt.get().saturating_add(request.delivered.get()) as f64;
-        (prompt - hit).max(1.0)
-    }
-
-    /// Returns the expected seconds from sending to the first token, without the link.
-    pub(crate) fn expect_first(
-        &self,
-        request: &request::CallRequest,
-        slot: slot::TargetSlot,
-    ) -> f64 {
-        let Some(state) = self.state(slot) else {
-            return f64::INFINITY;
-        };
-        let load = state.load();
-        let work = self.prefill_work(request, slot);
-        let step = self.plain_step(&load);
-        let seconds = match request.class {
-            WorkClass::Short => {
-                // Short work has the higher priority, but waits for the step that runs, and its
-                // own steps are filled up with long prefill.
-                let crowded = (state.for_long && self.room > 0.0) || load.long_prefill >= 1.0;
-                let chunk = if crowded { CHUNK_TOKENS } else { 0.0 };
-                let own = (load.short_prefill + work).max(chunk);
-                let prefill = (0.5 * chunk + own) / self.settings.prefill_rate;
-                let steps = 0.5 + (work / CHUNK_TOKENS).ceil();
-                steps * step + prefill
-            }
-            WorkClass::Long => {
-                let tokens = load.prefill() + work;
-                let steps = (tokens / CHUNK_TOKENS).ceil();
-                steps * step + tokens / self.settings.prefill_rate
-            }
-        };
-        seconds * state.prefill_pace * self.common_pace * state.slowness
-    }
-
-    /// Returns the expected seconds for one more output token.
-    pub(crate) fn expect_token(&self, slot: slot::TargetSlot) -> f64 {
-        let Some(state) = self.state(slot) else {
-            return f64::INFINITY;
-        };
-        self.plain_step(&state.load()) * state.decode_pace
-    }
-
-    /// Returns the expected seconds until the batch and the memory of a target have room.
-    pub(crate) fn slot_wait(&self, request: &request::CallRequest, slot: slot::TargetSlot) -> f64 {
-        let Some(state) = self.state(slot) else {
-            return f64::INFINITY;
-        };
-        let load = state.load();
-        let limit = f64::from(self.settings.batch_limit);
-        // The calls of other daemons are known late, so a batch may be full before it seems so.
-        let over = (load.calls + 1.0 - limit) / CALLS_UNSURE;
-        let ahead = CALLS_UNSURE * over.exp().ln_1p().max(over);
-        let ahead = if self.fits_now(request, slot) {
-            ahead
-        } else {
-            ahead.max(1.0)
-        };
-        let wait = ahead * self.expect_token(slot) * self.mean_output / limit;
-        match request.class {
-            WorkClass::Short => wait,
-            // Long work waits behind the short work that arrives in the meantime.
-            WorkClass::Long => 2.0 * wait,
-        }
-    }
-
-    /// Returns whether the memory of a target is expected to hold the call at once.
-    pub(crate) fn fits_now(&self, request: &request::CallRequest, slot: slot::TargetSlot) -> bool {
-        self.state(slot).is_some_and(|state| {
-            let pieces = state.info.pieces.get();
-            let needed = request.pieces().get() as f64;
-            pieces == 0 || state.load().pieces + needed <= pieces as f64
-        })
-    }
-
-    /// Returns the room in the batches for keeping long work apart; 0 when it has no engines of
-    /// its own.
-    pub(crate) fn room(&self) -> f64 {
-        if self.confined {
-            self.room
-        } else {
-            0.0
-        }
-    }
-
-    fn plain_step(&self, load: &state::TargetLoad) -> f64 {
-        let batch = load.calls.min(f64::from(self.settings.batch_limit));
-        self.settings.token_time.as_secs_f64() * (1.0 + STEP_GROWTH * batch)
-    }
 }
