usher_policy: fair use fades over 30 s

Cause: one entry sees few calls of a firm; over 15 s their noise still refused firms below their share. Change: 30 s.

--- a/crates/usher_policy/src/share.rs
+++ b/crates/usher_policy/src/share.rs
@@ -6,7 +6,7 @@
 
 /// Time over which recent use fades to a third. One entry sees a few calls of a small firm per
 /// second; over a shorter time their noise looks like unfair use.
-const USE_MEMORY: time::Duration = time::Duration::from_secs(15);
+const USE_MEMORY: time::Duration = time::Duration::from_secs(30);
 /// Calls of usual size that a team may have had above its share: one entry sees only a few calls of a
 /// team, and one more or less must not count as unfair.
 const ALLOWED_CALLS: f64 = 4.0;
