--- a/crates/usher_policy/src/share.rs
+++ b/crates/usher_policy/src/share.rs
@@ -14,9 +14,6 @@
 const WORK_GAIN: f64 = 0.02;
 /// Firms and teams idle for longer than this are forgotten.
 const IDLE_FORGOTTEN: time::Duration = time::Duration::from_secs(120);
-/// How long a share is used before it is worked out again over all firms, or all teams of a firm.
-/// With 250 ms, more than 1% of the calls at a crest were accepted and late.
-const LEVEL_PERIOD: time::Duration = time::Duration::from_millis(50);
 /// How often idle accounts are looked for.
 const FORGET_PERIOD: time::Duration = time::Duration::from_secs(10);
 
@@ -110,41 +107,11 @@
     }
 }
 
-/// A water level that is worked out from time to time.
-#[derive(Clone, Copy, Debug)]
-struct ShareLevel {
-    level: f64,
-    at: time::Instant,
-}
-
-impl ShareLevel {
-    fn is_old(&self, now: time::Instant) -> bool {
-        now.saturating_duration_since(self.at) >= LEVEL_PERIOD
-    }
-}
-
-/// Returns the level that is kept, or works it out again when it is old.
-fn refresh<F>(kept: &mut Option<ShareLevel>, now: time::Instant, work_out: F) -> f64
-where
-    F: FnOnce() -> f64,
-{
-    match kept {
-        Some(kept) if !kept.is_old(now) => kept.level,
-        _ => {
-            let level = work_out();
-            *kept = Some(ShareLevel { level, at: now });
-            level
-        }
-    }
-}
-
 #[derive(Clone, Debug)]
 struct FirmMeter {
     meter: UseMeter,
     weight: f64,
     teams: collections::BTreeMap<TeamName, (UseMeter, f64)>,
-    /// Share of a team of weight 1.
-    level: Option<ShareLevel>,
 }
 
 /// Recent use of capacity by firm and team, and who is over the fair share.
@@ -153,8 +120,6 @@
 #[derive(Clone, Debug, Default)]
 pub struct FairShare {
     firms: collections::BTreeMap<FirmName, FirmMeter>,
-    /// Share of a firm of weight 1.
-    level: Option<ShareLevel>,
     forgotten_at: Option<time::Instant>,
     /// Work of short and long calls.
     classes: [Option<UseMeter>; 2],
@@ -207,13 +172,11 @@
     /// The capacity divided is what all firms together used recently.
     pub fn over(&mut self, firm: &FirmName, team: &TeamName, now: time::Instant) -> f64 {
         self.forget_idle(now);
-        let firms = &self.firms;
-        let level = refresh(&mut self.level, now, || {
-            let meters = firms.values().map(|firm| (firm.meter.at(now), firm.weight));
-            level_of(&meters.collect::<Vec<_>>(), None)
-        });
+        let meters = self.firms.values();
+        let meters = meters.map(|firm| (firm.meter.at(now), firm.weight));
+        let level = level_of(&meters.collect::<Vec<_>>(), None);
         let allowed = self.mean_work * ALLOWED_CALLS;
-        let Some(meter) = self.firms.get_mut(firm) else {
+        let Some(meter) = self.firms.get(firm) else {
             return 0.0;
         };
         let firm_over = relative(meter.meter.at(now).used, level * meter.weight);
@@ -221,15 +184,11 @@
         firm_over * Self::team_over(meter, team, allowed, now).max(1.0)
     }
 
-    fn team_over(firm: &mut FirmMeter, team: &TeamName, allowed: f64, now: time::Instant) -> f64 {
-        let teams = &firm.teams;
+    fn team_over(firm: &FirmMeter, team: &TeamName, allowed: f64, now: time::Instant) -> f64 {
+        let meters = firm.teams.values();
+        let meters = meters.map(|(meter, weight)| (meter.at(now), *weight));
         let used = firm.meter.at(now).used;
-        let level = refresh(&mut firm.level, now, || {
-            let meters = teams
-                .values()
-                .map(|(meter, weight)| (meter.at(now), *weight));
-            level_of(&meters.collect::<Vec<_>>(), Some(used))
-        });
+        let level = level_of(&meters.collect::<Vec<_>>(), Some(used));
         firm.teams.get(team).map_or(0.0, |(meter, weight)| {
             relative(meter.at(now).used - allowed, level * weight)
         })
@@ -271,7 +230,6 @@
             meter: UseMeter::new(now),
             weight: 1.0,
             teams: collections::BTreeMap::new(),
-            level: None,
         })
     }
 
