Judge each input of the replica by a time taken after it was received

Cause: one time served up to 1,024 commands or messages, also those taken from the queue after it. After a pause of the process, a read was answered under a lease that had expired, and a heartbeat counted as seen before it was. Change: the driver takes the time for each command and message. The replica takes a ClockSource (SystemClock by default), so that a test can stand in for the pause. The same change for messages isn't covered by a test.

--- a/crates/usher_replica/src/driver/mod.rs
+++ b/crates/usher_replica/src/driver/mod.rs
@@ -9,7 +9,6 @@
 use std::{collections, sync, time};
 
 use tokio::sync::mpsc;
-use usher_types::ClockSource as _;
 use usher_wire::message;
 
 use crate::{command, machine, settings, shared};
@@ -59,7 +58,8 @@
 
 /// The task that owns the core.
 #[derive(Debug)]
-pub(crate) struct ReplicaDriver<M> {
+pub(crate) struct ReplicaDriver<M, C> {
+    clock: C,
     settings: settings::ReplicaSettings,
     core: usher_consensus::ConsensusCore,
     shared: sync::Arc<shared::SharedState<M>>,
@@ -82,11 +82,13 @@
     stopping: Option<String>,
 }
 
-impl<M> ReplicaDriver<M>
+impl<M, C> ReplicaDriver<M, C>
 where
     M: machine::StateMachine,
+    C: usher_types::ClockSource,
 {
     pub(crate) fn new(
+        clock: C,
         settings: settings::ReplicaSettings,
         core: usher_consensus::ConsensusCore,
         shared: sync::Arc<shared::SharedState<M>>,
@@ -99,9 +101,10 @@
             node: settings.name.clone(),
             incarnation: core.id().incarnation,
         };
-        let now = usher_types::SystemClock.now();
+        let now = clock.now();
         let applied = core.commit();
         Self {
+            clock,
             peers: peers::PeerTable::new(identity, settings.peers.clone()),
             settings,
             core,
@@ -158,10 +161,12 @@
             self.stopping = Some(String::new());
             return;
         };
-        let now = usher_types::SystemClock.now();
         let mut next = Some(first);
         let mut taken = 0;
         while let Some(message) = next {
+            // Taken after the input was received: a time from before a pause of the process would
+            // make a heartbeat count as seen too early.
+            let now = self.clock.now();
             self.core.receive(now, message);
             taken += 1;
             next = (taken < INPUT_BATCH)
@@ -176,10 +181,12 @@
             self.stopping = Some(String::new());
             return;
         };
-        let now = usher_types::SystemClock.now();
         let mut next = Some(first);
         let mut taken = 0;
         while let Some(command) = next {
+            // Taken after the input was received: a time from before a pause of the process would
+            // answer a read under a lease that has expired since.
+            let now = self.clock.now();
             self.on_command(now, command);
             taken += 1;
             next = (taken < INPUT_BATCH)
@@ -189,7 +196,7 @@
     }
 
     fn on_tick(&mut self) {
-        let now = usher_types::SystemClock.now();
+        let now = self.clock.now();
         self.core.tick(now);
         self.expire(now);
         if now >= self.next_notice {
--- a/crates/usher_replica/src/driver/output.rs
+++ b/crates/usher_replica/src/driver/output.rs
@@ -6,9 +6,10 @@
 use super::{storage, PendingBatch, ReplicaDriver};
 use crate::{machine, status};
 
-impl<M> ReplicaDriver<M>
+impl<M, C> ReplicaDriver<M, C>
 where
     M: machine::StateMachine,
+    C: usher_types::ClockSource,
 {
     /// Carries out outputs until there are none.
     pub(super) fn carry_out(&mut self) {
@@ -65,7 +66,7 @@
             }
         }
         if durable > 0 {
-            let now = usher_types::ClockSource::now(&usher_types::SystemClock);
+            let now = self.clock.now();
             self.core.persisted(now, durable);
         }
     }
@@ -109,7 +110,7 @@
                 message::EntryKind::Membership => {
                     // The next step of a repair is due at once: until a lost voter is removed a
                     // second loss may stop the group.
-                    self.next_repair = usher_types::ClockSource::now(&usher_types::SystemClock);
+                    self.next_repair = self.clock.now();
                     Vec::new()
                 }
                 message::EntryKind::Noop => Vec::new(),
--- a/crates/usher_replica/src/driver/requests.rs
+++ b/crates/usher_replica/src/driver/requests.rs
@@ -5,9 +5,10 @@
 use super::{PendingChange, PendingProposal, PendingRead, ReplicaDriver};
 use crate::{command, error, machine};
 
-impl<M> ReplicaDriver<M>
+impl<M, C> ReplicaDriver<M, C>
 where
     M: machine::StateMachine,
+    C: usher_types::ClockSource,
 {
     pub(super) fn on_command(&mut self, now: time::Instant, command: command::ReplicaCommand) {
         match command {
--- a/crates/usher_replica/src/node.rs
+++ b/crates/usher_replica/src/node.rs
@@ -4,7 +4,6 @@
 
 use tokio::sync::{mpsc, watch};
 use usher_log::StorageFolder;
-use usher_types::ClockSource as _;
 use usher_wire::message;
 
 use crate::{bridge, driver, error, handle, machine, settings, shared, status};
@@ -16,9 +15,10 @@
 
 /// A replica before it is started.
 #[derive(Debug)]
-pub struct ReplicaNode<M> {
+pub struct ReplicaNode<M, C = usher_types::SystemClock> {
     settings: settings::ReplicaSettings,
     machine: M,
+    clock: C,
 }
 
 impl<M> ReplicaNode<M>
@@ -27,7 +27,29 @@
 {
     /// Makes a replica of an empty state.
     pub fn new(settings: settings::ReplicaSettings, machine: M) -> Self {
-        Self { settings, machine }
+        Self {
+            settings,
+            machine,
+            clock: usher_types::SystemClock,
+        }
+    }
+}
+
+impl<M, C> ReplicaNode<M, C>
+where
+    M: machine::StateMachine,
+    C: usher_types::ClockSource,
+{
+    /// Replaces the clock; ticks still come in real time.
+    pub fn with_clock<O>(self, clock: O) -> ReplicaNode<M, O>
+    where
+        O: usher_types::ClockSource,
+    {
+        ReplicaNode {
+            settings: self.settings,
+            machine: self.machine,
+            clock,
+        }
     }
 
     /// Opens the data folder and starts the replica on the current tokio runtime.
@@ -76,7 +98,7 @@
             .as_ref()
             .map_or(0, |snapshot| snapshot.index);
         let state = bridge::initial_state(recovered)?;
-        let now = usher_types::SystemClock.now();
+        let now = self.clock.now();
         let seed = usher_types::IncarnationSource::random().get();
         let core = usher_consensus::ConsensusCore::new(
             id.clone(),
@@ -90,6 +112,7 @@
         let (messages, message_source) = mpsc::channel(MESSAGE_QUEUE);
         let storage = driver::StorageThread::start(log).map_err(error::StartError::Thread)?;
         let driver = driver::ReplicaDriver::new(
+            self.clock,
             self.settings,
             core,
             shared.clone(),
--- a/crates/usher_replica/tests/common/mod.rs
+++ b/crates/usher_replica/tests/common/mod.rs
@@ -132,8 +132,17 @@
 
     /// Starts one node on its folder.
     pub async fn start(&self, place: usize) -> Node {
+        self.start_with_clock(place, usher_types::SystemClock).await
+    }
+
+    /// Starts one node on its folder with a clock of the test's choice.
+    pub async fn start_with_clock<C>(&self, place: usize, clock: C) -> Node
+    where
+        C: usher_types::ClockSource,
+    {
         let machine = ListMachine::default();
         let handle = ReplicaNode::new(self.settings(place), machine)
+            .with_clock(clock)
             .start()
             .await
             .unwrap();
--- /dev/null
+++ b/crates/usher_replica/tests/pause.rs
@@ -0,0 +1,84 @@
+//! A pause of the process between two inputs that are taken together.
+
+mod common;
+
+use std::{future::Future, pin, sync, task, time};
+
+use common::{propose, Group, Node};
+use usher_consensus::{MembershipChange, NodeId};
+use usher_types::{ClockSource as _, ManualClock};
+
+/// Stands for a pause of the process: the clock moves when the driver answers a command.
+struct PauseOnWake(ManualClock);
+
+impl task::Wake for PauseOnWake {
+    fn wake(self: sync::Arc<Self>) {
+        self.0.advance(time::Duration::from_secs(10));
+    }
+}
+
+/// Moves the clock at about the pace of real time.
+async fn run_clock(clock: ManualClock) {
+    loop {
+        tokio::time::sleep(time::Duration::from_millis(5)).await;
+        clock.advance(time::Duration::from_millis(5));
+    }
+}
+
+/// Lets the clock run until a node holds the lease, and returns its place.
+async fn wait_for_lease(clock: &ManualClock, nodes: &[Node]) -> usize {
+    let limit = time::Instant::now() + time::Duration::from_secs(60);
+    loop {
+        let now = clock.now();
+        if let Some(place) = nodes.iter().position(|node| node.handle.holds_lease(now)) {
+            return place;
+        }
+        assert!(time::Instant::now() < limit, "no node holds the lease");
+        tokio::time::sleep(time::Duration::from_millis(5)).await;
+        clock.advance(time::Duration::from_millis(5));
+    }
+}
+
+/// Guards against a read that is answered under a lease which expired in a pause of the process
+/// after an earlier command of the same batch. The runtime has one thread, so that the driver
+/// takes both commands together.
+#[tokio::test]
+async fn read_after_a_pause_within_a_batch_is_not_answered_under_the_old_lease() {
+    let group = Group::new("pause", 3, 3);
+    let clock = ManualClock::new();
+    let mut nodes = Vec::new();
+    for place in 0..3 {
+        nodes.push(group.start_with_clock(place, clock.clone()).await);
+    }
+    // Once a command is committed the group is founded and its leader settled.
+    let running = tokio::spawn(run_clock(clock.clone()));
+    let handles: Vec<_> = nodes.iter().map(|node| &node.handle).collect();
+    propose(&handles, b"first").await;
+    running.abort();
+    let _ = running.await;
+    let place = wait_for_lease(&clock, &nodes).await;
+    let leader = nodes.swap_remove(place);
+    for node in nodes {
+        node.stop().await;
+    }
+    // The clock stands still, so that the lease holds without the others.
+    leader.handle.read().await.unwrap();
+
+    let unknown = MembershipChange::Remove(NodeId::new("unknown", 1));
+    let handle = leader.handle.clone();
+    let mut change = pin::pin!(handle.change_members(unknown));
+    let pause = task::Waker::from(sync::Arc::new(PauseOnWake(clock.clone())));
+    assert!(change
+        .as_mut()
+        .poll(&mut task::Context::from_waker(&pause))
+        .is_pending());
+    let mut read = pin::pin!(handle.read());
+    let mut context = task::Context::from_waker(task::Waker::noop());
+    assert!(read.as_mut().poll(&mut context).is_pending());
+
+    let before = clock.now();
+    assert!(read.await.is_err(), "read under an expired lease");
+    assert_eq!(clock.now() - before, time::Duration::from_secs(10));
+    assert!(change.await.is_err());
+    leader.stop().await;
+}
