Reuse the slots of gone targets when the registry is full

Cause: slots of gone targets counted against the limit of 10,000 and nothing removed them, so that after 10,000 distinct names every new target was refused for good. Change: when the registry is full, the gone target that changed first is removed. changed_since gives nothing for a version from before a removal, and the sync service then sends the whole registry. The leaving mark and the retired incarnations of a removed target are forgotten with it. The choice in the sync service itself has no test of its own.

--- a/crates/usher_control/src/grant/sync_service.rs
+++ b/crates/usher_control/src/grant/sync_service.rs
@@ -138,10 +138,10 @@
                 sheet,
                 registry_version: targets.version(),
                 registry: changed.then(|| {
-                    if takes_delta && registry_known > 0 {
-                        changed_targets(targets, registry_known)
-                    } else {
-                        all_targets(targets)
+                    let delta = takes_delta.then(|| targets.changed_since(registry_known));
+                    match delta.flatten() {
+                        Some(slots) => changed_targets(slots),
+                        None => all_targets(targets),
                     }
                 }),
             }
@@ -156,12 +156,15 @@
     }
 }
 
-fn changed_targets(targets: &usher_state::TargetTable, known: u64) -> RegistryDelta {
+fn changed_targets<'s, S>(slots: S) -> RegistryDelta
+where
+    S: Iterator<Item = &'s usher_state::TargetSlot>,
+{
     let mut delta = RegistryDelta {
         partial: true,
         ..RegistryDelta::default()
     };
-    for slot in targets.changed_since(known) {
+    for slot in slots {
         if slot.gone {
             delta.gone.push(slot.record.name.clone());
         } else {
--- a/crates/usher_state/src/snapshot.rs
+++ b/crates/usher_state/src/snapshot.rs
@@ -108,6 +108,9 @@
     pub(crate) version: u64,
     #[prost(message, repeated, tag = "2")]
     pub(crate) slots: Vec<SlotPart>,
+    /// 0 in snapshots from before targets were removed, which is right for them.
+    #[prost(uint64, tag = "3")]
+    pub(crate) oldest_delta: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
--- a/crates/usher_state/src/target_table.rs
+++ b/crates/usher_state/src/target_table.rs
@@ -6,7 +6,8 @@
 
 use crate::{audit, mechanism, snapshot};
 
-/// How many targets the registry holds; announcements beyond are refused.
+/// How many targets the registry holds, also those that are gone. A new target beyond takes the
+/// place of one that is gone, and is refused when there is none.
 pub const MAX_TARGETS: usize = 10_000;
 
 /// How many replaced incarnations are remembered per target.
@@ -31,6 +32,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct TargetTable {
     version: u64,
+    /// Oldest version from which the changes are still complete: the newest at which a target was
+    /// gone that is removed now.
+    oldest_delta: u64,
     slots: collections::BTreeMap<String, TargetSlot>,
     pub(crate) audit: audit::AuditLog,
 }
@@ -60,9 +64,13 @@
     }
 
     /// Returns the targets that changed after a version of the registry, also those that are gone.
-    pub fn changed_since(&self, version: u64) -> impl Iterator<Item = &TargetSlot> {
+    ///
+    /// Returns `None` when that isn't all that changed: targets were removed since, or nothing is
+    /// known at version 0. The whole registry is needed then.
+    pub fn changed_since(&self, version: u64) -> Option<impl Iterator<Item = &TargetSlot>> {
         let slots = self.slots.values();
-        slots.filter(move |slot| slot.changed_at > version)
+        (version > 0 && version >= self.oldest_delta)
+            .then(|| slots.filter(move |slot| slot.changed_at > version))
     }
 
     /// Takes an announcement and returns whether it changed the registry.
@@ -133,8 +141,10 @@
     }
 
     fn insert(&mut self, record: message::TargetRecord) -> Result<bool, String> {
-        if self.slots.len() >= MAX_TARGETS {
-            return Err(format!("the registry holds {MAX_TARGETS} targets already"));
+        if self.slots.len() >= MAX_TARGETS && !self.remove_oldest_gone() {
+            return Err(format!(
+                "the registry holds {MAX_TARGETS} targets already, none of them gone"
+            ));
         }
         let slot = TargetSlot {
             record,
@@ -148,6 +158,23 @@
         Ok(true)
     }
 
+    /// Removes the gone target that changed first and returns whether there was one.
+    ///
+    /// Versions of changes are unique, so that all replicas remove the same one. Its leaving mark
+    /// and retired incarnations are forgotten with it.
+    fn remove_oldest_gone(&mut self) -> bool {
+        let gone = self.slots.iter().filter(|(_, slot)| slot.gone);
+        let oldest = gone.min_by_key(|(_, slot)| slot.changed_at);
+        let Some((name, changed_at)) = oldest.map(|(name, slot)| (name.clone(), slot.changed_at))
+        else {
+            return false;
+        };
+        self.slots.remove(&name);
+        // Whoever knows the version at which the target was gone doesn't hold it any more.
+        self.oldest_delta = self.oldest_delta.max(changed_at);
+        true
+    }
+
     /// Marks a target as leaving or gone and returns whether that changed the registry.
     pub(crate) fn mark(&mut self, mark: &message::TargetMark) -> Result<bool, String> {
         let slot = self
@@ -187,6 +214,7 @@
         snapshot::TargetPart {
             version: self.version,
             slots: slots.collect(),
+            oldest_delta: self.oldest_delta,
         }
     }
 
@@ -194,6 +222,7 @@
     pub(crate) fn load(part: snapshot::TargetPart) -> Result<Self, String> {
         let mut table = Self {
             version: part.version,
+            oldest_delta: part.oldest_delta,
             ..Self::default()
         };
         for slot in part.slots {
--- /dev/null
+++ b/crates/usher_state/tests/targets.rs
@@ -0,0 +1,117 @@
+//! The limit of the registry of targets, and what is left out of deltas after a removal.
+
+use usher_replica::StateMachine as _;
+use usher_state::{FleetState, MAX_TARGETS};
+use usher_types::LogIndex;
+use usher_wire::message::{self, state_command, state_outcome};
+
+#[derive(Default)]
+struct RegistryBench {
+    state: FleetState,
+    index: u64,
+}
+
+impl RegistryBench {
+    /// Returns a registry that is full.
+    fn full() -> Self {
+        let mut bench = Self::default();
+        for number in 0..MAX_TARGETS {
+            assert!(bench.announce(&format!("t{number}")));
+        }
+        bench
+    }
+
+    fn apply(&mut self, kind: state_command::Kind) -> bool {
+        self.index += 1;
+        let command = message::StateCommand {
+            at_ms: 1,
+            kind: Some(kind),
+        };
+        let outcome = self.state.apply_command(LogIndex::new(self.index), command);
+        !matches!(outcome.kind, Some(state_outcome::Kind::Refused(_)))
+    }
+
+    fn announce(&mut self, name: &str) -> bool {
+        let record = message::TargetRecord {
+            name: name.to_owned(),
+            incarnation: 1,
+            kind: "plain".to_owned(),
+            ..message::TargetRecord::default()
+        };
+        self.apply(state_command::Kind::AnnounceTarget(record))
+    }
+
+    fn mark_gone(&mut self, name: &str) {
+        let mark = message::TargetMark {
+            name: name.to_owned(),
+            gone: true,
+            ..message::TargetMark::default()
+        };
+        assert!(self.apply(state_command::Kind::MarkTarget(mark)));
+    }
+}
+
+/// Guards against a registry that refuses every new target once it has held 10,000 names.
+#[test]
+fn full_registry_removes_the_target_that_is_gone_longest() {
+    let mut bench = RegistryBench::full();
+    assert!(!bench.announce("new-1"));
+    bench.mark_gone("t7");
+    bench.mark_gone("t3");
+    assert!(bench.announce("new-1"));
+    assert!(bench.state.targets().find("t7").is_none());
+    assert!(bench.state.targets().find("t3").is_some());
+    assert!(bench.announce("new-2"));
+    assert!(bench.state.targets().find("t3").is_none());
+    assert!(!bench.announce("new-3"));
+    assert_eq!(bench.state.targets().iter().count(), MAX_TARGETS);
+}
+
+fn changed_names(state: &FleetState, version: u64) -> Option<Vec<String>> {
+    let changed = state.targets().changed_since(version)?;
+    Some(changed.map(|slot| slot.record.name.clone()).collect())
+}
+
+/// Guards against an entry that keeps a removed target because the delta doesn't name it, also
+/// when the node that answers was restored from a snapshot.
+#[test]
+fn versions_before_a_removal_get_no_delta() {
+    let mut bench = RegistryBench::full();
+    let before = bench.state.targets().version();
+    bench.mark_gone("t7");
+    let gone_at = bench.state.targets().version();
+    bench.mark_gone("t3");
+    let names = vec!["t3".to_owned(), "t7".to_owned()];
+    assert_eq!(changed_names(&bench.state, before), Some(names));
+    assert!(bench.announce("new-1"));
+    let names = vec!["new-1".to_owned(), "t3".to_owned()];
+    let copy = bench.state.snapshot();
+    let mut restored = FleetState::default();
+    restored.restore(&copy).unwrap();
+    for state in [&bench.state, &restored] {
+        assert_eq!(changed_names(state, 0), None);
+        assert_eq!(changed_names(state, before), None);
+        assert_eq!(changed_names(state, gone_at), Some(names.clone()));
+    }
+    assert_eq!(restored.snapshot(), copy);
+}
+
+/// A snapshot of a present and a gone target, as it was written before targets were removed.
+const EARLIER_SNAPSHOT: &str = "5553465300000001080110031a0022002a00322a080312110a0d0a02743110012205706c61696e280112130a0d0a02743210012205706c61696e100128033a25080110011a027431221b616e6e6f756e63656420696e6361726e6174696f6e2031206174203a25080210011a027432221b616e6e6f756e63656420696e6361726e6174696f6e2031206174203a1b080310011a02743222116d61726b656420676f6e65206279202222";
+
+/// Guards against a change of the format that makes snapshots of the previous one unreadable.
+#[test]
+fn earlier_snapshot_is_read() {
+    let mut bench = RegistryBench::default();
+    assert!(bench.announce("t1"));
+    assert!(bench.announce("t2"));
+    bench.mark_gone("t2");
+    let digits = EARLIER_SNAPSHOT.as_bytes().chunks(2);
+    let earlier: Vec<u8> = digits
+        .map(|pair| u8::from_str_radix(std::str::from_utf8(pair).unwrap(), 16).unwrap())
+        .collect();
+    let mut restored = FleetState::default();
+    restored.restore(&earlier).unwrap();
+    assert_eq!(restored.snapshot(), bench.state.snapshot());
+    assert_eq!(changed_names(&restored, 2), Some(vec!["t2".to_owned()]));
+}
