Test that each heartbeat of a batch is seen at its own time

Change: a clock that moves whenever it is read shows at what time the last of ten heartbeats counts as seen.

--- a/crates/usher_replica/tests/pause.rs
+++ b/crates/usher_replica/tests/pause.rs
@@ -4,9 +4,10 @@
 
 use std::{future::Future, pin, sync, task, time};
 
-use common::{propose, Group, Node};
+use common::{propose, wait_for, Group, Node};
 use usher_consensus::{MembershipChange, NodeId};
-use usher_types::{ClockSource as _, ManualClock};
+use usher_types::{ClockSource, ManualClock};
+use usher_wire::message;
 
 /// Stands for a pause of the process: the clock moves when the driver answers a command.
 struct PauseOnWake(ManualClock);
@@ -82,3 +83,52 @@
     assert!(change.await.is_err());
     leader.stop().await;
 }
+
+const STEP: time::Duration = time::Duration::from_millis(1);
+
+/// A clock that moves by one step whenever it is read after it was armed.
+#[derive(Clone, Debug, Default)]
+struct SteppingClock {
+    clock: ManualClock,
+    armed: sync::Arc<sync::atomic::AtomicBool>,
+}
+
+impl ClockSource for SteppingClock {
+    fn now(&self) -> time::Instant {
+        let now = self.clock.now();
+        if self.armed.load(sync::atomic::Ordering::SeqCst) {
+            self.clock.advance(STEP);
+        }
+        now
+    }
+
+    fn wall(&self) -> time::SystemTime {
+        self.clock.wall()
+    }
+}
+
+/// Guards against a heartbeat that is noted as seen at the time of an earlier message of the same
+/// batch. The runtime has one thread, so that the driver takes all messages together.
+#[tokio::test]
+async fn each_heartbeat_of_a_batch_is_seen_at_its_own_time() {
+    let group = Group::new("heartbeats", 2, 2);
+    let clock = SteppingClock::default();
+    let node = group.start_with_clock(1, clock.clone()).await;
+    let heartbeat = message::ConsensusMessage {
+        from: Some(NodeId::new("c1", 1).to_message()),
+        to: Some(node.handle.identity().to_message()),
+        term: 1,
+        kind: Some(message::consensus_message::Kind::AppendRequest(
+            message::AppendRequest::default(),
+        )),
+    };
+    let start = clock.now();
+    clock.armed.store(true, sync::atomic::Ordering::SeqCst);
+    for _ in 0..10 {
+        node.handle.receive(heartbeat.clone());
+    }
+    let seen = || node.handle.status().leader_seen;
+    wait_for("a heartbeat", || seen().is_some()).await;
+    assert_eq!(seen(), Some(start + 9 * STEP));
+    node.stop().await;
+}
