--- a/crates/usher_bench/tests/experiments.rs
+++ b/crates/usher_bench/tests/experiments.rs
@@ -3,17 +3,27 @@
 
 use usher_bench::{run, BenchOptions, ExperimentName, ExperimentReport, FleetName, PolicyName};
 
-fn quick(experiment: ExperimentName, fleet: FleetName, seed: u64) -> ExperimentReport {
-    let options = BenchOptions::new(experiment)
+fn options(experiment: ExperimentName, fleet: FleetName, seed: u64) -> BenchOptions {
+    BenchOptions::new(experiment)
         .with_fleet(fleet)
         .with_seed(seed)
         .with_policy(PolicyName::Usher)
-        .with_quick();
-    run(&options).unwrap()
+}
+
+fn quick(experiment: ExperimentName, fleet: FleetName, seed: u64) -> ExperimentReport {
+    run(&options(experiment, fleet, seed).with_quick()).unwrap()
 }
 
 fn check_goal(experiment: ExperimentName, fleet: FleetName, goal: &str) {
-    let report = quick(experiment, fleet, 1);
+    check_report(&quick(experiment, fleet, 1), goal);
+}
+
+/// Runs an experiment at its full length; its goals depend on more than short phases show.
+fn check_full_goal(experiment: ExperimentName, fleet: FleetName, goal: &str) {
+    check_report(&run(&options(experiment, fleet, 1)).unwrap(), goal);
+}
+
+fn check_report(report: &ExperimentReport, goal: &str) {
     let goals = report
         .goals
         .iter()
@@ -40,6 +50,13 @@
     shift_changes_at_most_two_roles(ExperimentName::Mix, FleetName::ContasTercos, "per shift");
 }
 
+// Goals that are missed so far; KNOWN-RED.txt lists these three tests.
+usher_types::cases! { check_full_goal:
+    crest_reaches_capacity(ExperimentName::Crest, FleetName::LooRound, "goodput");
+    crest_gives_firms_their_shares(ExperimentName::Crest, FleetName::LooRound, "least share");
+    blocking_keeps_short_work_quick(ExperimentName::Blocking, FleetName::LooRound, "p99 TTFT of short");
+}
+
 fn check_repeats(experiment: ExperimentName, seed: u64) {
     let first = quick(experiment, FleetName::LooRound, seed);
     let second = quick(experiment, FleetName::LooRound, seed);
