Ask another control node after two replies without a routing right

Cause: an entry took a reply with right_ms 0 as a success and kept its preferred node. A node that is cut off from the leader but not from the entries thus took the right away from all entries that prefer it, though other nodes could renew it. Change: the heartbeat loop counts replies without a right; the second one in a row moves the link on. A reply with a right, a lost reply or another move resets the count. One reply isn't enough, because no node can renew rights during an election. Conclusion: an entry is without a right for about two heartbeats at such a node.

--- a/crates/usher_entry/src/sync.rs
+++ b/crates/usher_entry/src/sync.rs
@@ -8,6 +8,19 @@
 
 use crate::{board, config, core, link::ControlLink as _, parts, policy::DecisionPolicy as _};
 
+/// Replies without a right, one after the other, after which another control node is preferred.
+/// A single one is normal during an election, when no node can renew rights.
+const REPLIES_WITHOUT_RIGHT: u32 = 2;
+
+/// What one heartbeat leaves for the next.
+#[derive(Debug)]
+struct BeatState {
+    sequence: u64,
+    demand_at: time::Instant,
+    /// Replies without a right since the last other result.
+    without_right: u32,
+}
+
 /// Sends heartbeats until the process stops.
 pub(crate) async fn run_heartbeats<P>(core: sync::Arc<core::EntryCore<P>>)
 where
@@ -15,15 +28,18 @@
 {
     let mut ticks = tokio::time::interval(core.options.heartbeat);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    let mut sequence = 0;
-    let mut demand_at = core.now();
+    let mut state = BeatState {
+        sequence: 0,
+        demand_at: core.now(),
+        without_right: 0,
+    };
     loop {
         tokio::select! {
             () = core.stop.stopped() => break,
             _ = ticks.tick() => {}
         }
-        sequence += 1;
-        beat(&core, sequence, &mut demand_at).await;
+        state.sequence += 1;
+        beat(&core, &mut state).await;
         let now = core.now();
         core.board().age(now);
         send_gauges(&core);
@@ -31,22 +47,31 @@
 }
 
 /// Sends one heartbeat and takes its answer.
-async fn beat<P>(core: &sync::Arc<core::EntryCore<P>>, sequence: u64, demand_at: &mut time::Instant)
+async fn beat<P>(core: &sync::Arc<core::EntryCore<P>>, state: &mut BeatState)
 where
     P: parts::EntryParts,
 {
     let sent_at = core.now();
-    let request = make_request(core, sequence, sent_at, *demand_at);
-    *demand_at = sent_at;
+    let sequence = state.sequence;
+    let request = make_request(core, sequence, sent_at, state.demand_at);
+    state.demand_at = sent_at;
     let had_right = core.has_right();
     match core.link.sync(request).await {
-        Ok(reply) if reply.sequence == sequence => take_reply(core, reply, sent_at),
+        Ok(reply) if reply.sequence == sequence => {
+            let has_right = reply.right_ms > 0;
+            if !take_reply(core, reply, sent_at) || has_right {
+                state.without_right = 0;
+            } else {
+                count_without_right(core, state);
+            }
+        }
         Ok(reply) => tracing::warn!(
             sequence,
             answered = reply.sequence,
             "stray heartbeat answer"
         ),
         Err(error) => {
+            state.without_right = 0;
             core.metrics.add("entry.heartbeat.lost");
             tracing::debug!(%error, "heartbeat was not answered");
         }
@@ -57,6 +82,19 @@
     }
 }
 
+/// Prefers another control node when this one repeatedly can't renew the right.
+fn count_without_right<P>(core: &core::EntryCore<P>, state: &mut BeatState)
+where
+    P: parts::EntryParts,
+{
+    state.without_right += 1;
+    if state.without_right >= REPLIES_WITHOUT_RIGHT {
+        state.without_right = 0;
+        tracing::warn!("control node gives no routing right: another one is asked");
+        core.link.move_on();
+    }
+}
+
 fn make_request<P>(
     core: &core::EntryCore<P>,
     sequence: u64,
@@ -84,13 +122,18 @@
 }
 
 /// Takes an answer; the right is renewed last, when everything that came with it is in force.
-fn take_reply<P>(core: &core::EntryCore<P>, reply: message::SyncReply, sent_at: time::Instant)
+/// Returns false when the answer isn't used and another control node is preferred already.
+fn take_reply<P>(
+    core: &core::EntryCore<P>,
+    reply: message::SyncReply,
+    sent_at: time::Instant,
+) -> bool
 where
     P: parts::EntryParts,
 {
     if !take_config(core, &reply) {
         core.link.move_on();
-        return;
+        return false;
     }
     let now = core.now();
     let right = time::Duration::from_millis(reply.right_ms);
@@ -100,7 +143,7 @@
         drop(board);
         tracing::warn!("control node has an older registry: its answer is not used");
         core.link.move_on();
-        return;
+        return false;
     }
     board.reported(sent_at);
     if reply.registry_changed {
@@ -125,6 +168,7 @@
     }
     drop(board);
     core.right.renew(sent_at, right);
+    true
 }
 
 /// Acts on a newer configuration; returns false when the answer comes from a node that is behind.
--- /dev/null
+++ b/crates/usher_entry/tests/entry/failover.rs
@@ -0,0 +1,105 @@
+//! Which control node an entry prefers when nodes answer without a routing right.
+
+use std::sync::{atomic, Arc};
+
+use usher_entry::{ControlLink, EntryBuilder, LinkError, MemoryControl, MemoryLink};
+use usher_wire::message;
+
+use crate::support::{options, wait_for};
+
+/// Length of a right that control gives.
+const RIGHT_MS: u64 = 3_000;
+
+/// Returns the right that a node gives with its n-th reply, counted from 0.
+type RightOf = fn(node: usize, reply: usize) -> u64;
+
+/// A link to two control nodes that counts replies and changes of the preferred node.
+#[derive(Clone)]
+struct PairLink {
+    control: MemoryLink,
+    right_of: RightOf,
+    state: Arc<PairState>,
+}
+
+#[derive(Default)]
+struct PairState {
+    current: atomic::AtomicUsize,
+    moves: atomic::AtomicUsize,
+    replies: [atomic::AtomicUsize; 2],
+}
+
+impl PairLink {
+    fn new(right_of: RightOf) -> Self {
+        Self {
+            control: MemoryControl::new().link(),
+            right_of,
+            state: Arc::default(),
+        }
+    }
+
+    fn moves(&self) -> usize {
+        self.state.moves.load(atomic::Ordering::SeqCst)
+    }
+
+    fn replies(&self, node: usize) -> usize {
+        self.state.replies[node].load(atomic::Ordering::SeqCst)
+    }
+}
+
+impl ControlLink for PairLink {
+    async fn sync(&self, request: message::SyncRequest) -> Result<message::SyncReply, LinkError> {
+        let node = self.state.current.load(atomic::Ordering::SeqCst);
+        let reply = self.state.replies[node].fetch_add(1, atomic::Ordering::SeqCst);
+        let mut answer = self.control.sync(request).await?;
+        answer.right_ms = (self.right_of)(node, reply);
+        Ok(answer)
+    }
+
+    async fn claim(&self, call: message::ClaimCall) -> Result<message::ClaimReply, LinkError> {
+        self.control.claim(call).await
+    }
+
+    async fn finish(&self, finish: message::FinishClaim) -> Result<(), LinkError> {
+        self.control.finish(finish).await
+    }
+
+    fn move_on(&self) {
+        self.state.moves.fetch_add(1, atomic::Ordering::SeqCst);
+        self.state.current.fetch_xor(1, atomic::Ordering::SeqCst);
+    }
+}
+
+/// Guards against an entry that stays with a node that is cut off from the leader and so can't
+/// renew rights.
+#[tokio::test]
+async fn entry_leaves_a_node_that_gives_no_right() {
+    let link = PairLink::new(|node, _| if node == 0 { 0 } else { RIGHT_MS });
+    let (_stop, signal) = usher_kernel::StopSource::new();
+    let node = EntryBuilder::new(options(), link.clone())
+        .start(signal)
+        .await
+        .unwrap();
+    wait_for("ten heartbeats are answered", || {
+        link.replies(0) + link.replies(1) >= 10
+    })
+    .await;
+    assert!(node.status().right, "the entry stays without a right");
+    assert_eq!((link.moves(), link.replies(0)), (1, 2));
+}
+
+/// Guards against entries that wander between nodes during an election, when single replies
+/// come without a right.
+#[tokio::test]
+async fn entry_stays_after_a_single_reply_without_right() {
+    let link = PairLink::new(|_, reply| if reply % 2 == 0 { 0 } else { RIGHT_MS });
+    let (_stop, signal) = usher_kernel::StopSource::new();
+    let _node = EntryBuilder::new(options(), link.clone())
+        .start(signal)
+        .await
+        .unwrap();
+    wait_for("ten heartbeats are answered", || {
+        link.replies(0) + link.replies(1) >= 10
+    })
+    .await;
+    assert_eq!((link.moves(), link.replies(1)), (0, 0));
+}
--- a/crates/usher_entry/tests/entry/main.rs
+++ b/crates/usher_entry/tests/entry/main.rs
@@ -6,6 +6,7 @@
 mod accounts;
 mod basics;
 mod callers;
+mod failover;
 mod handover;
 mod hostile;
 mod lifecycle;
