Count demand only for services that exist, and forget services without shares

Cause: a caller of /svc/<random>/x made the entry count a demand per made-up name; the names went into each heartbeat and relay, and the leader's share table kept every one of them. Change: the entry counts demand for services that the registry or the sheet names. Control takes the 256 largest demands of a heartbeat, and the leader drops services of which no entry has a share any more. Conclusion: made-up names cost the entry one look-up and reach nobody else.

--- a/crates/usher_control/src/grant/leader_desk.rs
+++ b/crates/usher_control/src/grant/leader_desk.rs
@@ -80,21 +80,18 @@
                 shares: shares.collect(),
             });
         }
+        self.shares.forget_idle(now);
         all
     }
 
     /// Returns the demand of each present entry by service.
-    ///
-    /// Tokens say more about the work than requests; one request counts as 100 tokens, so that
-    /// plain services have a demand too.
     fn demands(&self, now: time::Instant) -> collections::BTreeMap<String, plan::ServiceDemands> {
         let mut services = collections::BTreeMap::<String, plan::ServiceDemands>::new();
         let present: Vec<_> = self.watch.present(now).collect();
         for (life, entry) in &present {
             for demand in &entry.demands {
-                let amount = demand.prefill_tokens + demand.output_tokens + 100.0 * demand.requests;
                 let demands = services.entry(demand.service.clone()).or_default();
-                demands.set((*life).clone(), amount);
+                demands.set((*life).clone(), demand_amount(demand));
             }
         }
         // Entries without a demand keep their part of the even split.
@@ -138,6 +135,14 @@
     }
 }
 
+/// Returns a demand in tokens per second.
+///
+/// Tokens say more about the work than requests; one request counts as 100 tokens, so that plain
+/// services have a demand too.
+pub(crate) fn demand_amount(demand: &message::ServiceDemand) -> f64 {
+    demand.prefill_tokens + demand.output_tokens + 100.0 * demand.requests
+}
+
 /// Returns whether the registry shows an announcement, or refuses it anyway.
 pub(crate) fn is_known(slot: &usher_state::TargetSlot, record: &message::TargetRecord) -> bool {
     if slot.retired.contains(&record.incarnation) {
--- a/crates/usher_control/src/grant/served_entries.rs
+++ b/crates/usher_control/src/grant/served_entries.rs
@@ -19,6 +19,10 @@
 /// How old shares from the leader may be when they are passed on.
 const SHARE_AGE: time::Duration = plan::RELAY_CONFIRM;
 
+/// How many demands of one heartbeat are taken, the largest first. They go into every relay and
+/// the leader's share table; a sheet of 170 rows, the size that is measured, names fewer services.
+const MAX_DEMANDS: usize = 256;
+
 type EntryLife = (String, u64);
 
 #[derive(Debug)]
@@ -77,7 +81,7 @@
         });
         served.region = request.region;
         served.seen = now;
-        served.demands = request.demands;
+        served.demands = capped(request.demands);
         served.stopping = request.stopping;
     }
 
@@ -199,3 +203,13 @@
         }
     }
 }
+
+/// Returns the largest demands, at most [`MAX_DEMANDS`].
+fn capped(mut demands: Vec<message::ServiceDemand>) -> Vec<message::ServiceDemand> {
+    if demands.len() > MAX_DEMANDS {
+        let amount = super::leader_desk::demand_amount;
+        demands.sort_by(|a, b| amount(b).total_cmp(&amount(a)));
+        demands.truncate(MAX_DEMANDS);
+    }
+    demands
+}
--- a/crates/usher_control/src/plan/share_table.rs
+++ b/crates/usher_control/src/plan/share_table.rs
@@ -118,6 +118,19 @@
         share
     }
 
+    /// Drops services of which no entry has a share any more.
+    pub fn forget_idle(&mut self, now: time::Instant) {
+        self.given.retain(|_, given| {
+            given.prune(now);
+            !given.by_entry.is_empty()
+        });
+    }
+
+    /// Returns how many services have shares or had them lately.
+    pub fn services(&self) -> usize {
+        self.given.len()
+    }
+
     /// Returns the part of a service's capacity that is given out.
     pub fn reserved(&self, service: &str, now: time::Instant) -> f64 {
         let given = self.given.get(service).into_iter();
--- a/crates/usher_control/tests/control.rs
+++ b/crates/usher_control/tests/control.rs
@@ -3,7 +3,7 @@
 mod group;
 
 use group::{ControlGroup, StandInEntry};
-use usher_wire::message::{ClaimState, FinishKind};
+use usher_wire::message::{self, ClaimState, FinishKind};
 
 /// Guards against entries that get no right, no sheet or no targets from a follower.
 #[tokio::test(flavor = "multi_thread")]
@@ -122,3 +122,28 @@
         .iter()
         .any(|one| one.incarnation == 2 && one.leaving));
 }
+
+/// Guards against an entry whose demands for many names fill each relay and the leader's table.
+#[tokio::test(flavor = "multi_thread")]
+async fn demands_of_one_heartbeat_are_capped() {
+    let group = ControlGroup::start("control-demands", 3).await;
+    let follower = group.follower().await;
+    let mut entry = StandInEntry::new("e1", 1, group.wire_address(follower));
+    let demand = |service: String, requests: f64| message::ServiceDemand {
+        service,
+        requests,
+        ..message::ServiceDemand::default()
+    };
+    let names = (0..1_000).map(|number| format!("random-{number:03}"));
+    entry.demands = names.map(|name| demand(name, 1.0)).collect();
+    entry.demands.push(demand("zebra".to_owned(), 50.0));
+    let shares = loop {
+        let reply = entry.wait_for_right().await;
+        if !reply.shares.is_empty() {
+            break reply.shares;
+        }
+    };
+    assert!(shares.len() <= 256, "{} shares", shares.len());
+    // The largest demands are kept, whatever their names.
+    assert!(shares.iter().any(|share| share.service == "zebra"));
+}
--- a/crates/usher_control/tests/plans.rs
+++ b/crates/usher_control/tests/plans.rs
@@ -342,6 +342,28 @@
     assert!(last[&0] > 0.01, "{last:?}");
 }
 
+/// Guards against a table that grows with every service name that an entry ever reported.
+#[test]
+fn service_that_nobody_shares_is_forgotten() {
+    let start = Instant::now();
+    let life = ("e1".to_owned(), 1);
+    let mut table = plan::ShareTable::new();
+    let mut demands = plan::ServiceDemands::default();
+    demands.set(life.clone(), 10.0);
+    table.restart(start);
+    let given_at = start + plan::SHARE_TIME;
+    for number in 0..1_000 {
+        table.give(&format!("random-{number}"), &life, &demands, given_at);
+    }
+    table.forget_idle(given_at);
+    assert_eq!(table.services(), 1_000);
+    let now = given_at + plan::SHARE_TIME;
+    table.give("assist", &life, &demands, now);
+    table.forget_idle(now);
+    assert_eq!(table.services(), 1);
+    assert!((table.reserved("assist", now) - 1.0).abs() < 1e-9);
+}
+
 /// Guards against the relay of loads exceeding the budget of 2 KB/s per entry at 760 engines.
 #[test]
 fn large_fleet_is_relayed_as_a_subset() {
--- a/crates/usher_entry/src/board.rs
+++ b/crates/usher_entry/src/board.rs
@@ -6,7 +6,7 @@
 use usher_types::{IncarnationId, TargetKind, TargetName};
 use usher_wire::message;
 
-use crate::{announce, options, policy};
+use crate::{announce, config, options, policy};
 
 /// The oldest that a load report is taken to be; older stamps come from a clock that is wrong.
 const MAX_REPORT_AGE: time::Duration = time::Duration::from_secs(5);
@@ -56,6 +56,9 @@
     announced: collections::BTreeMap<TargetName, message::TargetRecord>,
     loads: collections::BTreeMap<TargetName, (time::Instant, message::LoadReport)>,
     demands: collections::BTreeMap<usher_types::ServiceName, DemandCount>,
+    // Services of the sheet, which may have no target yet.
+    sheet_services: collections::BTreeSet<usher_types::ServiceName>,
+    sheet_version: Option<usher_types::ConfigVersion>,
     registry_version: u64,
     keep_leaving: bool,
     suspect_after: time::Duration,
@@ -73,6 +76,8 @@
             announced: collections::BTreeMap::new(),
             loads: collections::BTreeMap::new(),
             demands: collections::BTreeMap::new(),
+            sheet_services: collections::BTreeSet::new(),
+            sheet_version: None,
             registry_version: 0,
             keep_leaving: !options.removed.leaving,
             suspect_after: options.suspect_after,
@@ -312,7 +317,21 @@
         self.loads.retain(|_, (at, _)| *at > up_to);
     }
 
+    /// Takes the services of the sheet, so that their demand is counted.
+    pub(crate) fn take_sheet(&mut self, config: &config::ConfigState) {
+        if self.sheet_version == Some(config.version) {
+            return;
+        }
+        self.sheet_version = Some(config.version);
+        self.sheet_services = config.sheet.services().into_iter().cloned().collect();
+    }
+
+    /// Counts the demand for a service that the registry or the sheet names; callers may make up
+    /// any number of other names, which would fill the heartbeats.
     pub(crate) fn count_demand(&mut self, request: &usher_policy::CallRequest) {
+        if !self.demands.contains_key(&request.service) && !self.knows_service(&request.service) {
+            return;
+        }
         let demand = match self.demands.get_mut(&request.service) {
             Some(demand) => demand,
             None => self.demands.entry(request.service.clone()).or_default(),
@@ -322,6 +341,13 @@
         demand.output += request.output.get();
     }
 
+    fn knows_service(&self, service: &usher_types::ServiceName) -> bool {
+        self.sheet_services.contains(service)
+            || self
+                .records()
+                .any(|record| record.service == service.as_str())
+    }
+
     /// Returns the demand per second since the last call.
     pub(crate) fn take_demands(&mut self, elapsed: time::Duration) -> Vec<message::ServiceDemand> {
         let seconds = elapsed.as_secs_f64().max(0.001);
--- a/crates/usher_entry/src/link/memory.rs
+++ b/crates/usher_entry/src/link/memory.rs
@@ -52,6 +52,7 @@
     shares: Vec<message::CapacityShare>,
     claims: collections::BTreeMap<String, ClaimRecord>,
     demands: Vec<message::ServiceDemand>,
+    demanded: collections::BTreeSet<String>,
     syncs: u64,
     clock: Option<usher_types::ManualClock>,
     ignoring: bool,
@@ -75,6 +76,7 @@
             shares: Vec::new(),
             claims: collections::BTreeMap::new(),
             demands: Vec::new(),
+            demanded: collections::BTreeSet::new(),
             syncs: 0,
             clock: None,
             ignoring: false,
@@ -184,6 +186,11 @@
         self.lock().demands.clone()
     }
 
+    /// Returns the services that any heartbeat reported a demand for.
+    pub fn demanded_services(&self) -> Vec<String> {
+        self.lock().demanded.iter().cloned().collect()
+    }
+
     /// Returns how many heartbeats arrived.
     pub fn syncs(&self) -> u64 {
         self.lock().syncs
@@ -251,6 +258,8 @@
             self.take_announced(request.announced);
         }
         self.take_loads(request.loads);
+        let services = request.demands.iter().map(|demand| demand.service.clone());
+        self.demanded.extend(services);
         if !request.demands.is_empty() {
             self.demands = request.demands;
         }
--- a/crates/usher_entry/src/sync.rs
+++ b/crates/usher_entry/src/sync.rs
@@ -104,13 +104,15 @@
 where
     P: parts::EntryParts,
 {
+    let config = core.config.current();
     let mut board = core.board();
+    board.take_sheet(&config);
     let (announced, loads) = board.news(now);
     message::SyncRequest {
         entry: Some(core.node_identity()),
         region: core.options.region.to_string(),
         domain: core.options.domain.to_string(),
-        config_version: core.config.current().version.get(),
+        config_version: config.version.get(),
         registry_version: board.registry_version(),
         announced,
         loads,
--- a/crates/usher_entry/tests/entry/plain.rs
+++ b/crates/usher_entry/tests/entry/plain.rs
@@ -340,3 +340,37 @@
     }
     assert_eq!(service.calls()["key-1"], 2);
 }
+
+/// Guards against made-up service names that fill each heartbeat and the leader's share table.
+#[tokio::test]
+async fn demand_counts_only_for_services_that_exist() {
+    let fleet = Fleet::start(options()).await;
+    for number in 0..20 {
+        let reply = fleet.get(&format!("/svc/random-{number}/x")).await;
+        assert_eq!(reply.status, 404);
+    }
+    let _service = fleet.service(ServiceOptions::new("service-1")).await;
+    assert_eq!(fleet.get("/svc/rounds/plan").await.status, 200);
+    wait_for("demand is reported", || {
+        let demands = fleet.control.demands();
+        demands.iter().any(|demand| demand.service == "rounds")
+    })
+    .await;
+    let named = fleet.control.demanded_services();
+    assert_eq!(named, ["rounds"]);
+}
+
+/// Guards against lost demand for a service that the sheet names but that has no target yet.
+#[tokio::test]
+async fn demand_counts_for_services_of_the_sheet() {
+    let fleet = Fleet::start(options()).await;
+    let sheet = "service,kind,region,model,version,adapters,prefill,decode,mixed,floor\n\
+                 rounds,plain,south-a,,,,0,0,1,1\n";
+    fleet.control.set_config(1, sheet);
+    let start = std::time::Instant::now();
+    while fleet.control.demanded_services().is_empty() {
+        assert!(start.elapsed() < std::time::Duration::from_secs(10));
+        fleet.get("/svc/rounds/plan").await;
+    }
+    assert_eq!(fleet.control.demanded_services(), ["rounds"]);
+}
