Drop announced records that are old or that the registry shows

Cause: an announced record stayed on the board until the registry's was equal to it. A record that control refuses, or that differs only by the leaving mark that stays for a target's life, was sent with every heartbeat for ever; it could bring a target that is gone back into the registry. Change: a record is kept with the time of its last announcement and dropped after 3 s. It counts as shown when it equals the registry's with the leaving mark merged, as control compares them; a later announcement that the registry shows removes an earlier record of the same incarnation. Conclusion: a heartbeat carries only records of targets that announced themselves within 3 s and that control doesn't have.

--- a/crates/usher_entry/src/board.rs
+++ b/crates/usher_entry/src/board.rs
@@ -11,6 +11,11 @@
 /// The oldest that a load report is taken to be; older stamps come from a clock that is wrong.
 const MAX_REPORT_AGE: time::Duration = time::Duration::from_secs(5);
 
+/// How long after its last announcement a record is sent to control: three announcements, which
+/// come every second. A record that control refuses would otherwise be sent for ever, and bring
+/// a target that is gone back into the registry.
+const ANNOUNCED_TIME: time::Duration = time::Duration::from_secs(3);
+
 /// A target of the registry, as far as the policy doesn't know it.
 #[derive(Clone, Debug)]
 pub(crate) struct BoardTarget {
@@ -52,8 +57,8 @@
 pub(crate) struct Board<D> {
     pub(crate) policy: D,
     targets: collections::BTreeMap<TargetName, BoardTarget>,
-    // What announced itself here and control doesn't have yet.
-    announced: collections::BTreeMap<TargetName, message::TargetRecord>,
+    // What announced itself here and control doesn't have yet, with the last announcement.
+    announced: collections::BTreeMap<TargetName, (message::TargetRecord, time::Instant)>,
     loads: collections::BTreeMap<TargetName, (time::Instant, message::LoadReport)>,
     demands: collections::BTreeMap<usher_types::ServiceName, DemandCount>,
     // Services of the sheet, which may have no target yet.
@@ -100,7 +105,7 @@
         self.loads.insert(name.clone(), (now - age, load.clone()));
         let mut is_new = true;
         if let Some(target) = self.targets.get_mut(&name) {
-            is_new = target.record != record;
+            is_new = !shows(&target.record, &record);
             if target.incarnation == announcement.incarnation {
                 target.seen = now;
                 self.revive(&name);
@@ -115,7 +120,12 @@
             }
         }
         if is_new {
-            self.announced.insert(name, record);
+            self.announced.insert(name, (record, now));
+        } else {
+            // An earlier record of this life is out of date; one of another life may be newer.
+            self.announced.retain(|other, (pending, _)| {
+                *other != name || pending.incarnation != record.incarnation
+            });
         }
     }
 
@@ -175,7 +185,7 @@
             }
         }
         self.announced
-            .retain(|announced, record| *announced != name || *record != target.record);
+            .retain(|announced, (record, _)| *announced != name || !shows(&target.record, record));
         self.targets.insert(name, target);
         true
     }
@@ -299,9 +309,12 @@
 
     /// Returns what control should hear of in the next heartbeat.
     pub(crate) fn news(
-        &self,
+        &mut self,
         now: time::Instant,
     ) -> (Vec<message::TargetRecord>, Vec<message::LoadReport>) {
+        self.announced
+            .retain(|_, (_, at)| now.saturating_duration_since(*at) < ANNOUNCED_TIME);
+        let announced = self.announced.values().map(|(record, _)| record.clone());
         let loads = self.loads.values().map(|(at, load)| {
             let age = now.saturating_duration_since(*at).as_millis();
             message::LoadReport {
@@ -309,7 +322,7 @@
                 ..load.clone()
             }
         });
-        (self.announced.values().cloned().collect(), loads.collect())
+        (announced.collect(), loads.collect())
     }
 
     /// Forgets reports that control has taken.
@@ -399,6 +412,16 @@
     }
 }
 
+/// Returns whether the registry shows an announced record; its leaving mark stays for the whole
+/// life of a target, whatever the target announces.
+fn shows(registered: &message::TargetRecord, announced: &message::TargetRecord) -> bool {
+    let expected = message::TargetRecord {
+        leaving: registered.leaving || announced.leaving,
+        ..announced.clone()
+    };
+    *registered == expected
+}
+
 fn load_of(announcement: &announce::Announcement) -> message::LoadReport {
     message::LoadReport {
         target: announcement.name.to_string(),
--- a/crates/usher_entry/src/link/memory.rs
+++ b/crates/usher_entry/src/link/memory.rs
@@ -54,6 +54,7 @@
     demands: Vec<message::ServiceDemand>,
     demanded: collections::BTreeSet<String>,
     syncs: u64,
+    announced: usize,
     clock: Option<usher_types::ManualClock>,
     ignoring: bool,
 }
@@ -78,6 +79,7 @@
             demands: Vec::new(),
             demanded: collections::BTreeSet::new(),
             syncs: 0,
+            announced: 0,
             clock: None,
             ignoring: false,
         }
@@ -191,6 +193,11 @@
         self.lock().demanded.iter().cloned().collect()
     }
 
+    /// Returns how many records of targets all heartbeats brought.
+    pub fn announced(&self) -> usize {
+        self.lock().announced
+    }
+
     /// Returns how many heartbeats arrived.
     pub fn syncs(&self) -> u64 {
         self.lock().syncs
@@ -254,6 +261,7 @@
 
     fn reply(&mut self, request: message::SyncRequest) -> message::SyncReply {
         self.syncs += 1;
+        self.announced += request.announced.len();
         if !self.ignoring {
             self.take_announced(request.announced);
         }
--- /dev/null
+++ b/crates/usher_entry/tests/entry/announce.rs
@@ -0,0 +1,63 @@
+//! How long an entry passes announcements of targets on to control.
+
+use std::time;
+
+use crate::support::{instant, options, wait_for, Fleet};
+
+/// Waits until some more heartbeats have been answered.
+async fn more_heartbeats(fleet: &Fleet, count: u64) {
+    let before = fleet.control.syncs();
+    wait_for("more heartbeats", || {
+        fleet.control.syncs() >= before + count
+    })
+    .await;
+}
+
+/// Guards against a record that control refuses and that is sent for ever, also when its target
+/// is silent.
+#[tokio::test]
+async fn refused_record_is_dropped_when_its_target_is_silent() {
+    let fleet = Fleet::start(options()).await;
+    fleet.control.remove_target("service-1");
+    let announcement = serde_json::json!({
+        "name": "service-1", "incarnation": 1, "address": "127.0.0.1:1", "kind": "plain",
+        "service": "rounds", "region": "south-a", "domain": "d0",
+    });
+    let request = fleet.request("POST", "/v1/targets/announce");
+    let reply = fleet.send(request, announcement.to_string()).await;
+    assert_eq!(reply.status, 200, "{}", reply.text);
+    fleet.clock.advance(time::Duration::from_millis(2_900));
+    more_heartbeats(&fleet, 3).await;
+    let sent = fleet.control.announced();
+    more_heartbeats(&fleet, 3).await;
+    assert!(fleet.control.announced() > sent, "dropped too early");
+    fleet.clock.advance(time::Duration::from_millis(200));
+    more_heartbeats(&fleet, 2).await;
+    let sent = fleet.control.announced();
+    more_heartbeats(&fleet, 10).await;
+    assert_eq!(fleet.control.announced(), sent);
+}
+
+/// Guards against a record that is sent for ever because the registry's has a leaving mark that
+/// the target doesn't announce.
+fn marked_target_is_not_announced_again(marked_first: bool) {
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    runtime.block_on(async {
+        let fleet = Fleet::start(options()).await;
+        if marked_first {
+            fleet.control.drain_target("engine-1");
+        }
+        let _engine = fleet.engine(instant("engine-1")).await;
+        fleet.control.drain_target("engine-1");
+        more_heartbeats(&fleet, 3).await;
+        let sent = fleet.control.announced();
+        // The engine announces itself every 20 ms, and a heartbeat takes 10 ms.
+        more_heartbeats(&fleet, 20).await;
+        assert_eq!(fleet.control.announced(), sent);
+    });
+}
+
+usher_types::cases! { marked_target_is_not_announced_again:
+    mark_comes_before_the_target(true);
+    mark_comes_after_the_target(false);
+}
--- a/crates/usher_entry/tests/entry/main.rs
+++ b/crates/usher_entry/tests/entry/main.rs
@@ -4,6 +4,7 @@
 //! because the machine is busy. Each mechanism is also removed once, and the failure shown.
 
 mod accounts;
+mod announce;
 mod basics;
 mod callers;
 mod failover;
