--- a/crates/usher_entry/src/board.rs
+++ b/crates/usher_entry/src/board.rs
@@ -6,11 +6,16 @@
 use usher_types::{IncarnationId, TargetKind, TargetName};
 use usher_wire::message;
 
-use crate::{announce, options, policy};
+use crate::{announce, config, options, policy};
 
 /// The oldest that a load report is taken to be; older stamps come from a clock that is wrong.
 const MAX_REPORT_AGE: time::Duration = time::Duration::from_secs(5);
 
+/// How long after its last announcement a record is sent to control: three announcements, which
+/// come every second. A record that control refuses would otherwise be sent for ever, and bring
+/// a target that is gone back into the registry.
+const ANNOUNCED_TIME: time::Duration = time::Duration::from_secs(3);
+
 /// A target of the registry, as far as the policy doesn't know it.
 #[derive(Clone, Debug)]
 pub(crate) struct BoardTarget {
@@ -52,10 +57,13 @@
 pub(crate) struct Board<D> {
     pub(crate) policy: D,
     targets: collections::BTreeMap<TargetName, BoardTarget>,
-    // What announced itself here and control doesn't have yet.
-    announced: collections::BTreeMap<TargetName, message::TargetRecord>,
+    // What announced itself here and control doesn't have yet, with the last announcement.
+    announced: collections::BTreeMap<TargetName, (message::TargetRecord, time::Instant)>,
     loads: collections::BTreeMap<TargetName, (time::Instant, message::LoadReport)>,
     demands: collections::BTreeMap<usher_types::ServiceName, DemandCount>,
+    // Services of the sheet, which may have no target yet.
+    sheet_services: collections::BTreeSet<usher_types::ServiceName>,
+    sheet_version: Option<usher_types::ConfigVersion>,
     registry_version: u64,
     keep_leaving: bool,
     suspect_after: time::Duration,
@@ -73,6 +81,8 @@
             announced: collections::BTreeMap::new(),
             loads: collections::BTreeMap::new(),
             demands: collections::BTreeMap::new(),
+            sheet_services: collections::BTreeSet::new(),
+            sheet_version: None,
             registry_version: 0,
             keep_leaving: !options.removed.leaving,
             suspect_after: options.suspect_after,
@@ -95,7 +105,7 @@
         self.loads.insert(name.clone(), (now - age, load.clone()));
         let mut is_new = true;
         if let Some(target) = self.targets.get_mut(&name) {
-            is_new = target.record != record;
+            is_new = !shows(&target.record, &record);
             if target.incarnation == announcement.incarnation {
                 target.seen = now;
                 self.revive(&name);
@@ -110,7 +120,12 @@
             }
         }
         if is_new {
-            self.announced.insert(name, record);
+            self.announced.insert(name, (record, now));
+        } else {
+            // An earlier record of this life is out of date; one of another life may be newer.
+            self.announced.retain(|other, (pending, _)| {
+                *other != name || pending.incarnation != record.incarnation
+            });
         }
     }
 
@@ -170,7 +185,7 @@
             }
         }
         self.announced
-            .retain(|announced, record| *announced != name || *record != target.record);
+            .retain(|announced, (record, _)| *announced != name || !shows(&target.record, record));
         self.targets.insert(name, target);
         true
     }
@@ -294,9 +309,12 @@
 
     /// Returns what control should hear of in the next heartbeat.
     pub(crate) fn news(
-        &self,
+        &mut self,
         now: time::Instant,
     ) -> (Vec<message::TargetRecord>, Vec<message::LoadReport>) {
+        self.announced
+            .retain(|_, (_, at)| now.saturating_duration_since(*at) < ANNOUNCED_TIME);
+        let announced = self.announced.values().map(|(record, _)| record.clone());
         let loads = self.loads.values().map(|(at, load)| {
             let age = now.saturating_duration_since(*at).as_millis();
             message::LoadReport {
@@ -304,7 +322,7 @@
                 ..load.clone()
             }
         });
-        (self.announced.values().cloned().collect(), loads.collect())
+        (announced.collect(), loads.collect())
     }
 
     /// Forgets reports that control has taken.
@@ -312,7 +330,21 @@
         self.loads.retain(|_, (at, _)| *at > up_to);
     }
 
+    /// Takes the services of the sheet, so that their demand is counted.
+    pub(crate) fn take_sheet(&mut self, config: &config::ConfigState) {
+        if self.sheet_version == Some(config.version) {
+            return;
+        }
+        self.sheet_version = Some(config.version);
+        self.sheet_services = config.sheet.services().into_iter().cloned().collect();
+    }
+
+    /// Counts the demand for a service that the registry or the sheet names; callers may make up
+    /// any number of other names, which would fill the heartbeats.
     pub(crate) fn count_demand(&mut self, request: &usher_policy::CallRequest) {
+        if !self.demands.contains_key(&request.service) && !self.knows_service(&request.service) {
+            return;
+        }
         let demand = match self.demands.get_mut(&request.service) {
             Some(demand) => demand,
             None => self.demands.entry(request.service.clone()).or_default(),
@@ -322,6 +354,13 @@
         demand.output += request.output.get();
     }
 
+    fn knows_service(&self, service: &usher_types::ServiceName) -> bool {
+        self.sheet_services.contains(service)
+            || self
+                .records()
+                .any(|record| record.service == service.as_str())
+    }
+
     /// Returns the demand per second since the last call.
     pub(crate) fn take_demands(&mut self, elapsed: time::Duration) -> Vec<message::ServiceDemand> {
         let seconds = elapsed.as_secs_f64().max(0.001);
@@ -373,6 +412,16 @@
     }
 }
 
+/// Returns whether the registry shows an announced record; its leaving mark stays for the whole
+/// life of a target, whatever the target announces.
+fn shows(registered: &message::TargetRecord, announced: &message::TargetRecord) -> bool {
+    let expected = message::TargetRecord {
+        leaving: registered.leaving || announced.leaving,
+        ..announced.clone()
+    };
+    *registered == expected
+}
+
 fn load_of(announcement: &announce::Announcement) -> message::LoadReport {
     message::LoadReport {
         target: announcement.name.to_string(),
--- a/crates/usher_entry/src/link/memory.rs
+++ b/crates/usher_entry/src/link/memory.rs
@@ -52,7 +52,9 @@
     shares: Vec<message::CapacityShare>,
     claims: collections::BTreeMap<String, ClaimRecord>,
     demands: Vec<message::ServiceDemand>,
+    demanded: collections::BTreeSet<String>,
     syncs: u64,
+    announced: usize,
     clock: Option<usher_types::ManualClock>,
     ignoring: bool,
 }
@@ -75,7 +77,9 @@
             shares: Vec::new(),
             claims: collections::BTreeMap::new(),
             demands: Vec::new(),
+            demanded: collections::BTreeSet::new(),
             syncs: 0,
+            announced: 0,
             clock: None,
             ignoring: false,
         }
@@ -184,6 +188,16 @@
         self.lock().demands.clone()
     }
 
+    /// Returns the services that any heartbeat reported a demand for.
+    pub fn demanded_services(&self) -> Vec<String> {
+        self.lock().demanded.iter().cloned().collect()
+    }
+
+    /// Returns how many records of targets all heartbeats brought.
+    pub fn announced(&self) -> usize {
+        self.lock().announced
+    }
+
     /// Returns how many heartbeats arrived.
     pub fn syncs(&self) -> u64 {
         self.lock().syncs
@@ -247,10 +261,13 @@
 
     fn reply(&mut self, request: message::SyncRequest) -> message::SyncReply {
         self.syncs += 1;
+        self.announced += request.announced.len();
         if !self.ignoring {
             self.take_announced(request.announced);
         }
         self.take_loads(request.loads);
+        let services = request.demands.iter().map(|demand| demand.service.clone());
+        self.demanded.extend(services);
         if !request.demands.is_empty() {
             self.demands = request.demands;
         }
--- a/crates/usher_entry/tests/entry/main.rs
+++ b/crates/usher_entry/tests/entry/main.rs
@@ -4,8 +4,10 @@
 //! because the machine is busy. Each mechanism is also removed once, and the failure shown.
 
 mod accounts;
+mod announce;
 mod basics;
 mod callers;
+mod failover;
 mod handover;
 mod hostile;
 mod lifecycle;
