Let the hostile engine of the tests answer requests in absolute form

Cause: the entry writes the target of an engine request in absolute form (POST http://address/v1/chat/completions), seen by printing the request head. The stand-in matched "POST /v1/chat" only and closed every connection, so that the four hostile_engine tests never sent a changed byte. Change: the stand-in accepts both forms; no assertion is changed. The form itself, and the missing Host header, are a separate fault of stream_pool.rs that stays open.

--- a/crates/usher_entry/tests/entry/hostile.rs
+++ b/crates/usher_entry/tests/entry/hostile.rs
@@ -59,7 +59,7 @@
 }
 
 /// Reads one request and returns the id that engines know it by.
-async fn read_request(socket: &mut tokio::net::TcpStream) -> Option<String> {
+pub(crate) async fn read_request(socket: &mut tokio::net::TcpStream) -> Option<String> {
     let mut bytes = Vec::new();
     let mut buffer = [0; 4_096];
     loop {
@@ -73,7 +73,9 @@
         let Some((head, body)) = text.split_once("\r\n\r\n") else {
             continue;
         };
-        if !head.starts_with("POST /v1/chat") {
+        // Targets may be written in origin form or in absolute form.
+        let line = head.lines().next().unwrap_or_default();
+        if !(line.starts_with("POST ") && line.contains("/v1/chat/completions ")) {
             return None;
         }
         if let Ok(json) = serde_json::from_str::<serde_json::Value>(body) {
