Say "unknown" once any attempt of a call may have run

Cause: the run state of a refusal came from the last attempt only. A call whose first attempt broke was told "not-run" when the next one was not sent, was refused with 400, lost the routing right, or when the loser of a hedge broke. Change: PlainRun and Relay keep may_have_run, set on each broken attempt and on the broken side of a race, and raise the error to "unknown" when it is set.

--- a/crates/usher_entry/src/error.rs
+++ b/crates/usher_entry/src/error.rs
@@ -123,6 +123,14 @@
         self
     }
 
+    /// Says that the call may have run when an earlier attempt of it may have.
+    pub(crate) fn after_attempts(mut self, may_have_run: bool) -> Self {
+        if may_have_run {
+            self.run = RunState::Unknown;
+        }
+        self
+    }
+
     /// Returns the body that callers get, also as the last event of a broken stream.
     pub(crate) fn to_json(&self) -> serde_json::Value {
         serde_json::json!({
--- a/crates/usher_entry/src/model/race.rs
+++ b/crates/usher_entry/src/model/race.rs
@@ -51,6 +51,7 @@
             "attempt failed"
         );
         self.slow |= failure.slow;
+        self.may_have_run |= failure.kind == FailureKind::Broken;
         if let Some(error) = failure.fault_of_call {
             self.record(OutcomeCause::Refused);
             return Err(error);
@@ -124,14 +125,20 @@
         tokio::select! {
             result = &mut first => match result {
                 Ok(live) => Ok(live),
-                Err(failure) => second.await.map_err(|_| failure),
+                Err(failure) => second.await.map_err(|other| {
+                    self.may_have_run |= other.kind == FailureKind::Broken;
+                    failure
+                }),
             },
             result = &mut second => match result {
                 Ok(live) => {
                     self.slow = true;
                     Ok(live)
                 }
-                Err(_) => first.await,
+                Err(failure) => {
+                    self.may_have_run |= failure.kind == FailureKind::Broken;
+                    first.await
+                }
             },
         }
     }
--- a/crates/usher_entry/src/model/relay.rs
+++ b/crates/usher_entry/src/model/relay.rs
@@ -40,6 +40,8 @@
     pub(super) moved: bool,
     pub(super) delivered: u64,
     pub(super) attempts: u32,
+    /// Whether any attempt broke after bytes of it may have been written.
+    pub(super) may_have_run: bool,
     pub(super) resumes: u32,
     pub(super) hedged: bool,
     pub(super) slow: bool,
@@ -92,6 +94,7 @@
             moved: false,
             delivered: 0,
             attempts: 0,
+            may_have_run: false,
             resumes: 0,
             hedged: false,
             slow: false,
@@ -114,7 +117,7 @@
             None => Ok(self.open_attempts().await),
         };
         match opened {
-            Ok(result) => result,
+            Ok(result) => result.map_err(|error| error.after_attempts(self.may_have_run)),
             Err(_) => {
                 self.record(OutcomeCause::Late);
                 Err(CallError::deadline())
--- a/crates/usher_entry/src/plain/run.rs
+++ b/crates/usher_entry/src/plain/run.rs
@@ -33,6 +33,8 @@
     call: PlainCall,
     request: CallRequest,
     attempts: u32,
+    /// Whether any attempt broke after bytes of it may have been written.
+    may_have_run: bool,
     recorded: bool,
     target: Option<(usher_types::TargetName, usher_types::RegionName)>,
 }
@@ -68,6 +70,7 @@
             call,
             request,
             attempts: 0,
+            may_have_run: false,
             recorded: false,
             target: None,
         }
@@ -126,6 +129,11 @@
     }
 
     async fn attempts(&mut self) -> Result<(PlainAnswer, AttemptGuard<P>), CallError> {
+        let result = self.try_attempts().await;
+        result.map_err(|error| error.after_attempts(self.may_have_run))
+    }
+
+    async fn try_attempts(&mut self) -> Result<(PlainAnswer, AttemptGuard<P>), CallError> {
         loop {
             // The claim may have taken longer than the right lasted.
             if let Err((error, cause)) = self.core.check_right() {
@@ -226,6 +234,7 @@
             request = %self.identity.id, target = %failure.target, reason = failure.message,
             "attempt failed"
         );
+        self.may_have_run |= failure.kind == FailureKind::Broken;
         let now = self.core.now();
         let retry = {
             let mut board = self.core.board();
--- a/crates/usher_entry/tests/entry/lifecycle.rs
+++ b/crates/usher_entry/tests/entry/lifecycle.rs
@@ -9,7 +9,7 @@
 const PAST_THE_RIGHT: time::Duration = time::Duration::from_secs(4);
 
 /// Cuts the entry off from control and lets its right run out.
-async fn cut_off(fleet: &Fleet) {
+pub(crate) async fn cut_off(fleet: &Fleet) {
     fleet.control.set_answering(false);
     let syncs = fleet.control.syncs();
     // No heartbeat that was sent before the cut is answered after it.
@@ -40,7 +40,7 @@
 
 /// Shows that an entry that was cut off goes on when the right isn't looked at.
 #[tokio::test]
-async fn cut_off_entry_goes_on_without_right() {
+pub(crate) async fn cut_off_entry_goes_on_without_right() {
     // A silent engine would be refused for another reason.
     let patient = options().with_suspect_after(PAST_THE_RIGHT * 2);
     let fleet = Fleet::start(patient.without_right()).await;
--- a/crates/usher_entry/tests/entry/main.rs
+++ b/crates/usher_entry/tests/entry/main.rs
@@ -10,5 +10,6 @@
 mod hostile;
 mod lifecycle;
 mod plain;
+mod run_state;
 mod streams;
 mod support;
--- /dev/null
+++ b/crates/usher_entry/tests/entry/run_state.rs
@@ -0,0 +1,169 @@
+//! What a refusal says of earlier attempts of the same call.
+
+use std::{sync, time};
+
+use tokio::io::AsyncWriteExt as _;
+
+use crate::{
+    hostile::read_request,
+    lifecycle::cut_off,
+    support::{chat_body, options, wait_for, Fleet, Reply},
+};
+use usher_fake::{ServiceBehaviour, ServiceOptions};
+
+const REFUSAL: &[u8] = b"HTTP/1.1 400 Bad Request\r\ncontent-length: 2\r\n\r\n{}";
+
+/// What an engine does with a request that it has read.
+#[derive(Clone, Copy)]
+struct Step {
+    /// Whether it answers 400; else it closes the connection.
+    refuse: bool,
+    /// Steps that must have begun before it ends.
+    after: usize,
+    pause: time::Duration,
+}
+
+fn step(refuse: bool, after: usize, pause_ms: u64) -> Step {
+    Step {
+        refuse,
+        after,
+        pause: time::Duration::from_millis(pause_ms),
+    }
+}
+
+/// The steps of two engines, in the order in which requests arrive at either of them.
+#[derive(Clone)]
+struct Script {
+    steps: Vec<Step>,
+    begun: sync::Arc<sync::atomic::AtomicUsize>,
+    held: sync::Arc<sync::atomic::AtomicBool>,
+}
+
+impl Script {
+    fn new(steps: &[Step], held: bool) -> Self {
+        Self {
+            steps: steps.to_vec(),
+            begun: sync::Arc::default(),
+            held: sync::Arc::new(held.into()),
+        }
+    }
+
+    fn begun(&self) -> usize {
+        self.begun.load(sync::atomic::Ordering::SeqCst)
+    }
+
+    fn release(&self) {
+        self.held.store(false, sync::atomic::Ordering::SeqCst);
+    }
+
+    async fn serve(self, listener: tokio::net::TcpListener) {
+        while let Ok((mut socket, _)) = listener.accept().await {
+            let script = self.clone();
+            tokio::spawn(async move {
+                if read_request(&mut socket).await.is_none() {
+                    return;
+                }
+                let index = script.begun.fetch_add(1, sync::atomic::Ordering::SeqCst);
+                let step = script.steps[index];
+                wait_for("the engine may go on", || {
+                    script.begun() >= step.after
+                        && !script.held.load(sync::atomic::Ordering::SeqCst)
+                })
+                .await;
+                tokio::time::sleep(step.pause).await;
+                if step.refuse {
+                    let _ = socket.write_all(REFUSAL).await;
+                }
+            });
+        }
+    }
+}
+
+/// An entry with a filled retry budget and two engines that follow a script.
+async fn scripted_fleet(script: &Script) -> Fleet {
+    let fleet = Fleet::start(options().with_suspect_after(time::Duration::from_secs(60))).await;
+    let _service = fleet.service(ServiceOptions::new("service-1")).await;
+    for _ in 0..40 {
+        assert_eq!(fleet.get("/svc/rounds/plan").await.status, 200);
+    }
+    let before = fleet.node.status().targets;
+    for name in ["scripted-1", "scripted-2"] {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let announcement = serde_json::json!({
+            "name": name, "incarnation": 1, "address": listener.local_addr().unwrap(),
+            "kind": "engine", "service": "assist", "model": "assist-1", "region": "south-a",
+            "domain": "domain-1", "kv_pieces": 512,
+        });
+        tokio::spawn(script.clone().serve(listener));
+        let request = fleet.request("POST", "/v1/targets/announce");
+        let reply = fleet.send(request, announcement.to_string()).await;
+        assert_eq!(reply.status, 200, "{}", reply.text);
+    }
+    wait_for("both engines are known", || {
+        fleet.node.status().targets == before + 2
+    })
+    .await;
+    fleet
+}
+
+fn assert_unknown(reply: &Reply, status: u16) {
+    assert_eq!(
+        (reply.status, reply.run()),
+        (status, Some("unknown")),
+        "{}",
+        reply.text
+    );
+}
+
+/// Guards against "not run" for a plain call whose first attempt broke and whose later ones were
+/// not sent.
+#[tokio::test]
+async fn plain_call_that_broke_once_is_unknown() {
+    let fleet = Fleet::start(options()).await;
+    let service = fleet.service(ServiceOptions::new("service-1")).await;
+    for _ in 0..40 {
+        assert_eq!(fleet.get("/svc/rounds/plan").await.status, 200);
+    }
+    service.behave(ServiceBehaviour {
+        die_after: true,
+        ..ServiceBehaviour::default()
+    });
+    assert_unknown(&fleet.get("/svc/rounds/plan").await, 502);
+}
+
+fn refused_after_a_break(steps: [Step; 2]) {
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    runtime.block_on(async {
+        let script = Script::new(&steps, false);
+        let fleet = scripted_fleet(&script).await;
+        let reply = fleet.chat(&chat_body(4, true)).await;
+        assert_eq!(script.begun(), 2, "{}", reply.text);
+        assert_unknown(&reply, 400);
+    });
+}
+
+usher_types::cases! { refused_after_a_break:
+    /// Guards against "not run" when an engine refuses a call that an earlier one may have run.
+    second_attempt_is_refused([step(false, 0, 0), step(true, 0, 0)]);
+    /// Guards against "not run" when the hedge broke before the first attempt was refused.
+    hedge_breaks_first([step(true, 2, 300), step(false, 2, 0)]);
+    /// Guards against "not run" when the hedge broke after the first attempt was refused.
+    hedge_breaks_last([step(true, 2, 0), step(false, 2, 300)]);
+}
+
+/// Guards against "not run" when the routing right runs out after an attempt that broke.
+#[tokio::test]
+async fn right_lost_after_a_break_is_unknown() {
+    // The second step is for a hedge, which a busy machine may let through before the cut.
+    let script = Script::new(&[step(false, 0, 0), step(false, 0, 0)], true);
+    let fleet = scripted_fleet(&script).await;
+    let body = chat_body(4, true);
+    let call = fleet.chat(&body);
+    let cut = async {
+        wait_for("an engine has the call", || script.begun() > 0).await;
+        cut_off(&fleet).await;
+        script.release();
+    };
+    let (reply, ()) = tokio::join!(call, cut);
+    assert_unknown(&reply, 503);
+}
