Bound the wait for each later part of a long plain answer

Cause: an answer over 64 KiB is forwarded after its head was taken, and no timeout covered its later frames: a target that stays connected and sends nothing held the call, its caller and its claim for ever. Change: each frame may take plain_timeout; when it runs out, the answer ends with an error and the claim is recorded as unknown. Conclusion: a stuck target no longer holds a long plain call.

--- a/crates/usher_entry/src/options.rs
+++ b/crates/usher_entry/src/options.rs
@@ -36,7 +36,8 @@
         pub first_token_timeout: time::Duration,
         /// How long a stream may make no progress before it is resumed elsewhere.
         pub stall_timeout: time::Duration,
-        /// How long a plain call may take when it has no deadline.
+        /// How long a plain call may take when it has no deadline; also how long each later part of
+        /// an answer that is too long to keep may take.
         pub plain_timeout: time::Duration,
         /// How long a resumed stream may wait for a target or for the routing right.
         pub resume_wait: time::Duration,
--- a/crates/usher_entry/src/plain/run.rs
+++ b/crates/usher_entry/src/plain/run.rs
@@ -280,8 +280,9 @@
             return Ok(answer.into_response(None));
         };
         let (sender, receiver) = tokio::sync::mpsc::channel(REST_QUEUE);
+        let timeout = self.core.options.plain_timeout;
         tokio::spawn(async move {
-            let whole = forward(rest, sender).await;
+            let whole = forward(rest, sender, timeout).await;
             match (whole, claim) {
                 (true, Some(claim)) => claim.answer(record).await,
                 (false, Some(claim)) => claim.lose(),
@@ -365,11 +366,20 @@
 }
 
 /// Passes the rest of an answer on; returns whether all of it was read from the target.
+///
+/// Each frame may take `timeout`: a target that stays connected and sends nothing would otherwise
+/// hold the call and its claim for ever.
 async fn forward(
     mut rest: hyper::body::Incoming,
     sender: tokio::sync::mpsc::Sender<Result<bytes::Bytes, String>>,
+    timeout: time::Duration,
 ) -> bool {
-    while let Some(frame) = rest.frame().await {
+    loop {
+        let frame = match tokio::time::timeout(timeout, rest.frame()).await {
+            Ok(None) => return true,
+            Ok(Some(frame)) => frame.map_err(|error| error.to_string()),
+            Err(_) => Err("target sent no more of its answer in time".to_owned()),
+        };
         match frame {
             Ok(frame) => {
                 if let Ok(data) = frame.into_data() {
@@ -378,10 +388,9 @@
                 }
             }
             Err(error) => {
-                let _ = sender.send(Err(error.to_string())).await;
+                let _ = sender.send(Err(error)).await;
                 return false;
             }
         }
     }
-    true
 }
--- a/crates/usher_entry/tests/entry/plain.rs
+++ b/crates/usher_entry/tests/entry/plain.rs
@@ -340,3 +340,44 @@
     }
     assert_eq!(service.calls()["key-1"], 2);
 }
+
+/// Sends the begin of a long answer to each call, and then nothing more.
+async fn serve_stuck(listener: tokio::net::TcpListener) {
+    use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+    let mut sockets = Vec::new();
+    while let Ok((mut socket, _)) = listener.accept().await {
+        let mut buffer = [0; 4_096];
+        let _ = socket.read(&mut buffer).await;
+        let mut answer = b"HTTP/1.1 200 OK\r\ncontent-length: 100000\r\n\r\n".to_vec();
+        answer.resize(answer.len() + 70_000, b'x');
+        let _ = socket.write_all(&answer).await;
+        sockets.push(socket);
+    }
+}
+
+/// Guards against a long answer that is waited for without end, and against a claim that stays
+/// running with it.
+#[tokio::test]
+async fn long_answer_that_stops_is_given_up() {
+    let timeout = time::Duration::from_millis(300);
+    let patient = options().with_suspect_after(time::Duration::from_secs(60));
+    let fleet = Fleet::start(patient.with_plain_timeout(timeout)).await;
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let announcement = serde_json::json!({
+        "name": "stuck-1", "incarnation": 1, "address": listener.local_addr().unwrap(),
+        "kind": "plain", "service": "rounds", "region": "south-a", "domain": "domain-1",
+    });
+    tokio::spawn(serve_stuck(listener));
+    let request = fleet.request("POST", "/v1/targets/announce");
+    let reply = fleet.send(request, announcement.to_string()).await;
+    assert_eq!(reply.status, 200, "{}", reply.text);
+    wait_for("the service is known", || fleet.node.status().targets == 1).await;
+    let reply = tokio::time::timeout(time::Duration::from_secs(5), call(&fleet, Some("key-1")));
+    let reply = reply.await.expect("the answer is waited for without end");
+    assert_eq!((reply.status, reply.complete), (200, false));
+    wait_for("the outcome is recorded", || {
+        fleet.control.claim_state(SCOPED) == Some(ClaimState::Unknown)
+    })
+    .await;
+    fleet.wait_idle().await;
+}
