Check the right and the decode engine again before a stream moves

Cause: moving a KV cache may take 10 s; the stream was then opened on the decode engine although the routing right had run out, or the engine had begun to leave or had restarted without the cache. Change: just before the stream is opened there, move_stream requires the right and a live target that is not leaving and has the same incarnation and address; otherwise the stream stays on the prefill engine. Conclusion: a move starts no work that a new call could not start.

--- a/crates/usher_entry/src/model/handover.rs
+++ b/crates/usher_entry/src/model/handover.rs
@@ -20,6 +20,8 @@
     from: net::SocketAddr,
     request: stream::EngineRequest,
     stall: time::Duration,
+    to: TargetSlot,
+    incarnation: usher_types::IncarnationId,
 }
 
 impl<P> relay::Relay<P>
@@ -51,7 +53,11 @@
         let Some(from) = self.live.as_ref().map(stream::LiveStream::address) else {
             return;
         };
-        let Some(guard) = self.begin_decode(slot) else {
+        let incarnation = {
+            let board = self.core.board();
+            board.policy.target(slot).map(|info| info.incarnation)
+        };
+        let (Some(incarnation), Some(guard)) = (incarnation, self.begin_decode(slot)) else {
             return;
         };
         let plan = MovePlan {
@@ -61,6 +67,8 @@
                 ..self.engine.clone()
             },
             stall: self.stall_timeout(),
+            to: slot,
+            incarnation,
         };
         self.core.metrics.add("entry.handovers");
         self.moving
@@ -103,10 +111,36 @@
 {
     let moved = tokio::time::timeout(MOVE_TIMEOUT, move_cache(&core, &guard, &plan)).await;
     moved.unwrap_or_else(|_| Err("moving the KV cache took too long".to_owned()))?;
+    check_target(&core, &guard, &plan)?;
     let opened = stream::LiveStream::open(core, guard, plan.request, plan.stall).await;
     opened.map_err(|failure| failure.message)
 }
 
+/// Checks that new work may still go to the decode engine: moving the cache can take longer than
+/// the routing right lasts, and the engine can leave or restart meanwhile.
+fn check_target<P>(
+    core: &core::EntryCore<P>,
+    guard: &AttemptGuard<P>,
+    plan: &MovePlan,
+) -> Result<(), String>
+where
+    P: parts::EntryParts,
+{
+    if !core.has_right() {
+        return Err("routing right ran out during the move".to_owned());
+    }
+    let board = core.board();
+    let unchanged = board.policy.target(plan.to).is_some_and(|info| {
+        info.name == guard.name && info.incarnation == plan.incarnation && !info.leaving
+    });
+    let live = board.live_engines(guard.region.as_str());
+    if unchanged && live.contains(&(guard.name.clone(), guard.address)) {
+        Ok(())
+    } else {
+        Err("decode engine left or restarted during the move".to_owned())
+    }
+}
+
 /// The cache goes from engine to engine; only its description passes through here.
 async fn move_cache<P>(
     core: &core::EntryCore<P>,
--- a/crates/usher_entry/tests/entry/handover.rs
+++ b/crates/usher_entry/tests/entry/handover.rs
@@ -1,6 +1,16 @@
 //! Streams that move from a prefill engine to a decode engine.
 
-use crate::support::{options, steady, wait_for, Fleet};
+use std::{
+    sync::{atomic, Arc},
+    time,
+};
+
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+
+use crate::{
+    lifecycle::cut_off,
+    support::{options, steady, wait_for, Fleet},
+};
 use usher_fake::FakeEngine;
 use usher_types::EngineRole;
 
@@ -54,3 +64,99 @@
     reply.assert_whole(TOKENS);
     fleet.wait_idle().await;
 }
+
+/// A decode engine that holds the import of a KV cache until it is released.
+#[derive(Clone, Default)]
+struct HeldDecode {
+    imports: Arc<atomic::AtomicUsize>,
+    streams: Arc<atomic::AtomicUsize>,
+    released: Arc<atomic::AtomicBool>,
+}
+
+impl HeldDecode {
+    async fn serve(self, listener: tokio::net::TcpListener) {
+        while let Ok((mut socket, _)) = listener.accept().await {
+            let engine = self.clone();
+            tokio::spawn(async move {
+                let mut buffer = vec![0; 65_536];
+                let read = socket.read(&mut buffer).await.unwrap_or(0);
+                let head = String::from_utf8_lossy(&buffer[..read]).into_owned();
+                let line = head.lines().next().unwrap_or_default();
+                if line.contains("/v1/chat/completions ") {
+                    engine.streams.fetch_add(1, atomic::Ordering::SeqCst);
+                } else if line.contains("/v1/kv/import ") {
+                    engine.imports.fetch_add(1, atomic::Ordering::SeqCst);
+                    wait_for("the import may end", || {
+                        engine.released.load(atomic::Ordering::SeqCst)
+                    })
+                    .await;
+                    let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+                    let _ = socket.write_all(answer).await;
+                }
+            });
+        }
+    }
+}
+
+/// What happens to the decode engine or its entry during the move.
+#[derive(Clone, Copy)]
+enum Change {
+    Leaving,
+    Restart,
+    RightLost,
+}
+
+fn stream_stays_after(change: Change) {
+    const LONG: u64 = 200;
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    runtime.block_on(async {
+        let fleet = Fleet::start(options().with_suspect_after(time::Duration::from_secs(60))).await;
+        let prefill = steady("prefill-1").with_role(EngineRole::Prefill);
+        let prefill = fleet.engine(prefill).await;
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let decode = HeldDecode::default();
+        tokio::spawn(decode.clone().serve(listener));
+        let announce = |incarnation: u64, leaving: bool| {
+            let announcement = serde_json::json!({
+                "name": "decode-1", "incarnation": incarnation, "address": address,
+                "kind": "engine", "service": "assist", "model": "assist-1", "role": "decode",
+                "region": "south-a", "domain": "domain-1", "kv_pieces": 512, "leaving": leaving,
+            });
+            fleet.send(
+                fleet.request("POST", "/v1/targets/announce"),
+                announcement.to_string(),
+            )
+        };
+        assert_eq!(announce(1, false).await.status, 200);
+        wait_for("both engines are known", || {
+            fleet.node.status().targets == 2
+        })
+        .await;
+        let change = async {
+            wait_for("the move has begun", || {
+                decode.imports.load(atomic::Ordering::SeqCst) > 0
+            })
+            .await;
+            match change {
+                Change::Leaving => assert_eq!(announce(1, true).await.status, 200),
+                Change::Restart => assert_eq!(announce(2, false).await.status, 200),
+                Change::RightLost => cut_off(&fleet).await,
+            }
+            decode.released.store(true, atomic::Ordering::SeqCst);
+        };
+        let (reply, ()) = tokio::join!(fleet.stream(LONG), change);
+        reply.assert_whole(LONG);
+        assert_eq!(decode.streams.load(atomic::Ordering::SeqCst), 0);
+        assert_eq!(prefill.generated_tokens(), LONG);
+    });
+}
+
+usher_types::cases! { stream_stays_after:
+    /// Guards against new work for an engine that began to leave during the move.
+    decode_engine_leaves_during_the_move(Change::Leaving);
+    /// Guards against a stream on an engine whose restart lost the moved cache.
+    decode_engine_restarts_during_the_move(Change::Restart);
+    /// Guards against new work after the routing right ran out during the move.
+    right_is_lost_during_the_move(Change::RightLost);
+}
