Check the routing right between connecting and writing a stream request

Cause: connecting to an engine may outlast the routing right, and the request was written afterwards without another check. Change: StreamPool::send takes may_write and asks it right before each writing; without the right the attempt ends as not sent. Conclusion: streams are covered. Plain calls still connect and write inside the pooled client without a check between the two; that half stays open.

--- a/crates/usher_entry/src/model/stream.rs
+++ b/crates/usher_entry/src/model/stream.rs
@@ -160,8 +160,9 @@
         let request = request
             .to_http(guard.address)
             .map_err(|error| SendError::NotSent(error.to_string()))?;
-        let sent = core.streams.send(guard.address, request).await?;
-        let (mut connection, response) = sent;
+        let may_write = || core.has_right();
+        let sent = core.streams.send(guard.address, request, may_write);
+        let (mut connection, response) = sent.await?;
         let status = response.status();
         if status != http::StatusCode::OK {
             return Err(OpenError::Status(
--- a/crates/usher_entry/src/stream_pool.rs
+++ b/crates/usher_entry/src/stream_pool.rs
@@ -133,12 +133,20 @@
     }
 
     /// Sends a request over an idle or a new connection.
+    ///
+    /// `may_write` is asked right before each writing, as connecting may outlast the routing right.
     pub(crate) async fn send(
         &self,
         address: net::SocketAddr,
         mut request: http::Request<FullBody>,
+        may_write: impl Fn() -> bool,
     ) -> Result<(EngineConnection, http::Response<hyper::body::Incoming>), SendError> {
+        let check = || {
+            let refusal = || not_sent("routing right ran out before the request was written");
+            may_write().then_some(()).ok_or_else(refusal)
+        };
         while let Some(mut connection) = self.take(address) {
+            check()?;
             match connection.send(request).await {
                 Ok(response) => return Ok((connection, response)),
                 // The engine closed the idle connection meanwhile; nothing was written.
@@ -147,6 +155,7 @@
             }
         }
         let mut connection = EngineConnection::connect(address, self.connect_timeout).await?;
+        check()?;
         match connection.send(request).await {
             Ok(response) => Ok((connection, response)),
             Err((error, Some(_))) => Err(SendError::NotSent(error.to_string())),
