--- a/crates/pimentousher/src/scale/state_part.rs
+++ b/crates/pimentousher/src/scale/state_part.rs
@@ -104,7 +104,8 @@
 }
 
 fn target_memory(state: &mut FleetState) -> report::ScaleRow {
-    let sizes = [4_000, 8_000, 16_000, 32_000];
+    // The registry takes 10,000 targets at most.
+    let sizes = [1_000, 2_000, 4_000, 8_000];
     let points = resident::grow(state, &sizes, |state, number| {
         let record = engine_record(number);
         apply(state, state_command::Kind::AnnounceTarget(record));
--- a/crates/usher_entry/src/plain/run.rs
+++ b/crates/usher_entry/src/plain/run.rs
@@ -33,6 +33,8 @@
     call: PlainCall,
     request: CallRequest,
     attempts: u32,
+    /// Whether any attempt broke after bytes of it may have been written.
+    may_have_run: bool,
     recorded: bool,
     target: Option<(usher_types::TargetName, usher_types::RegionName)>,
 }
@@ -68,6 +70,7 @@
             call,
             request,
             attempts: 0,
+            may_have_run: false,
             recorded: false,
             target: None,
         }
@@ -126,6 +129,11 @@
     }
 
     async fn attempts(&mut self) -> Result<(PlainAnswer, AttemptGuard<P>), CallError> {
+        let result = self.try_attempts().await;
+        result.map_err(|error| error.after_attempts(self.may_have_run))
+    }
+
+    async fn try_attempts(&mut self) -> Result<(PlainAnswer, AttemptGuard<P>), CallError> {
         loop {
             // The claim may have taken longer than the right lasted.
             if let Err((error, cause)) = self.core.check_right() {
@@ -226,6 +234,7 @@
             request = %self.identity.id, target = %failure.target, reason = failure.message,
             "attempt failed"
         );
+        self.may_have_run |= failure.kind == FailureKind::Broken;
         let now = self.core.now();
         let retry = {
             let mut board = self.core.board();
@@ -271,8 +280,9 @@
             return Ok(answer.into_response(None));
         };
         let (sender, receiver) = tokio::sync::mpsc::channel(REST_QUEUE);
+        let timeout = self.core.options.plain_timeout;
         tokio::spawn(async move {
-            let whole = forward(rest, sender).await;
+            let whole = forward(rest, sender, timeout).await;
             match (whole, claim) {
                 (true, Some(claim)) => claim.answer(record).await,
                 (false, Some(claim)) => claim.lose(),
@@ -356,11 +366,20 @@
 }
 
 /// Passes the rest of an answer on; returns whether all of it was read from the target.
+///
+/// Each frame may take `timeout`: a target that stays connected and sends nothing would otherwise
+/// hold the call and its claim for ever.
 async fn forward(
     mut rest: hyper::body::Incoming,
     sender: tokio::sync::mpsc::Sender<Result<bytes::Bytes, String>>,
+    timeout: time::Duration,
 ) -> bool {
-    while let Some(frame) = rest.frame().await {
+    loop {
+        let frame = match tokio::time::timeout(timeout, rest.frame()).await {
+            Ok(None) => return true,
+            Ok(Some(frame)) => frame.map_err(|error| error.to_string()),
+            Err(_) => Err("target sent no more of its answer in time".to_owned()),
+        };
         match frame {
             Ok(frame) => {
                 if let Ok(data) = frame.into_data() {
@@ -369,10 +388,9 @@
                 }
             }
             Err(error) => {
-                let _ = sender.send(Err(error.to_string())).await;
+                let _ = sender.send(Err(error)).await;
                 return false;
             }
         }
     }
-    true
 }
