--- a/crates/usher_entry/src/model/race.rs
+++ b/crates/usher_entry/src/model/race.rs
@@ -222,6 +222,8 @@
             return;
         };
         self.core.metrics.add("entry.probes");
+        // The probe is a copy of the call: from here on "not run" would not be true.
+        self.may_have_run = true;
         let core = self.core.clone();
         let request = stream::EngineRequest {
             priority: decision.priority,
--- a/crates/usher_entry/src/model/relay.rs
+++ b/crates/usher_entry/src/model/relay.rs
@@ -171,7 +171,7 @@
                     event = next => event,
                     () = core.stop.draining() => Err(sse::StreamFault::Stopping),
                 }
-            } else if self.moving.is_empty() {
+            } else if self.moving.is_empty() || self.finished {
                 next.await
             } else {
                 tokio::select! {
@@ -218,6 +218,10 @@
                 return Err(sse::StreamFault::Garbage("a token is missing"));
             }
         }
+        if self.finished && (facts.finish.is_some() || facts.token) {
+            // The caller has had the end of the answer; an engine that repeats it adds nothing.
+            return Ok(None);
+        }
         if facts.usage.is_some() && !facts.token && facts.finish.is_none() && !self.include_usage {
             return Ok(None);
         }
--- a/crates/usher_entry/src/model/stream.rs
+++ b/crates/usher_entry/src/model/stream.rs
@@ -62,7 +62,9 @@
             body.push_str(&self.resume_from.to_string());
         }
         body.push('}');
-        http::Request::post(format!("http://{address}{}", self.path))
+        // A plain HTTP/1.1 connection takes the path alone and needs the Host header.
+        http::Request::post(self.path)
+            .header(http::header::HOST, address.to_string())
             .header(http::header::CONTENT_TYPE, "application/json")
             .header("x-request-id", self.id.as_str())
             .body(http_body_util::Full::from(body))
--- a/crates/usher_entry/src/stream_pool.rs
+++ b/crates/usher_entry/src/stream_pool.rs
@@ -117,11 +117,35 @@
     SendError::NotSent(error.to_string())
 }
 
+/// Idle connections by address.
+#[derive(Debug, Default)]
+struct IdleTable {
+    connections: collections::HashMap<net::SocketAddr, Vec<EngineConnection>>,
+    swept_at: Option<time::Instant>,
+}
+
+impl IdleTable {
+    /// Closes what has been idle for too long, also to addresses that nobody asks for any more.
+    fn sweep(&mut self, now: time::Instant) {
+        let swept_at = *self.swept_at.get_or_insert(now);
+        if now.saturating_duration_since(swept_at) < IDLE_TIMEOUT {
+            return;
+        }
+        self.swept_at = Some(now);
+        self.connections.retain(|_, connections| {
+            connections.retain(|connection| {
+                now.saturating_duration_since(connection.used_at) < IDLE_TIMEOUT
+            });
+            !connections.is_empty()
+        });
+    }
+}
+
 /// Keeps idle connections to engines; cheap to clone.
 #[derive(Clone, Debug)]
 pub(crate) struct StreamPool {
     connect_timeout: time::Duration,
-    idle: sync::Arc<sync::Mutex<collections::HashMap<net::SocketAddr, Vec<EngineConnection>>>>,
+    idle: sync::Arc<sync::Mutex<IdleTable>>,
 }
 
 impl StreamPool {
@@ -189,9 +213,11 @@
         if !connection.is_usable() {
             return;
         }
-        connection.used_at = time::Instant::now();
+        let now = time::Instant::now();
+        connection.used_at = now;
         let mut idle = self.lock();
-        let connections = idle.entry(connection.address).or_default();
+        idle.sweep(now);
+        let connections = idle.connections.entry(connection.address).or_default();
         if connections.len() < MAX_IDLE {
             connections.push(connection);
         }
@@ -199,19 +225,17 @@
 
     fn take(&self, address: net::SocketAddr) -> Option<EngineConnection> {
         let mut idle = self.lock();
-        let connections = idle.get_mut(&address)?;
+        let connections = idle.connections.get_mut(&address)?;
         while let Some(mut connection) = connections.pop() {
             if connection.used_at.elapsed() < IDLE_TIMEOUT && connection.is_usable() {
                 return Some(connection);
             }
         }
-        idle.remove(&address);
+        idle.connections.remove(&address);
         None
     }
 
-    fn lock(
-        &self,
-    ) -> sync::MutexGuard<'_, collections::HashMap<net::SocketAddr, Vec<EngineConnection>>> {
+    fn lock(&self) -> sync::MutexGuard<'_, IdleTable> {
         self.idle
             .lock()
             .unwrap_or_else(sync::PoisonError::into_inner)
--- a/crates/usher_entry/tests/entry/hostile.rs
+++ b/crates/usher_entry/tests/entry/hostile.rs
@@ -84,36 +84,89 @@
     }
 }
 
-async fn serve_hostile(listener: tokio::net::TcpListener, seed: u64) {
-    let mut random = rand_chacha::ChaCha8Rng::seed_from_u64(seed);
+/// Answers each request with what `write` makes of its id.
+async fn serve_engine<W>(listener: tokio::net::TcpListener, mut write: W)
+where
+    W: FnMut(&str) -> Vec<u8>,
+{
     while let Ok((mut socket, _)) = listener.accept().await {
         let Some(id) = read_request(&mut socket).await else {
             continue;
         };
         let mut answer = b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n".to_vec();
-        answer.extend(mutate(events(&id), &mut random));
+        answer.extend(write(&id));
         let _ = socket.write_all(&answer).await;
     }
 }
 
+/// Announces an engine that listens elsewhere and waits until the entry knows it.
+async fn announce_engine(fleet: &Fleet, listener: &tokio::net::TcpListener) {
+    let announcement = serde_json::json!({
+        "name": "hostile-1", "incarnation": 1, "address": listener.local_addr().unwrap(),
+        "kind": "engine", "service": "assist", "model": "assist-1", "region": "south-a",
+        "domain": "domain-1", "kv_pieces": 512,
+    });
+    let request = fleet.request("POST", "/v1/targets/announce");
+    let reply = fleet.send(request, announcement.to_string()).await;
+    assert_eq!(reply.status, 200, "{}", reply.text);
+    wait_for("the engine is known", || fleet.node.status().targets == 1).await;
+}
+
+/// Guards against a second end of an answer, which client libraries count as another choice.
+#[tokio::test]
+async fn repeated_finish_chunk_is_not_passed_on() {
+    let fleet = Fleet::start(options().with_suspect_after(time::Duration::from_secs(60))).await;
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    announce_engine(&fleet, &listener).await;
+    tokio::spawn(serve_engine(listener, |id| {
+        let mut events = events(id);
+        let finish = events[events.len() - 2].clone();
+        events.insert(events.len() - 1, finish);
+        events.concat()
+    }));
+    let reply = fleet.stream(TOKENS).await;
+    reply.assert_whole(TOKENS);
+    let (chunks, _) = reply.chunks();
+    let ends = chunks
+        .iter()
+        .filter(|chunk| chunk["choices"][0]["finish_reason"].is_string());
+    assert_eq!(ends.count(), 1);
+}
+
+/// Guards against requests without a Host header, which HTTP/1.1 servers refuse.
+#[tokio::test]
+async fn engine_request_has_a_host_and_a_plain_path() {
+    let fleet = Fleet::start(options().with_suspect_after(time::Duration::from_secs(60))).await;
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    announce_engine(&fleet, &listener).await;
+    let head = tokio::spawn(async move {
+        loop {
+            let (mut socket, _) = listener.accept().await.unwrap();
+            let mut buffer = [0; 4_096];
+            let read = socket.read(&mut buffer).await.unwrap();
+            let text = String::from_utf8_lossy(&buffer[..read]).into_owned();
+            if text.contains("completions") {
+                return text;
+            }
+        }
+    });
+    fleet.stream(1).await;
+    let head = head.await.unwrap();
+    assert!(head.starts_with("POST /v1/chat/completions HTTP/1.1\r\n"));
+    assert!(head.contains(&format!("\r\nhost: {address}\r\n")));
+}
+
 fn hostile_engine(seed: u64) {
     let runtime = tokio::runtime::Runtime::new().unwrap();
     runtime.block_on(async {
         let fleet = Fleet::start(options().with_suspect_after(time::Duration::from_secs(60))).await;
         let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let announcement = serde_json::json!({
-            "name": "hostile-1", "incarnation": 1, "address": listener.local_addr().unwrap(),
-            "kind": "engine", "service": "assist", "model": "assist-1", "region": "south-a",
-            "domain": "domain-1", "kv_pieces": 512,
-        });
-        tokio::spawn(serve_hostile(listener, seed));
-        let request = fleet.request("POST", "/v1/targets/announce");
-        let reply = fleet.send(request, announcement.to_string()).await;
-        assert_eq!(reply.status, 200, "{}", reply.text);
-        wait_for("the hostile engine is known", || {
-            fleet.node.status().targets == 1
-        })
-        .await;
+        announce_engine(&fleet, &listener).await;
+        let mut random = rand_chacha::ChaCha8Rng::seed_from_u64(seed);
+        tokio::spawn(serve_engine(listener, move |id| {
+            mutate(events(id), &mut random)
+        }));
         let _good = fleet.engine(steady("engine-1")).await;
         let mut whole = 0;
         for _ in 0..40 {
