--- a/crates/usher_entry/src/model/relay.rs
+++ b/crates/usher_entry/src/model/relay.rs
@@ -87,7 +87,8 @@
             identity,
             request,
             engine,
-            include_usage: call.include_usage,
+            // A whole answer always tells the usage; a stream only where the caller asked.
+            include_usage: call.include_usage || !call.stream,
             live: None,
             decode_on: None,
             moving: tokio::task::JoinSet::new(),
--- a/crates/usher_entry/tests/entry/basics.rs
+++ b/crates/usher_entry/tests/entry/basics.rs
@@ -247,3 +247,13 @@
     }
     assert!(fleet.control.target_names().is_empty());
 }
+
+/// Guards against a whole answer that counts no prompt tokens, as the OpenAI client showed it.
+#[tokio::test]
+async fn whole_answer_tells_the_usage() {
+    let fleet = Fleet::start(options()).await;
+    let _engine = fleet.engine(instant("engine-1")).await;
+    let usage = fleet.chat(&chat_body(3, false)).await.json()["usage"].clone();
+    assert!(usage["prompt_tokens"].as_u64() > Some(0), "{usage}");
+    assert_eq!(usage["completion_tokens"], 3);
+}
--- /dev/null
+++ b/crates/usher_scenario/src/runner/change.rs
@@ -0,0 +1,109 @@
+//! Changes by operators, alone and racing. Not for: what entries make of them.
+
+use std::time;
+
+use crate::{error, runner, runner::expect};
+
+impl runner::ScenarioRunner {
+    /// Returns a sheet that differs from all earlier ones only in an upper count.
+    pub(super) fn next_sheet(&mut self) -> String {
+        self.changes += 1;
+        let most = 10 + self.changes;
+        let (engines, model) = (runner::ENGINE_SERVICE, runner::MODEL);
+        let plain = runner::PLAIN_SERVICE;
+        let header = "service,kind,region,model,version,adapters,prefill,decode,mixed,floor\n";
+        let mut sheet = header.to_owned();
+        for region in ["south-a", "north-a", "west-a"] {
+            sheet.push_str(&format!(
+                "{engines},engine,{region},{model},1,,0,0,0..{most},0\n\
+                 {plain},plain,{region},,,,,,0..{most},0\n"
+            ));
+        }
+        sheet
+    }
+
+    pub(super) async fn apply(
+        &mut self,
+        line: usize,
+        operator: &str,
+        request: &str,
+    ) -> Result<(), error::ScenarioError> {
+        let sheet = self.next_sheet();
+        let body = change_body(operator, request, self.version, &sheet);
+        let start = time::Instant::now();
+        // The same request is sent again until it is answered, also after lost answers.
+        for attempt in 0.. {
+            let control = self.control[attempt % self.control.len()].operators;
+            let answer = self.caller.post(control, "/v1/config", body.clone()).await;
+            if let Some(answer) = answer.filter(|answer| answer.status == 200) {
+                self.version = answer.json()["version"].as_u64().unwrap_or_default();
+                return Ok(());
+            }
+            if start.elapsed() > runner::CHANGE_LIMIT {
+                break;
+            }
+            tokio::time::sleep(runner::POLL_INTERVAL).await;
+        }
+        Err(error::ScenarioError::Timeout {
+            line,
+            what: "accepted change".to_owned(),
+            limit: runner::CHANGE_LIMIT,
+        })
+    }
+
+    /// Sends two changes on the same base version at once until each has a definite answer.
+    pub(super) async fn run_race(&mut self, line: usize) -> Result<(), error::ScenarioError> {
+        let (one, two) = (self.next_sheet(), self.next_sheet());
+        let bodies = [
+            change_body(
+                "ana",
+                &format!("race-a-{}", self.changes),
+                self.version,
+                &one,
+            ),
+            change_body(
+                "bruno",
+                &format!("race-b-{}", self.changes),
+                self.version,
+                &two,
+            ),
+        ];
+        let (first, second) = tokio::join!(
+            self.definite_answer(&bodies[0], 0),
+            self.definite_answer(&bodies[1], 1)
+        );
+        self.race = vec![first, second];
+        self.version += 1;
+        let definite = !self.race.contains(&0);
+        expect::expect(line, definite, "two definite answers", || {
+            format!("{:?}", self.race)
+        })
+    }
+
+    pub(super) async fn definite_answer(&self, body: &str, first: usize) -> u16 {
+        let start = time::Instant::now();
+        for attempt in first.. {
+            let control = self.control[attempt % self.control.len()].operators;
+            let answer = self
+                .caller
+                .post(control, "/v1/config", body.to_owned())
+                .await;
+            match answer.map(|answer| answer.status) {
+                Some(status @ (200 | 409)) => return status,
+                _ if start.elapsed() > runner::CHANGE_LIMIT => return 0,
+                _ => tokio::time::sleep(runner::POLL_INTERVAL).await,
+            }
+        }
+        0
+    }
+}
+
+fn change_body(operator: &str, request: &str, base: u64, sheet: &str) -> String {
+    serde_json::json!({
+        "operator": operator,
+        "request_id": request,
+        "base_version": base,
+        "sheet": sheet,
+    })
+    .to_string()
+}
--- /dev/null
+++ b/crates/usher_scenario/src/runner/mod.rs
@@ -0,0 +1,236 @@
+//! Runs a script against the real daemons. Not for: reading scripts.
+
+mod change;
+mod expect;
+mod start;
+
+use std::{collections, fs, io, net, path, time};
+
+use nix::sys::signal;
+use tokio::{sync, task};
+
+use crate::{caller, error, link_table, load, managed_process, parser, relay, settings_file, step};
+
+/// Model of the engines of a scenario.
+pub(crate) const MODEL: &str = "gum-8b";
+
+/// Service of the engines.
+pub(super) const ENGINE_SERVICE: &str = "assist";
+
+/// The plain service.
+pub(crate) const PLAIN_SERVICE: &str = "rounds";
+
+/// How often a condition is looked at.
+pub(super) const POLL_INTERVAL: time::Duration = time::Duration::from_millis(50);
+
+/// How long an operator tries to get a change accepted.
+pub(super) const CHANGE_LIMIT: time::Duration = time::Duration::from_secs(20);
+
+/// The first voters of a group; further control processes are spares.
+pub(super) const VOTERS: usize = 3;
+
+/// Runs the steps of a script in order; ends its processes when dropped.
+pub struct ScenarioRunner {
+    folder: path::PathBuf,
+    binaries: path::PathBuf,
+    links: sync::watch::Sender<link_table::LinkTable>,
+    relays: Vec<relay::LinkRelay>,
+    processes: collections::BTreeMap<step::ProcessName, managed_process::ManagedProcess>,
+    control: Vec<settings_file::ControlAddress>,
+    entries: collections::BTreeMap<step::ProcessName, net::SocketAddr>,
+    targets: collections::BTreeMap<step::ProcessName, net::SocketAddr>,
+    caller: caller::HttpCaller,
+    loads: task::JoinSet<load::LoadTotals>,
+    totals: load::LoadTotals,
+    calls: usize,
+    changes: usize,
+    version: u64,
+    race: Vec<u16>,
+    frozen: Option<step::ProcessName>,
+}
+
+impl ScenarioRunner {
+    /// Makes a runner that takes the programs from one folder and keeps its files in another.
+    pub fn new(binaries: impl Into<path::PathBuf>, folder: impl Into<path::PathBuf>) -> Self {
+        Self {
+            folder: folder.into(),
+            binaries: binaries.into(),
+            links: link_table::LinkTable::shared(),
+            relays: Vec::new(),
+            processes: collections::BTreeMap::new(),
+            control: Vec::new(),
+            entries: collections::BTreeMap::new(),
+            targets: collections::BTreeMap::new(),
+            caller: caller::HttpCaller::new(),
+            loads: task::JoinSet::new(),
+            totals: load::LoadTotals::default(),
+            calls: 0,
+            changes: 0,
+            version: 0,
+            race: Vec::new(),
+            frozen: None,
+        }
+    }
+
+    /// Reads and runs a script.
+    ///
+    /// # Errors
+    ///
+    /// Fails at the first step that can't be done or whose expectation doesn't come true.
+    pub async fn run(&mut self, script: &str) -> Result<(), error::ScenarioError> {
+        for line in parser::parse_script(script)? {
+            tracing::info!(line = line.line, step = ?line.step, "scenario step");
+            let number = line.line;
+            self.run_step(line).await?;
+            self.expect_running(number)?;
+        }
+        Ok(())
+    }
+
+    async fn run_step(&mut self, line: step::ScriptLine) -> Result<(), error::ScenarioError> {
+        use step::ScriptStep as Step;
+        let number = line.line;
+        match line.step {
+            Step::Start { kind, count } => self.start(kind, usize::from(count)).await,
+            Step::Load { kind, count } => {
+                self.start_load(kind, count);
+                Ok(())
+            }
+            Step::Apply { operator, request } => self.apply(number, &operator, &request).await,
+            Step::Race => self.run_race(number).await,
+            Step::Kill(name) => {
+                self.with_process(number, &name, |process| process.kill())
+                    .await
+            }
+            Step::Restart(name) => {
+                self.with_process(number, &name, |process| process.restart())
+                    .await
+            }
+            Step::Freeze(name) => {
+                let stop = signal::Signal::SIGSTOP;
+                self.frozen = self.resolve(&name).await;
+                let frozen = step::ProcessName::new("frozen");
+                self.with_process(number, &frozen, |process| process.signal(stop))
+                    .await
+            }
+            Step::Thaw(name) => {
+                let resume = signal::Signal::SIGCONT;
+                self.with_process(number, &name, |process| process.signal(resume))
+                    .await
+            }
+            Step::Stop(name) => self.stop(number, &name).await,
+            Step::Wipe(name) => self.wipe(number, &name),
+            Step::Cut { from, to } => self.cut(number, &from, to.as_ref()).await,
+            Step::Heal => {
+                self.links.send_modify(link_table::LinkTable::heal);
+                Ok(())
+            }
+            Step::Pause(limit) => {
+                tokio::time::sleep(limit).await;
+                Ok(())
+            }
+            Step::AwaitReady(limit) => self.await_ready(number, limit).await,
+            Step::AwaitLoad(limit) => self.await_load(number, limit).await,
+            Step::ExpectWhole => self.expect_whole(number),
+            Step::ExpectOnce => self.expect_once(number).await,
+            Step::ExpectOneWinner => self.expect_one_winner(number),
+            Step::ExpectConfig(limit) => self.expect_config(number, limit).await,
+            Step::ExpectAccepted(percent) => self.expect_accepted(number, percent),
+        }
+    }
+
+    /// Finds a process by its name; `leader` is the control process that leads now, `frozen` the
+    /// one that was frozen last.
+    async fn resolve(&self, name: &step::ProcessName) -> Option<step::ProcessName> {
+        if name.as_str() == "frozen" {
+            return self.frozen.clone();
+        }
+        if name.as_str() != "leader" {
+            return Some(name.clone());
+        }
+        let start = time::Instant::now();
+        while start.elapsed() < CHANGE_LIMIT {
+            for control in &self.control {
+                let path = "/v1/status?local=true";
+                let answer = self.caller.get(control.operators, path).await;
+                if answer.is_some_and(|answer| answer.json()["role"] == "leader") {
+                    return Some(control.name.clone());
+                }
+            }
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+        None
+    }
+
+    async fn with_process<F>(
+        &mut self,
+        line: usize,
+        name: &step::ProcessName,
+        act: F,
+    ) -> Result<(), error::ScenarioError>
+    where
+        F: FnOnce(&mut managed_process::ManagedProcess) -> io::Result<()>,
+    {
+        let missing = || error::ScenarioError::NoProcess {
+            line,
+            name: name.to_string(),
+        };
+        let found = self.resolve(name).await.ok_or_else(missing)?;
+        let process = self.processes.get_mut(&found).ok_or_else(missing)?;
+        act(process).map_err(|source| io_error(found.as_str(), source))
+    }
+
+    async fn stop(
+        &mut self,
+        line: usize,
+        name: &step::ProcessName,
+    ) -> Result<(), error::ScenarioError> {
+        let missing = || error::ScenarioError::NoProcess {
+            line,
+            name: name.to_string(),
+        };
+        let found = self.resolve(name).await.ok_or_else(missing)?;
+        let process = self.processes.get_mut(&found).ok_or_else(missing)?;
+        let code = process
+            .stop()
+            .await
+            .map_err(|source| io_error(found.as_str(), source))?;
+        expect::expect(line, code == Some(0), "exit code 0", || format!("{code:?}"))
+    }
+
+    fn wipe(&mut self, line: usize, name: &step::ProcessName) -> Result<(), error::ScenarioError> {
+        let process = self.processes.get_mut(name);
+        let stopped = process.is_some_and(|process| !process.is_wanted());
+        expect::expect(line, stopped, "a process that does not run", || {
+            name.to_string()
+        })?;
+        fs::remove_dir_all(self.data_folder(name)).map_err(|source| io_error("wipe", source))
+    }
+
+    async fn cut(
+        &mut self,
+        line: usize,
+        from: &step::ProcessName,
+        to: Option<&step::ProcessName>,
+    ) -> Result<(), error::ScenarioError> {
+        let missing = || error::ScenarioError::NoProcess {
+            line,
+            name: from.to_string(),
+        };
+        let from = self.resolve(from).await.ok_or_else(missing)?;
+        self.links.send_modify(|table| table.cut(&from, to));
+        Ok(())
+    }
+
+    /// Returns the totals of all loads so far, for a report.
+    pub fn summary(&self) -> String {
+        format!("{:?}", self.totals)
+    }
+}
+
+pub(super) fn io_error(what: &str, source: io::Error) -> error::ScenarioError {
+    error::ScenarioError::Io {
+        what: what.to_owned(),
+        source,
+    }
+}
