Check the routing right right before a claimed call is written

Change: non-idempotent calls go over a connection of their own, with a check before the first byte; scripts for a pairwise partition and for missed changes. A claimed call pays one connect more; its time was not measured. Conclusion: the promise holds for streams and claimed calls.

--- a/crates/pimentousher/tests/scenarios.rs
+++ b/crates/pimentousher/tests/scenarios.rs
@@ -32,4 +32,6 @@
     lost_disk("lost-disk.txt");
     partitioned_entry("partitioned-entry.txt");
     graceful_stop("graceful-stop.txt");
+    partitioned_pair("partitioned-pair.txt");
+    missed_changes("missed-changes.txt");
 }
--- a/crates/usher_entry/src/client.rs
+++ b/crates/usher_entry/src/client.rs
@@ -31,6 +31,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct TargetClient {
     inner: InnerClient,
+    connect_timeout: time::Duration,
 }
 
 impl TargetClient {
@@ -43,7 +44,54 @@
             .pool_idle_timeout(IDLE_TIMEOUT)
             .pool_timer(hyper_util::rt::TokioTimer::new())
             .build(connector);
-        Self { inner }
+        Self {
+            inner,
+            connect_timeout,
+        }
+    }
+
+    /// Sends a request over a connection of its own; `may_write` is asked right before the first
+    /// byte, as connecting may outlast the routing right.
+    ///
+    /// A kept connection could be closing already, which leaves open whether the target acted.
+    pub(crate) async fn send_once(
+        &self,
+        address: net::SocketAddr,
+        request: http::Request<http_body_util::Full<bytes::Bytes>>,
+        may_write: impl FnOnce() -> bool,
+    ) -> Result<http::Response<hyper::body::Incoming>, SendError> {
+        let connect = tokio::net::TcpStream::connect(address);
+        let socket = tokio::time::timeout(self.connect_timeout, connect)
+            .await
+            .map_err(|_| SendError::NotSent("connecting took too long".to_owned()))?
+            .map_err(not_sent)?;
+        socket.set_nodelay(true).map_err(not_sent)?;
+        socket2::SockRef::from(&socket)
+            .set_tcp_user_timeout(Some(USER_TIMEOUT))
+            .map_err(not_sent)?;
+        let io = hyper_util::rt::TokioIo::new(socket);
+        let (mut sender, connection) = hyper::client::conn::http1::handshake(io)
+            .await
+            .map_err(not_sent)?;
+        // The connection ends with its only response.
+        tokio::spawn(async move {
+            let _ = connection.await;
+        });
+        let request = origin_form(address, request).map_err(not_sent)?;
+        if !may_write() {
+            return Err(not_sent(
+                "routing right ran out before the request was written",
+            ));
+        }
+        sender.try_send_request(request).await.map_err(|mut error| {
+            let unsent = error.take_message().is_some();
+            let message = error.into_error().to_string();
+            if unsent {
+                SendError::NotSent(message)
+            } else {
+                SendError::Unknown(message)
+            }
+        })
     }
 
     /// Sends a request and returns the response when its head has arrived.
@@ -88,6 +136,23 @@
     }
 }
 
+fn not_sent(error: impl std::fmt::Display) -> SendError {
+    SendError::NotSent(error.to_string())
+}
+
+/// Writes a request as a connection to its target takes it: the path alone, and the Host header.
+fn origin_form(
+    address: net::SocketAddr,
+    request: http::Request<http_body_util::Full<bytes::Bytes>>,
+) -> Result<http::Request<http_body_util::Full<bytes::Bytes>>, http::Error> {
+    let (mut parts, body) = request.into_parts();
+    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    parts.uri = http::Uri::try_from(path)?;
+    let host = http::HeaderValue::try_from(address.to_string())?;
+    parts.headers.insert(http::header::HOST, host);
+    Ok(http::Request::from_parts(parts, body))
+}
+
 fn describe(error: &legacy::Error) -> String {
     use std::error::Error as _;
     match error.source() {
--- a/crates/usher_entry/src/plain/run.rs
+++ b/crates/usher_entry/src/plain/run.rs
@@ -180,7 +180,13 @@
             Err(error) => return Err(not_sent(guard.name.clone(), &error.to_string())),
         };
         let exchange = async {
-            let response = self.core.client.send(request).await?;
+            let client = &self.core.client;
+            let response = if self.call.idempotent {
+                client.send(request).await?
+            } else {
+                let may_write = || self.core.has_right();
+                client.send_once(guard.address, request, may_write).await?
+            };
             PlainAnswer::read(response).await
         };
         let result = tokio::time::timeout(self.time_left(), exchange).await;
--- a/crates/usher_entry/tests/entry/lifecycle.rs
+++ b/crates/usher_entry/tests/entry/lifecycle.rs
@@ -327,45 +327,77 @@
     assert_eq!(kept.requests().len(), 8);
 }
 
-/// Guards against a request that is written after the right ran out while connecting.
-#[tokio::test]
-async fn right_is_checked_after_connecting() {
-    use tokio::io::AsyncReadExt as _;
-    let patient = options().with_suspect_after(time::Duration::from_secs(60));
-    let fleet = Fleet::start(patient.with_connect_timeout(time::Duration::from_secs(10))).await;
-    let socket = tokio::net::TcpSocket::new_v4().unwrap();
-    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
-    let listener = socket.listen(0).unwrap();
-    let address = listener.local_addr().unwrap();
-    // Once the queue of the listener is full, connecting waits until there is room again.
+/// What is called while connecting outlasts the right.
+#[derive(Clone, Copy, Eq, PartialEq)]
+enum LateCall {
+    Stream,
+    ClaimedPlain,
+}
+
+/// Fills the queue of a listener, so that connecting waits until there is room again.
+async fn fill_queue(address: std::net::SocketAddr) -> Vec<tokio::net::TcpStream> {
     let mut fillers = Vec::new();
     let wait = time::Duration::from_millis(100);
     while let Ok(filler) = tokio::time::timeout(wait, tokio::net::TcpStream::connect(address)).await
     {
         fillers.push(filler.unwrap());
     }
-    let announcement = serde_json::json!({
-        "name": "engine-1", "incarnation": 1, "address": address, "kind": "engine",
-        "service": "assist", "model": "assist-1", "region": "south-a", "domain": "domain-1",
-        "kv_pieces": 512,
+    fillers
+}
+
+fn no_byte_without_right(call: LateCall) {
+    use tokio::io::AsyncReadExt as _;
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    runtime.block_on(async {
+        let patient = options().with_suspect_after(time::Duration::from_secs(60));
+        let fleet = Fleet::start(patient.with_connect_timeout(time::Duration::from_secs(10))).await;
+        let socket = tokio::net::TcpSocket::new_v4().unwrap();
+        socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        let listener = socket.listen(0).unwrap();
+        let address = listener.local_addr().unwrap();
+        let fillers = fill_queue(address).await;
+        let (kind, service) = match call {
+            LateCall::Stream => ("engine", "assist"),
+            LateCall::ClaimedPlain => ("plain", "rounds"),
+        };
+        let announcement = serde_json::json!({
+            "name": "target-1", "incarnation": 1, "address": address, "kind": kind,
+            "service": service, "model": "assist-1", "region": "south-a", "domain": "domain-1",
+            "kv_pieces": 512,
+        });
+        let request = fleet.request("POST", "/v1/targets/announce");
+        let reply = fleet.send(request, announcement.to_string()).await;
+        assert_eq!(reply.status, 200, "{}", reply.text);
+        wait_for("the target is known", || fleet.node.status().targets == 1).await;
+        let target = async {
+            wait_for("the call is on its way", || {
+                fleet.node.status().outstanding > 0
+            })
+            .await;
+            cut_off(&fleet).await;
+            for _ in &fillers {
+                listener.accept().await.unwrap();
+            }
+            let (mut socket, _) = listener.accept().await.unwrap();
+            socket.read(&mut [0; 4_096]).await.unwrap_or(0)
+        };
+        let caller = async {
+            match call {
+                LateCall::Stream => fleet.stream(3).await,
+                LateCall::ClaimedPlain => {
+                    let request = fleet.request("POST", "/svc/rounds/call-outs");
+                    fleet.send(request, "{}".to_owned()).await
+                }
+            }
+        };
+        let (reply, read) = tokio::join!(caller, target);
+        assert_eq!(read, 0, "the request was written without a right");
+        assert_eq!(reply.run(), Some("not-run"), "{}", reply.text);
     });
-    let request = fleet.request("POST", "/v1/targets/announce");
-    let reply = fleet.send(request, announcement.to_string()).await;
-    assert_eq!(reply.status, 200, "{}", reply.text);
-    wait_for("the engine is known", || fleet.node.status().targets == 1).await;
-    let engine = async {
-        wait_for("the call is on its way", || {
-            fleet.node.status().outstanding > 0
-        })
-        .await;
-        cut_off(&fleet).await;
-        for _ in &fillers {
-            listener.accept().await.unwrap();
-        }
-        let (mut socket, _) = listener.accept().await.unwrap();
-        socket.read(&mut [0; 4_096]).await.unwrap_or(0)
-    };
-    let (reply, read) = tokio::join!(fleet.stream(3), engine);
-    assert_eq!(read, 0, "the request was written without a right");
-    assert_eq!(reply.run(), Some("not-run"), "{}", reply.text);
+}
+
+usher_types::cases! { no_byte_without_right:
+    /// Guards against a request that is written after the right ran out while connecting.
+    right_is_checked_after_connecting(LateCall::Stream);
+    right_is_checked_after_connecting_for_claimed_calls(LateCall::ClaimedPlain);
 }
