Share the refusals of calls, and split the claim table

Change: one refusal_error for both paths; saving and loading in a file of its own. Conclusion: callers see the same codes on both paths, as docs/http.md lists.

--- a/crates/usher_entry/src/lib.rs
+++ b/crates/usher_entry/src/lib.rs
@@ -27,6 +27,7 @@
 mod parts;
 mod plain;
 mod policy;
+mod refusal;
 mod right;
 mod server;
 mod stream_pool;
--- a/crates/usher_entry/src/model/race.rs
+++ b/crates/usher_entry/src/model/race.rs
@@ -11,6 +11,7 @@
     outcome::OutcomeCause,
     parts,
     policy::DecisionPolicy as _,
+    refusal,
 };
 
 impl<P> relay::Relay<P>
@@ -28,14 +29,10 @@
             (decision, verdict)
         };
         if let Some(reason) = verdict.refused {
-            let (code, message) = refusal_text(reason, &decision);
-            self.note("refuse", &decision, message.clone());
+            let error = refusal::refusal_error(reason, &decision, verdict.retry_after);
+            self.note("refuse", &decision, error.message.clone());
             self.record(OutcomeCause::Refused);
-            let error = match reason {
-                usher_policy::RefuseReason::NoTarget => CallError::unavailable(code, message),
-                _ => CallError::limited(code, message),
-            };
-            return Err(error.with_retry_after(verdict.retry_after));
+            return Err(error);
         }
         self.note("route", &decision, String::new());
         Ok(decision)
@@ -248,35 +245,3 @@
         });
     }
 }
-
-fn refusal_text(
-    reason: usher_policy::RefuseReason,
-    decision: &RouteDecision,
-) -> (&'static str, String) {
-    use usher_policy::{NoRoute, RefuseReason};
-    match (reason, decision.target) {
-        (RefuseReason::NoTarget, Err(NoRoute::NoneFits)) => (
-            "no_fitting_target",
-            "no target can hold this call".to_owned(),
-        ),
-        (RefuseReason::NoTarget, _) => (
-            "no_target",
-            "no target is available at the moment".to_owned(),
-        ),
-        (RefuseReason::Deadline, _) => {
-            let expected = decision.finish.as_millis();
-            (
-                "deadline",
-                format!("the answer is expected after {expected} ms, past the deadline"),
-            )
-        }
-        (RefuseReason::FairShare, _) => (
-            "fair_share",
-            "this team is over its fair share while capacity is short".to_owned(),
-        ),
-        (RefuseReason::Capacity, _) => (
-            "capacity",
-            "the capacity share of this entry is used up".to_owned(),
-        ),
-    }
-}
--- a/crates/usher_entry/src/plain/run.rs
+++ b/crates/usher_entry/src/plain/run.rs
@@ -17,6 +17,7 @@
     parts,
     plain::{answer::PlainAnswer, call::PlainCall, claim::HeldClaim},
     policy::DecisionPolicy as _,
+    refusal,
 };
 
 /// Parts of a long answer that wait for the caller.
@@ -90,19 +91,15 @@
             return Ok(());
         };
         let unknown = decision.target == Err(usher_policy::NoRoute::UnknownService);
-        let message = format!("call is refused: {reason:?}");
+        let error = refusal::refusal_error(reason, &decision, verdict.retry_after);
         self.core
-            .explain(&self.identity, "refuse", &decision, message.clone());
+            .explain(&self.identity, "refuse", &decision, error.message.clone());
         self.record(OutcomeCause::Refused);
         if unknown && !self.core.knows_service(&self.call.service) {
             let message = format!("service {} does not exist", self.call.service);
             return Err(CallError::not_found(message));
         }
-        let error = match reason {
-            usher_policy::RefuseReason::NoTarget => CallError::unavailable("no_target", message),
-            _ => CallError::limited("refused", message),
-        };
-        Err(error.with_retry_after(verdict.retry_after))
+        Err(error)
     }
 
     /// Runs an idempotent call, with retries.
--- a/crates/usher_state/src/claim_table.rs
+++ b/crates/usher_state/src/claim_table/mod.rs
@@ -1,10 +1,12 @@
 //! Claims of non-idempotent calls. Not for: sending the calls.
 
+mod save;
+
 use std::collections;
 
 use usher_wire::message;
 
-use crate::{audit, claim_holder, claim_key, claim_pack, mechanism, snapshot};
+use crate::{audit, claim_holder, claim_key, mechanism};
 
 /// The longest recorded answer, in bytes; a longer one is recorded as truncated.
 pub const MAX_ANSWER_BYTES: usize = 64 * 1_024;
@@ -382,72 +384,6 @@
         }
         Some(record)
     }
-
-    /// Returns the table as part of a snapshot.
-    pub(crate) fn save(&self) -> snapshot::ClaimPart {
-        let claims = self
-            .claims
-            .iter()
-            .map(|(key, record)| claim_pack::PackedClaim {
-                key: *key,
-                fingerprint: record.fingerprint,
-                holder: record.holder,
-                status: record.status as u8,
-                time_ms: record.time_ms,
-                due_ms: record.due_ms,
-                answer: record.answer.as_deref().map(claim_pack::PackedAnswer::new),
-            });
-        let running =
-            self.running
-                .iter()
-                .map(|((entry, incarnation), keys)| snapshot::RunningPart {
-                    entry: entry.clone(),
-                    incarnation: *incarnation,
-                    keys: claim_pack::pack_digests(keys.iter()),
-                });
-        snapshot::ClaimPart {
-            claims: claim_pack::pack_claims(claims, self.answer_bytes),
-            closed: claim_pack::pack_digests(self.closed.iter()),
-            closed_total: self.closed_total,
-            forgotten_ms: self.forgotten_ms,
-            running: running.collect(),
-            answer_order: claim_pack::pack_digests(self.answer_order.iter()),
-        }
-    }
-
-    /// Reads the table from its part of a snapshot.
-    pub(crate) fn load(part: snapshot::ClaimPart) -> Result<Self, String> {
-        let mut table = Self {
-            closed_total: part.closed_total,
-            forgotten_ms: part.forgotten_ms,
-            closed: claim_pack::unpack_digests(&part.closed)?,
-            answer_order: claim_pack::unpack_digests(&part.answer_order)?,
-            ..Self::default()
-        };
-        for claim in claim_pack::unpack_claims(&part.claims)? {
-            let answer = claim.answer.map(claim_pack::PackedAnswer::to_message);
-            let answer = answer.transpose()?;
-            table.answer_bytes += answer.as_ref().map_or(0, |answer| answer.body.len());
-            let record = ClaimRecord {
-                time_ms: claim.time_ms,
-                fingerprint: claim.fingerprint,
-                holder: claim.holder,
-                status: read_status(claim.status)?,
-                due_ms: claim.due_ms,
-                answer: answer.map(Box::new),
-            };
-            if record.status != ClaimStatus::Running {
-                table.due.insert((record.due_ms, claim.key));
-            }
-            table.claims.insert(claim.key, record);
-        }
-        for running in part.running {
-            let life = (running.entry, running.incarnation);
-            let keys = claim_pack::unpack_digests(&running.keys)?;
-            table.running.insert(life, keys);
-        }
-        Ok(table)
-    }
 }
 
 fn keep_ms() -> u64 {
@@ -474,15 +410,3 @@
     hasher.update(bytes);
     claim_holder::first_half(hasher)
 }
-
-fn read_status(number: u8) -> Result<ClaimStatus, String> {
-    let all = [
-        ClaimStatus::Running,
-        ClaimStatus::Finished,
-        ClaimStatus::Unknown,
-        ClaimStatus::Released,
-    ];
-    all.into_iter()
-        .find(|status| *status as u8 == number)
-        .ok_or_else(|| format!("{number} is no status of a claim"))
-}
