Split the conversions of the board into a file of their own

Change: announcements, records and reports are converted in board/convert.rs. Conclusion: no change of behaviour.

--- a/crates/usher_entry/src/board.rs
+++ b/crates/usher_entry/src/board/mod.rs
@@ -1,8 +1,10 @@
 //! Targets, decisions and demand behind one lock. Not for: I/O.
 
+mod convert;
+
 use std::{collections, net, time};
 
-use usher_policy::{FailureKind, RegistryChange, TargetInfo, TargetSlot};
+use usher_policy::{FailureKind, RegistryChange, TargetSlot};
 use usher_types::{IncarnationId, TargetKind, TargetName};
 use usher_wire::message;
 
@@ -97,15 +99,15 @@
         wall_ms: u64,
         now: time::Instant,
     ) {
-        let record = record_of(announcement);
+        let record = convert::record_of(announcement);
         let name = announcement.name.clone();
         let age = wall_ms.saturating_sub(announcement.load.at_ms);
         let age = time::Duration::from_millis(age).min(MAX_REPORT_AGE);
-        let load = load_of(announcement);
+        let load = convert::load_of(announcement);
         self.loads.insert(name.clone(), (now - age, load.clone()));
         let mut is_new = true;
         if let Some(target) = self.targets.get_mut(&name) {
-            is_new = !shows(&target.record, &record);
+            is_new = !convert::shows(&target.record, &record);
             if target.incarnation == announcement.incarnation {
                 target.seen = now;
                 self.revive(&name);
@@ -155,7 +157,7 @@
 
     /// Takes the record of one target; returns false when it isn't valid.
     fn take_record(&mut self, record: message::TargetRecord, now: time::Instant) -> bool {
-        let Some((info, address)) = info_of(&record, self.keep_leaving) else {
+        let Some((info, address)) = convert::info_of(&record, self.keep_leaving) else {
             tracing::warn!(
                 target = record.name,
                 "registry holds a target that is not valid"
@@ -184,8 +186,9 @@
                     .on_registry(RegistryChange::Suspect(name.clone()));
             }
         }
-        self.announced
-            .retain(|announced, (record, _)| *announced != name || !shows(&target.record, record));
+        self.announced.retain(|announced, (record, _)| {
+            *announced != name || !convert::shows(&target.record, record)
+        });
         self.targets.insert(name, target);
         true
     }
@@ -256,7 +259,7 @@
         target.standing = standing;
         let change = match standing {
             Standing::Live => {
-                let info = info_of(&target.record, self.keep_leaving);
+                let info = convert::info_of(&target.record, self.keep_leaving);
                 let Some((info, _)) = info else {
                     return;
                 };
@@ -385,78 +388,3 @@
         self.policy.on_failed(attempt, kind, now);
     }
 }
-
-fn record_of(announcement: &announce::Announcement) -> message::TargetRecord {
-    let text = |value: Option<String>| value.unwrap_or_default();
-    message::TargetRecord {
-        name: announcement.name.to_string(),
-        incarnation: announcement.incarnation.get(),
-        address: announcement.address.to_string(),
-        kind: announcement.kind.to_string(),
-        service: announcement.service.to_string(),
-        shape: Some(message::EngineShape {
-            model: text(announcement.model.as_ref().map(ToString::to_string)),
-            version: text(announcement.version.as_ref().map(ToString::to_string)),
-            adapters: announcement
-                .adapters
-                .iter()
-                .map(ToString::to_string)
-                .collect(),
-            role: text(announcement.role.map(|role| role.to_string())),
-        }),
-        region: announcement.region.to_string(),
-        domain: announcement.domain.to_string(),
-        kv_pieces: announcement.kv_pieces,
-        fenced: announcement.fenced,
-        leaving: announcement.leaving,
-    }
-}
-
-/// Returns whether the registry shows an announced record; its leaving mark stays for the whole
-/// life of a target, whatever the target announces.
-fn shows(registered: &message::TargetRecord, announced: &message::TargetRecord) -> bool {
-    let expected = message::TargetRecord {
-        leaving: registered.leaving || announced.leaving,
-        ..announced.clone()
-    };
-    *registered == expected
-}
-
-fn load_of(announcement: &announce::Announcement) -> message::LoadReport {
-    message::LoadReport {
-        target: announcement.name.to_string(),
-        incarnation: announcement.incarnation.get(),
-        age_ms: 0,
-        running: announcement.load.running,
-        waiting: announcement.load.waiting,
-        prefill_tokens_waiting: announcement.load.prefill_tokens_waiting,
-        kv_pieces_used: announcement.load.kv_pieces_used,
-    }
-}
-
-fn info_of(
-    record: &message::TargetRecord,
-    keep_leaving: bool,
-) -> Option<(TargetInfo, net::SocketAddr)> {
-    let address = record.address.parse().ok()?;
-    let shape = record.shape.clone().unwrap_or_default();
-    let info = TargetInfo {
-        name: record.name.parse().ok()?,
-        incarnation: IncarnationId::new(record.incarnation),
-        kind: record.kind.parse().ok()?,
-        service: record.service.parse().ok()?,
-        model: shape.model.parse().ok(),
-        version: shape.version.parse().ok(),
-        adapters: shape
-            .adapters
-            .into_iter()
-            .map(usher_types::AdapterName::new)
-            .collect(),
-        role: shape.role.parse().unwrap_or_default(),
-        region: record.region.parse().ok()?,
-        domain: record.domain.parse().ok()?,
-        pieces: usher_types::PieceCount::new(record.kv_pieces),
-        leaving: record.leaving && keep_leaving,
-    };
-    Some((info, address))
-}
