Show operators when a configuration is in force everywhere

Cause: an operator could see the accepted version, but not whether every entry acts on it; the promise is about all of them. Change: heartbeats' versions go through the relays to the leader; /v1/status and the status command show the version of each entry and config_in_force, where an entry counts until its right has certainly expired. Scripts expect it.

--- a/crates/pimentousher/src/command/status.rs
+++ b/crates/pimentousher/src/command/status.rs
@@ -53,13 +53,14 @@
 /// Writes a status as tables.
 fn status_text(status: &Value) -> String {
     let mut text = format!(
-        "leader {}, term {}, commit {}; configuration version {} by {}; orders in flight {}; \
-         invariants violated {}\n",
+        "leader {}, term {}, commit {}; configuration version {} by {}, in force everywhere: {}; \
+         orders in flight {}; invariants violated {}\n",
         cell(status, "leader"),
         cell(status, "term"),
         cell(status, "commit"),
         cell(status, "config_version"),
         cell(status, "config_operator"),
+        cell(&status["config_in_force"], "everywhere"),
         cell(status, "orders_in_flight"),
         cell(status, "invariants_violated"),
     );
@@ -69,7 +70,11 @@
             "members",
             &["name", "address", "region", "domain", "voter"][..],
         ),
-        ("entries", "entries", &["name", "region", "stopping"][..]),
+        (
+            "entries",
+            "entries",
+            &["name", "region", "stopping", "config_version"][..],
+        ),
         (
             "targets",
             "targets",
--- a/crates/usher_control/src/grant/served_entries.rs
+++ b/crates/usher_control/src/grant/served_entries.rs
@@ -31,6 +31,7 @@
     seen: time::Instant,
     demands: Vec<message::ServiceDemand>,
     stopping: bool,
+    config_version: u64,
     loads_seen: u64,
     subset: plan::LoadSubset,
     shares_sent: Option<time::Instant>,
@@ -75,6 +76,7 @@
             seen: now,
             demands: Vec::new(),
             stopping: false,
+            config_version: 0,
             loads_seen: 0,
             subset: plan::LoadSubset::default(),
             shares_sent: None,
@@ -83,6 +85,7 @@
         served.seen = now;
         served.demands = capped(request.demands);
         served.stopping = request.stopping;
+        served.config_version = request.config_version;
     }
 
     /// Returns the loads that an entry gets, and notes that it got them.
@@ -153,6 +156,7 @@
                 age_ms: age(entry.seen).as_millis() as u64,
                 demands: entry.demands.clone(),
                 stopping: entry.stopping,
+                config_version: entry.config_version,
             }
         });
         let loads = std::mem::take(&mut self.outgoing).into_values();
--- a/crates/usher_control/src/grant/upkeep_task.rs
+++ b/crates/usher_control/src/grant/upkeep_task.rs
@@ -51,6 +51,7 @@
         let mut desk = grant::lock_desk(desk);
         desk.enter(term, now);
         desk.watch.forget_old(now);
+        desk.watch.note_config(state.config().version(), now);
         desk.sight.forget_old(now);
         let mut kinds = gone_targets(state.targets(), &desk, now);
         kinds.extend(gone_entries(state.claims(), &desk, now, wall_ms(clock)));
--- a/crates/usher_control/src/operator/status.rs
+++ b/crates/usher_control/src/operator/status.rs
@@ -52,7 +52,15 @@
         })
     });
     let now = api.clock.now();
-    let entries: Vec<_> = grant::lock_desk(&api.desk)
+    let desk = grant::lock_desk(&api.desk);
+    let spread = desk.watch.spread(now).map(|spread| {
+        serde_json::json!({
+            "version": spread.version,
+            "everywhere": spread.everywhere,
+            "waiting_for": spread.waiting_for,
+        })
+    });
+    let entries: Vec<_> = desk
         .watch
         .present(now)
         .map(|(life, entry)| {
@@ -61,9 +69,11 @@
                 "incarnation": life.1,
                 "region": entry.region,
                 "stopping": entry.stopping,
+                "config_version": entry.config_version,
             })
         })
         .collect();
+    drop(desk);
     serde_json::json!({
         "node": api.node,
         "role": format!("{:?}", status.role).to_lowercase(),
@@ -73,6 +83,7 @@
         "applied": status.applied,
         "members": members.collect::<Vec<_>>(),
         "entries": entries,
+        "config_in_force": spread,
         "entries_served": api.service.served().len(),
     })
 }
--- a/crates/usher_control/src/plan/entry_watch.rs
+++ b/crates/usher_control/src/plan/entry_watch.rs
@@ -19,6 +19,19 @@
     pub demands: Vec<message::ServiceDemand>,
     /// Set when it is stopping.
     pub stopping: bool,
+    /// Version of the configuration that it acted on when it sent its newest known heartbeat.
+    pub config_version: u64,
+}
+
+/// How far a configuration has come.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ConfigSpread {
+    /// Its version.
+    pub version: u64,
+    /// Set when no entry can act on an older version any more.
+    pub everywhere: bool,
+    /// Names of the entries that may still act on an older version.
+    pub waiting_for: Vec<String>,
 }
 
 /// Follows the entries through the reports of all control nodes, while this node leads.
@@ -31,6 +44,8 @@
     since: Option<time::Instant>,
     entries: collections::BTreeMap<EntryLife, WatchedEntry>,
     nodes: collections::BTreeMap<EntryLife, time::Instant>,
+    /// Newest configuration version, and when it was noted.
+    config: Option<(u64, time::Instant)>,
 }
 
 impl EntryWatch {
@@ -69,12 +84,41 @@
                     seen,
                     demands: presence.demands.clone(),
                     stopping: presence.stopping,
+                    config_version: presence.config_version,
                 };
                 self.entries.insert(life, watched);
             }
         }
     }
 
+    /// Notes the newest accepted configuration.
+    pub fn note_config(&mut self, version: u64, now: time::Instant) {
+        if self.config.is_none_or(|(known, _)| known != version) {
+            self.config = Some((version, now));
+        }
+    }
+
+    /// Returns how far the newest configuration has come; `None` while this node doesn't lead.
+    ///
+    /// An entry that this leader never heard of may hold a right of the earlier leader, and a
+    /// node may give a right on the older version until its confirmation is too old; both are
+    /// waited out before the configuration counts as in force everywhere.
+    pub fn spread(&self, now: time::Instant) -> Option<ConfigSpread> {
+        let (since, (version, noted)) = (self.since?, self.config?);
+        let passed = |from: time::Instant| now.saturating_duration_since(from);
+        let waiting = self
+            .present(now)
+            .filter(|(_, entry)| entry.config_version < version);
+        let waiting_for: Vec<_> = waiting.map(|(life, _)| life.0.clone()).collect();
+        let settled = passed(since) >= timing::ENTRY_GONE
+            && passed(noted) >= timing::RELAY_CONFIRM + 2 * timing::RELAY_INTERVAL;
+        Some(ConfigSpread {
+            version,
+            everywhere: settled && waiting_for.is_empty(),
+            waiting_for,
+        })
+    }
+
     /// Returns whether an entry has certainly lost its routing right.
     pub fn is_gone(&self, name: &str, incarnation: u64, now: time::Instant) -> bool {
         let Some(since) = self.since else {
--- a/crates/usher_control/src/plan/mod.rs
+++ b/crates/usher_control/src/plan/mod.rs
@@ -10,7 +10,7 @@
 mod target_sight;
 mod timing;
 
-pub use entry_watch::{EntryWatch, WatchedEntry};
+pub use entry_watch::{ConfigSpread, EntryWatch, WatchedEntry};
 pub use fleet_plan::{plan_fleet, FleetView, PlanRules, PlannedOrder};
 pub use load_board::{LoadBoard, LoadSubset, SUBSET_BYTES, WHOLE_BYTES};
 pub use load_bucket::LoadBucket;
--- a/crates/usher_control/tests/plans.rs
+++ b/crates/usher_control/tests/plans.rs
@@ -292,6 +292,39 @@
     assert!(watch.is_gone("e", 1, at(13_000)), "n2 reports without e");
 }
 
+/// Guards against calling a configuration in force while an entry may still act on an older one.
+#[test]
+fn configuration_is_in_force_once_no_entry_can_be_behind() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let acting_on = |name: &str, version| message::EntryPresence {
+        config_version: version,
+        ..presence(name)
+    };
+    let node = identity("n1");
+    let mut watch = plan::EntryWatch::new();
+    assert_eq!(watch.spread(at(0)), None, "not leading");
+    watch.restart(start);
+    watch.note_config(2, at(0));
+    watch.report(&node, &[acting_on("a", 2)], at(1_000));
+    let spread = |watch: &plan::EntryWatch, ms| watch.spread(at(ms)).unwrap();
+    assert!(
+        !spread(&watch, 4_000).everywhere,
+        "rights of the earlier leader"
+    );
+    watch.report(&node, &[acting_on("a", 2)], at(5_000));
+    assert!(spread(&watch, 5_100).everywhere);
+
+    watch.note_config(3, at(6_000));
+    let both = [acting_on("a", 3), acting_on("b", 2)];
+    watch.report(&node, &both, at(8_000));
+    assert_eq!(spread(&watch, 8_000).waiting_for, ["b"]);
+    // The entry that is cut off no longer counts when its right has certainly expired.
+    watch.report(&node, &[acting_on("a", 3)], at(12_500));
+    assert!(!spread(&watch, 12_500).everywhere);
+    assert!(spread(&watch, 12_600).everywhere);
+}
+
 /// Guards against rights from a node that lost the leader or lags behind it.
 #[test]
 fn right_needs_a_fresh_confirmation_that_is_applied() {
--- a/crates/usher_scenario/src/parser.rs
+++ b/crates/usher_scenario/src/parser.rs
@@ -84,8 +84,12 @@
         ["once"] => Ok(Step::ExpectOnce),
         ["one-winner"] => Ok(Step::ExpectOneWinner),
         ["config", limit] => Ok(Step::ExpectConfig(parse_duration(limit)?)),
+        ["in-force", limit] => Ok(Step::ExpectInForce(parse_duration(limit)?)),
         ["accepted", percent] => Ok(Step::ExpectAccepted(parse_number(percent)?)),
-        _ => Err("expect whole, once, one-winner, config DURATION or accepted PERCENT"),
+        _ => Err(
+            "expect whole, once, one-winner, config DURATION, in-force DURATION or \
+             accepted PERCENT",
+        ),
     }
 }
 
--- a/crates/usher_scenario/src/runner/expect.rs
+++ b/crates/usher_scenario/src/runner/expect.rs
@@ -154,6 +154,36 @@
         }
     }
 
+    /// Waits until the leader says that the newest accepted version is in force everywhere.
+    pub(super) async fn expect_in_force(
+        &mut self,
+        line: usize,
+        limit: time::Duration,
+    ) -> Result<(), error::ScenarioError> {
+        let start = time::Instant::now();
+        loop {
+            let mut found = Vec::new();
+            for control in &self.control {
+                let path = "/v1/status?local=true";
+                let Some(answer) = self.caller.get(control.operators, path).await else {
+                    continue;
+                };
+                let status = answer.json();
+                let spread = &status["config_in_force"];
+                let newest = spread["version"].as_u64() == Some(self.version);
+                if status["role"] == "leader" && newest && spread["everywhere"] == true {
+                    return Ok(());
+                }
+                found.push(spread.to_string());
+            }
+            if start.elapsed() > limit {
+                let expected = format!("version {} in force everywhere", self.version);
+                return expect(line, false, &expected, || format!("{found:?}"));
+            }
+            tokio::time::sleep(runner::POLL_INTERVAL).await;
+        }
+    }
+
     pub(super) async fn entry_versions(&mut self) -> Vec<Option<u64>> {
         let entries: Vec<_> = self.entries.clone().into_iter().collect();
         let mut versions = Vec::new();
--- a/crates/usher_scenario/src/runner/mod.rs
+++ b/crates/usher_scenario/src/runner/mod.rs
@@ -135,6 +135,7 @@
             Step::ExpectOnce => self.expect_once(number).await,
             Step::ExpectOneWinner => self.expect_one_winner(number),
             Step::ExpectConfig(limit) => self.expect_config(number, limit).await,
+            Step::ExpectInForce(limit) => self.expect_in_force(number, limit).await,
             Step::ExpectAccepted(percent) => self.expect_accepted(number, percent),
         }
     }
--- a/crates/usher_scenario/src/step.rs
+++ b/crates/usher_scenario/src/step.rs
@@ -121,6 +121,8 @@
     ExpectOneWinner,
     /// Expects that all entries act on the newest accepted configuration.
     ExpectConfig(time::Duration),
+    /// Expects that the leader calls the newest accepted configuration in force everywhere.
+    ExpectInForce(time::Duration),
     /// Expects that at least this share of calls, in percent, was accepted.
     ExpectAccepted(u8),
 }
