Send no calls to engines whose role changes, and order a domain's roles together

Cause: the leader ordered one engine of a domain at a time and waited until its heartbeat told the new role, so that a domain of 24 engines took half a minute; meanwhile each of 90 gateways found out by a refusal that an engine was away (1,699 of 1,700 refusals of the first 12 s). Change: the leader tells watchers before it orders a role, and they send no new calls until the engine reports it; a quarter of a domain's engines changes at a time.

--- a/crates/usher_control/src/plan/mod.rs
+++ b/crates/usher_control/src/plan/mod.rs
@@ -17,7 +17,7 @@
 pub use load_bucket::LoadBucket;
 pub use order_desk::{correction, next_step, EngineReading, OrderAction, OrderStep, SendState};
 pub use right_issuer::RightIssuer;
-pub use role_split::{role_wishes, RoleWish};
+pub use role_split::{role_wishes, RoleOrderState, RoleWish};
 pub use share_table::{ServiceDemands, ShareTable};
 pub use target_sight::TargetSight;
 pub use timing::{
--- a/crates/usher_control/src/plan/role_split.rs
+++ b/crates/usher_control/src/plan/role_split.rs
@@ -20,34 +20,75 @@
     }
 }
 
-/// Returns at most one wish for each failure domain of each service.
+/// Part of the engines of a domain whose role changes at a time; at least one does. An engine is
+/// away for some seconds, and the others take its work meanwhile.
+const CHANGING_PART: f64 = 0.25;
+
+/// What is under way at an engine.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RoleOrderState {
+    /// No order.
+    Idle,
+    /// It was ordered a role that it hasn't reported yet.
+    Ordered(EngineRole),
+    /// An order brought no clear answer, and may still be carried out.
+    Unclear,
+}
+
+/// Returns which engines should be ordered another role now, by failure domain and service.
 ///
 /// Each domain keeps an engine that generates, because memory moves ten times as slowly between
 /// regions.
-pub fn role_wishes<'t>(targets: impl Iterator<Item = &'t TargetEntry>) -> Vec<RoleWish> {
+pub fn role_wishes<'t>(
+    targets: impl Iterator<Item = &'t TargetEntry>,
+    state: impl Fn(&usher_types::TargetName) -> RoleOrderState,
+) -> Vec<RoleWish> {
     let mut groups = collections::BTreeMap::<_, Vec<&TargetEntry>>::new();
     for target in targets.filter(|target| target.takes_work() && target.role.is_some()) {
         let group = groups.entry((&target.service, &target.domain));
         group.or_default().push(target);
     }
-    groups.values().filter_map(|group| wish(group)).collect()
+    let wishes = groups.values().flat_map(|group| wishes_of(group, &state));
+    wishes.collect()
 }
 
-fn wish(group: &[&TargetEntry]) -> Option<RoleWish> {
+fn wishes_of(
+    group: &[&TargetEntry],
+    state: impl Fn(&usher_types::TargetName) -> RoleOrderState,
+) -> Vec<RoleWish> {
     if group.len() < 2 {
-        return None;
+        return Vec::new();
     }
-    let of_role = |role| group.iter().filter(move |target| target.role == Some(role));
-    let wanted = ((group.len() as f64 * DECODE_SHARE).round() as usize).max(1);
-    let decode = of_role(EngineRole::Decode).count();
-    let (from, to) = match decode.cmp(&wanted) {
-        std::cmp::Ordering::Greater => (EngineRole::Decode, EngineRole::Prefill),
-        std::cmp::Ordering::Less => (EngineRole::Prefill, EngineRole::Decode),
-        std::cmp::Ordering::Equal => return None,
+    let role = |target: &TargetEntry| match state(&target.name) {
+        RoleOrderState::Ordered(role) => Some(role),
+        RoleOrderState::Idle | RoleOrderState::Unclear => target.role,
+    };
+    let is_idle = |target: &TargetEntry| state(&target.name) == RoleOrderState::Idle;
+    let decode = group
+        .iter()
+        .filter(|target| role(target) == Some(EngineRole::Decode));
+    let size = group.len() as f64;
+    let wanted = ((size * DECODE_SHARE).round() as usize).max(1);
+    let decode = decode.count();
+    let (from, to) = if decode > wanted {
+        (EngineRole::Decode, EngineRole::Prefill)
+    } else {
+        (EngineRole::Prefill, EngineRole::Decode)
     };
-    let engine = of_role(from).min_by_key(|target| &target.name)?;
-    Some(RoleWish {
-        engine: (*engine).clone(),
-        role: to,
-    })
+    let busy = group.iter().filter(|target| !is_idle(target)).count();
+    let most = ((size * CHANGING_PART) as usize).max(1);
+    let most = most.saturating_sub(busy);
+    let mut engines: Vec<_> = group
+        .iter()
+        .filter(|target| is_idle(target) && target.role == Some(from))
+        .collect();
+    engines.sort_by_key(|target| &target.name);
+    engines
+        .into_iter()
+        .take(decode.abs_diff(wanted).min(most))
+        .map(|engine| RoleWish {
+            engine: (*engine).clone(),
+            role: to,
+        })
+        .collect()
 }
--- a/crates/usher_control/src/registrar/desk.rs
+++ b/crates/usher_control/src/registrar/desk.rs
@@ -85,9 +85,33 @@
         }
     }
 
-    /// Returns which engines should change their role.
-    pub(crate) fn role_wishes(&self) -> Vec<plan::RoleWish> {
-        plan::role_wishes(self.lock().roster().iter())
+    /// Returns which engines should be ordered another role now.
+    pub(crate) fn role_wishes(
+        &self,
+        is_unclear: impl Fn(&usher_types::TargetName) -> bool,
+    ) -> Vec<plan::RoleWish> {
+        let feed = self.lock();
+        plan::role_wishes(feed.roster().iter(), |engine| {
+            match feed.ordered_role(engine) {
+                Some(role) => plan::RoleOrderState::Ordered(role),
+                None if is_unclear(engine) => plan::RoleOrderState::Unclear,
+                None => plan::RoleOrderState::Idle,
+            }
+        })
+    }
+
+    /// Tells gateways that an engine takes no new calls until it reports its new role.
+    pub(crate) fn begin_role_change(&self, wish: &plan::RoleWish, limit: time::Duration) {
+        let until = self.clock.now() + limit;
+        self.change(|feed| {
+            feed.begin_role_change(wish.engine.name.clone(), wish.role, until);
+            true
+        });
+    }
+
+    /// Tells gateways that an engine keeps its role.
+    pub(crate) fn end_role_change(&self, engine: &usher_types::TargetName) {
+        self.change(|feed| feed.end_role_change(engine));
     }
 
     /// Returns how many targets are known that haven't ended.
@@ -132,11 +156,13 @@
             .map(usher_roster::TargetEntry::to_message)
             .collect();
         let last_change = feed.last_change();
+        let role_changes = feed.role_changes_since(cursor);
         drop(feed);
         let routes_version = self.access.view(|state| state.routes().version());
         let (members_index, members) = self.access.member_addresses(request.members_index);
         let has_news = request.epoch != self.epoch
             || !targets.is_empty()
+            || role_changes.is_some()
             || routes_version != request.routes_version
             || members_index != request.members_index;
         let reply = message::WatchReply {
@@ -147,6 +173,9 @@
             members_index,
             members,
             domain: self.domain.to_string(),
+            role_changes: role_changes.map(|engines| message::RoleChangeList {
+                engines: engines.iter().map(ToString::to_string).collect(),
+            }),
         };
         (reply, has_news)
     }
--- a/crates/usher_control/src/registrar/orders.rs
+++ b/crates/usher_control/src/registrar/orders.rs
@@ -12,6 +12,11 @@
 /// How long an engine may take to answer.
 const ANSWER_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
 
+/// How long gateways get to hear that an engine will change its role before it is ordered to: two
+/// ways between regions, and the time that a busy gateway needs. Engines refuse new calls from then
+/// on; with 90 gateways that each found this out by a refusal, these were most of all refusals.
+const ANNOUNCE_TIME: time::Duration = time::Duration::from_millis(300);
+
 /// How long an engine is left alone after an order whose effect isn't seen: an order without an
 /// answer may be carried out up to 12 s later.
 const SETTLE_TIME: time::Duration = time::Duration::from_secs(15);
@@ -91,17 +96,32 @@
             continue;
         }
         settling.retain(|_, at| now.saturating_duration_since(*at) < SETTLE_TIME);
-        for wish in targets.role_wishes() {
-            if settling.contains_key(&wish.engine.name) {
-                continue;
-            }
+        let wishes = targets.role_wishes(|engine| settling.contains_key(engine));
+        if wishes.is_empty() {
+            continue;
+        }
+        for wish in &wishes {
             settling.insert(wish.engine.name.clone(), now);
-            let may_send = || access.holds_lease(term, clock.now());
-            let outcome = give(&dialect, &wish, term, access.name(), may_send).await;
+            targets.begin_role_change(wish, SETTLE_TIME);
+        }
+        tokio::time::sleep(ANNOUNCE_TIME).await;
+        let may_send = || access.holds_lease(term, clock.now());
+        let given = wishes.iter().map(|wish| async {
+            let given = give(&dialect, wish, term, access.name(), may_send).await;
+            let accepted = matches!(&given, Ok(status) if status.is_success());
+            if !accepted {
+                targets.end_role_change(&wish.engine.name);
+            }
+            let outcome = given.map_or_else(|reason| reason, |status| status.to_string());
             tracing::info!(
                 engine = %wish.engine.name, role = %wish.role, fence = %term, outcome,
                 "role ordered"
             );
+            accepted.then_some(&wish.engine.name)
+        });
+        let accepted = futures_util::future::join_all(given).await;
+        for engine in accepted.into_iter().flatten() {
+            settling.remove(engine);
         }
     }
 }
@@ -112,7 +132,7 @@
     term: usher_types::TermNumber,
     holder: usher_types::NodeName,
     may_send: impl Fn() -> bool,
-) -> String
+) -> Result<http::StatusCode, String>
 where
     D: OrderDialect,
 {
@@ -123,13 +143,9 @@
         &may_send,
     )
     .await;
-    let revision = match asked {
-        Ok((_, body)) => dialect.read_revision(&body),
-        Err(text) => return text,
-    };
-    let Some(revision) = revision else {
-        return "the engine is busy".to_owned();
-    };
+    let (_, body) = asked?;
+    let revision = dialect.read_revision(&body);
+    let revision = revision.ok_or_else(|| "the engine is busy".to_owned())?;
     let order = RoleOrder {
         engine: engine.name.clone(),
         role: wish.role,
@@ -137,10 +153,8 @@
         fence: usher_types::FenceNumber::new(term.get()),
         revision,
     };
-    match send(engine.address, dialect.order(&order), &may_send).await {
-        Ok((status, _)) => status.to_string(),
-        Err(text) => text,
-    }
+    let (status, _) = send(engine.address, dialect.order(&order), &may_send).await?;
+    Ok(status)
 }
 
 /// Sends a request over a connection of its own, unless the lease ran out while connecting.
--- a/crates/usher_gateway/src/core.rs
+++ b/crates/usher_gateway/src/core.rs
@@ -1,6 +1,6 @@
 //! What all calls of a gateway share. Not for: the path of a call.
 
-use std::{collections, sync};
+use std::{collections, net, sync};
 
 use usher_place::{EnginePolicy, LoadBook, PlainPolicy, RepeatBudget};
 use usher_roster::{TargetEntry, TargetRoster};
@@ -9,6 +9,9 @@
 
 type ServiceIndex = collections::HashMap<usher_types::ServiceName, sync::Arc<Vec<TargetEntry>>>;
 
+type RoleChanges =
+    collections::HashMap<net::SocketAddr, collections::HashSet<usher_types::TargetName>>;
+
 /// State of a gateway; shared by its calls and by what follows registrars.
 #[derive(Debug)]
 pub(crate) struct GatewayCore<D, C> {
@@ -27,6 +30,8 @@
     /// Client of the nearest registrar that answers.
     pub(crate) nearest: sync::Mutex<Option<usher_wire::CallClient>>,
     roster: sync::Mutex<TargetRoster>,
+    /// Engines that take no new calls because their role changes, by the registrar that tells so.
+    role_changes: sync::Mutex<RoleChanges>,
     services: sync::RwLock<sync::Arc<ServiceIndex>>,
 }
 
@@ -50,6 +55,7 @@
             routes: sync::RwLock::default(),
             nearest: sync::Mutex::default(),
             roster: sync::Mutex::default(),
+            role_changes: sync::Mutex::default(),
             services: sync::RwLock::default(),
         }
     }
@@ -101,10 +107,64 @@
             return;
         }
         roster.forget(now);
+        self.index_targets(&roster);
+        let is_known = |name: &usher_types::TargetName| {
+            let entry = roster.get(name);
+            entry.is_some_and(|entry| entry.phase != usher_roster::TargetPhase::Gone)
+        };
+        self.pool.prune(is_known);
+        self.loads.keep(is_known);
+        self.loads.know(
+            roster
+                .iter()
+                .map(|entry| &entry.name)
+                .filter(|name| is_known(name)),
+        );
+    }
+
+    /// Takes the list of engines whose role a registrar changes; `None` when it can't be reached.
+    pub(crate) fn take_role_changes(
+        &self,
+        registrar: net::SocketAddr,
+        engines: Option<collections::HashSet<usher_types::TargetName>>,
+    ) {
+        let roster = self
+            .roster
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner);
+        let mut lists = self.lock_role_changes();
+        let before = match engines {
+            Some(engines) => lists.insert(registrar, engines),
+            None => lists.remove(&registrar),
+        };
+        let changed = before.as_ref() != lists.get(&registrar);
+        drop(lists);
+        if changed {
+            self.index_targets(&roster);
+        }
+    }
+
+    /// Forgets the lists of registrars that aren't followed any more.
+    pub(crate) fn keep_role_changes(&self, is_followed: impl Fn(&net::SocketAddr) -> bool) {
+        let stale = |lists: &RoleChanges| {
+            let stale = lists.keys().find(|registrar| !is_followed(registrar));
+            stale.copied()
+        };
+        while let Some(registrar) = { stale(&self.lock_role_changes()) } {
+            self.take_role_changes(registrar, None);
+        }
+    }
+
+    /// Lists by service the targets that take new calls.
+    fn index_targets(&self, roster: &TargetRoster) {
+        let lists = self.lock_role_changes();
+        let is_changing = |entry: &TargetEntry| lists.values().any(|l| l.contains(&entry.name));
         let mut index = collections::HashMap::<_, Vec<_>>::new();
         for entry in roster.iter().filter(|entry| entry.takes_work()) {
-            let service = index.entry(entry.service.clone()).or_default();
-            service.push(entry.clone());
+            if !is_changing(entry) {
+                let service = index.entry(entry.service.clone()).or_default();
+                service.push(entry.clone());
+            }
         }
         let count: usize = index.values().map(Vec::len).sum();
         self.metrics
@@ -118,18 +178,12 @@
             .services
             .write()
             .unwrap_or_else(sync::PoisonError::into_inner) = sync::Arc::new(index);
-        let is_known = |name: &usher_types::TargetName| {
-            let entry = roster.get(name);
-            entry.is_some_and(|entry| entry.phase != usher_roster::TargetPhase::Gone)
-        };
-        self.pool.prune(is_known);
-        self.loads.keep(is_known);
-        self.loads.know(
-            roster
-                .iter()
-                .map(|entry| &entry.name)
-                .filter(|name| is_known(name)),
-        );
+    }
+
+    fn lock_role_changes(&self) -> sync::MutexGuard<'_, RoleChanges> {
+        self.role_changes
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
     }
 
     /// Returns the targets of a service that take work.
--- a/crates/usher_gateway/src/follow.rs
+++ b/crates/usher_gateway/src/follow.rs
@@ -76,9 +76,11 @@
 {
     let Some(reply) = news.reply else {
         asked.remove(&news.address);
+        core.take_role_changes(news.address, None);
         return;
     };
     group.set_members(reply.members_index, &reply.members);
+    core.keep_role_changes(|registrar| group.addresses().any(|known| known == registrar));
     let mut entries = Vec::with_capacity(reply.targets.len());
     for beat in &reply.targets {
         match usher_roster::TargetEntry::from_message(beat) {
@@ -89,6 +91,11 @@
     if !entries.is_empty() {
         core.take_targets(entries);
     }
+    if let Some(changes) = &reply.role_changes {
+        let engines = changes.engines.iter();
+        let engines = engines.map(|name| usher_types::TargetName::new(name.as_str()));
+        core.take_role_changes(news.address, Some(engines.collect()));
+    }
     let wanted = reply.routes_version;
     if wanted <= core.routes_version() || asked.get(&news.address) == Some(&wanted) {
         return;
--- a/crates/usher_roster/src/feed.rs
+++ b/crates/usher_roster/src/feed.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, time};
 
-use crate::{entry, roster};
+use crate::{entry, role_change, roster};
 
 /// How many intervals without a heartbeat make a target silent. Heartbeats come up to a second
 /// late, and targets that are cut off from this registrar report to another one meanwhile.
@@ -17,6 +17,9 @@
     /// When this registrar itself last heard from a target.
     heard: collections::BTreeMap<usher_types::TargetName, time::Instant>,
     last_change: u64,
+    role_changes: role_change::RoleChangeList,
+    /// Number of the last change of `role_changes`.
+    role_changes_changed: u64,
     silent_after: time::Duration,
 }
 
@@ -28,6 +31,8 @@
             changed: collections::BTreeMap::new(),
             heard: collections::BTreeMap::new(),
             last_change: 0,
+            role_changes: role_change::RoleChangeList::default(),
+            role_changes_changed: 0,
             silent_after: interval * SILENT_INTERVALS,
         }
     }
@@ -50,11 +55,15 @@
         if entry.phase == entry::TargetPhase::Gone {
             self.heard.remove(&name);
         }
+        let settled = self.role_changes.settle(&entry);
         let changed = self.roster.merge(entry, now) || moved;
         if changed {
             self.note(name);
         }
-        changed
+        if settled {
+            self.note_role_changes();
+        }
+        changed || settled
     }
 
     /// Notes that a target has ended; returns whether watchers must hear of it.
@@ -87,15 +96,56 @@
             .is_none_or(|known| entry.supersedes(known));
         if newer {
             self.heard.remove(&name);
+            if self.role_changes.settle(&entry) {
+                self.note_role_changes();
+            }
             if self.roster.merge(entry, now) {
                 self.note(name);
             }
         }
     }
 
+    /// Notes that an engine is ordered another role, so that watchers send it no new calls until
+    /// it reports that role, or until the given time.
+    pub fn begin_role_change(
+        &mut self,
+        engine: usher_types::TargetName,
+        role: usher_types::EngineRole,
+        until: time::Instant,
+    ) {
+        self.role_changes.begin(engine, role, until);
+        self.note_role_changes();
+    }
+
+    /// Notes that an engine keeps its role; returns whether watchers must hear of it.
+    pub fn end_role_change(&mut self, engine: &usher_types::TargetName) -> bool {
+        let ended = self.role_changes.end(engine);
+        if ended {
+            self.note_role_changes();
+        }
+        ended
+    }
+
+    /// Returns the role that an engine was ordered and hasn't reported yet.
+    pub fn ordered_role(
+        &self,
+        engine: &usher_types::TargetName,
+    ) -> Option<usher_types::EngineRole> {
+        self.role_changes.role(engine)
+    }
+
+    /// Returns the engines whose role changes, if the list differs from that at a cursor.
+    pub fn role_changes_since(&self, cursor: u64) -> Option<Vec<usher_types::TargetName>> {
+        let engines = || self.role_changes.engines().cloned().collect();
+        (self.role_changes_changed > cursor).then(engines)
+    }
+
     /// Marks targets that have been silent for too long; returns them.
     pub fn expire(&mut self, now: time::Instant) -> Vec<usher_types::TargetName> {
         self.roster.forget(now);
+        if self.role_changes.expire(now) {
+            self.note_role_changes();
+        }
         let due =
             |heard: &time::Instant| now.saturating_duration_since(*heard) >= self.silent_after;
         let silent: Vec<_> = self
@@ -145,6 +195,11 @@
         &self.roster
     }
 
+    fn note_role_changes(&mut self) {
+        self.last_change += 1;
+        self.role_changes_changed = self.last_change;
+    }
+
     fn note(&mut self, name: usher_types::TargetName) {
         self.last_change += 1;
         self.changed.insert(name, self.last_change);
--- a/crates/usher_roster/src/lib.rs
+++ b/crates/usher_roster/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod entry;
 mod feed;
+mod role_change;
 mod roster;
 
 pub use entry::{EntryError, TargetEntry, TargetPhase};
--- a/crates/usher_roster/tests/roster.rs
+++ b/crates/usher_roster/tests/roster.rs
@@ -110,3 +110,32 @@
     let read = TargetEntry::from_message(&entry.to_message()).unwrap();
     assert_eq!(read, entry);
 }
+
+/// Guards against calls to engines that change their role and refuse them: of 1,700 refusals in 12 s
+/// on a deployment of 140 engines, 1,699 came from these.
+#[test]
+fn engine_that_changes_its_role_is_told_until_it_reports_the_new_one() {
+    use usher_types::EngineRole::{Decode, Prefill};
+    let now = time::Instant::now();
+    let name = TargetName::new("t");
+    let with_role = |sequence, role| TargetEntry {
+        role: Some(role),
+        ..beat(5, sequence, Ready)
+    };
+    let mut feed = RosterFeed::new(BEAT);
+    feed.hear(with_role(1, Decode), now);
+    let before = feed.last_change();
+    assert_eq!(feed.role_changes_since(before), None);
+    feed.begin_role_change(name.clone(), Prefill, now + BEAT * 9);
+    assert_eq!(feed.role_changes_since(before), Some(vec![name.clone()]));
+    // Heartbeats tell the old role until the change is done.
+    assert!(!feed.hear(with_role(2, Decode), now + BEAT));
+    assert_eq!(feed.ordered_role(&name), Some(Prefill));
+    let before = feed.last_change();
+    assert!(feed.hear(with_role(3, Prefill), now + BEAT * 2));
+    assert_eq!(feed.role_changes_since(before), Some(Vec::new()));
+    // A change that isn't reported in time no longer keeps work away.
+    feed.begin_role_change(name.clone(), Decode, now + BEAT * 4);
+    feed.expire(now + BEAT * 4);
+    assert_eq!(feed.ordered_role(&name), None);
+}
