Place prompts by what gateways tell each other, near their callers and spread over engines

Changes: homes per region; reads are told through registrars, and an engine copies parts from one that has them; a call chooses among the holders, the home and three engines drawn by its key; old reports fade; time and cost of a plan are apart; engines of other regions cost more.

--- a/crates/usher_control/src/registrar/uses.rs
+++ b/crates/usher_control/src/registrar/uses.rs
@@ -31,6 +31,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct UseDesk<C> {
     reports: sync::Arc<sync::Mutex<collections::HashMap<usher_types::NodeName, HeldReport>>>,
+    reads: sync::Arc<sync::Mutex<usher_roster::ReadLog>>,
     clock: C,
 }
 
@@ -41,6 +42,7 @@
     pub(crate) fn new(clock: C) -> Self {
         Self {
             reports: sync::Arc::default(),
+            reads: sync::Arc::default(),
             clock,
         }
     }
@@ -51,6 +53,16 @@
         sender: &usher_types::NodeName,
         report: message::UseReport,
     ) -> message::UseTotals {
+        let is_registrar = report.gateways > 0;
+        let reads = {
+            let mut log = self.lock_reads();
+            log.add(sender, is_registrar, report.reads);
+            if is_registrar {
+                Vec::new()
+            } else {
+                log.news_for(sender)
+            }
+        };
         let held = HeldReport {
             uses: report.uses,
             at: self.clock.now(),
@@ -59,7 +71,22 @@
         self.lock().insert(sender.clone(), held);
         let uses = self.total(|name, _| name != sender);
         let gateways = self.gateways(|_| true);
-        message::UseTotals { uses, gateways }
+        message::UseTotals {
+            uses,
+            gateways,
+            reads,
+        }
+    }
+
+    /// Returns what the gateways that report here have read since this was last asked for.
+    fn own_reads(&self) -> Vec<message::PartsRead> {
+        self.lock_reads().own_news()
+    }
+
+    fn lock_reads(&self) -> sync::MutexGuard<'_, usher_roster::ReadLog> {
+        self.reads
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
     }
 
     /// Counts the gateways behind reports.
@@ -124,7 +151,8 @@
         let uses = desk.total(|_, held| held.gateways == 0);
         let gateways = desk.gateways(|held| held.gateways == 0);
         let is_due = gateways > 0 && now.saturating_duration_since(told_at) >= REPEAT_INTERVAL;
-        if uses == told && !is_due {
+        let reads = desk.own_reads();
+        if uses == told && reads.is_empty() && !is_due {
             continue;
         }
         told.clone_from(&uses);
@@ -135,6 +163,7 @@
             let report = message::UseReport {
                 uses: uses.clone(),
                 gateways,
+                reads: reads.clone(),
             };
             clients
                 .find(address)
--- a/crates/usher_gateway/src/dialect.rs
+++ b/crates/usher_gateway/src/dialect.rs
@@ -50,6 +50,8 @@
     pub urgency: Option<usher_place::SendUrgency>,
     /// Number of the event behind which a broken stream goes on.
     pub resume_after: Option<u64>,
+    /// Engine from which the target copies shared parts of the prompt that it doesn't have.
+    pub copy_from: Option<net::SocketAddr>,
 }
 
 /// What an answer of a target states beside its body.
--- a/crates/usher_gateway/src/model.rs
+++ b/crates/usher_gateway/src/model.rs
@@ -88,6 +88,7 @@
         decodes += 1;
         let how = send::SendHow {
             urgency: Some(placed.urgency),
+            copy_from: placed.copy_from,
             ..send::SendHow::plain(step)
         };
         let end = send::send(core, call, &placed.target, how).await;
@@ -164,6 +165,8 @@
     urgency: usher_place::SendUrgency,
     /// Expected time until the prompt is read, or generating begins.
     expected: std::time::Duration,
+    /// Engine from which the target copies shared parts of the prompt.
+    copy_from: Option<std::net::SocketAddr>,
 }
 
 /// Chooses the engine that reads the prompt.
@@ -194,6 +197,7 @@
         is_whole: plan.is_whole,
         urgency: plan.urgency,
         expected: plan.expected,
+        copy_from: plan.source,
     })
 }
 
@@ -230,6 +234,7 @@
         is_whole: true,
         urgency,
         expected: std::time::Duration::ZERO,
+        copy_from: None,
     })
 }
 
@@ -272,6 +277,7 @@
 {
     let how = send::SendHow {
         urgency: Some(placed.urgency),
+        copy_from: placed.copy_from,
         ..send::SendHow::plain(dialect::SendStep::Prefill)
     };
     let target = &placed.target;
--- a/crates/usher_gateway/src/send.rs
+++ b/crates/usher_gateway/src/send.rs
@@ -1,6 +1,6 @@
 //! One send of a call to one target. Not for: what follows a failed send.
 
-use std::time;
+use std::{net, time};
 
 use http_body_util::BodyExt as _;
 use usher_roster::TargetEntry;
@@ -41,6 +41,7 @@
     pub(crate) step: dialect::SendStep,
     pub(crate) urgency: Option<usher_place::SendUrgency>,
     pub(crate) resume_after: Option<u64>,
+    pub(crate) copy_from: Option<net::SocketAddr>,
 }
 
 impl SendHow {
@@ -50,6 +51,7 @@
             step,
             urgency: None,
             resume_after: None,
+            copy_from: None,
         }
     }
 }
@@ -75,6 +77,7 @@
         step: how.step,
         urgency: how.urgency,
         resume_after: how.resume_after,
+        copy_from: how.copy_from,
     };
     core.dialect.write_send(request.headers_mut(), &mark);
     let is_run = mark.step != dialect::SendStep::Prefill;
--- a/crates/usher_gateway/src/uses.rs
+++ b/crates/usher_gateway/src/uses.rs
@@ -33,6 +33,7 @@
         let report = message::UseReport {
             uses: own_uses(&core),
             gateways: 0,
+            reads: own_reads(&core),
         };
         let body = envelope::Body::UseReport(report);
         match client.call(body, REPLY_TIMEOUT).await {
@@ -50,6 +51,12 @@
                     .collect();
                 core.loads.take_others(&others);
                 core.set_gateways(totals.gateways);
+                let now = core.clock.now();
+                let reads = totals.reads.iter().map(|read| usher_place::PartsRead {
+                    parts: read.parts,
+                    target: read.target,
+                });
+                core.with_engines(|policy| policy.take_reads(reads, now));
             }
             Ok(_) => {}
             Err(error) => {
@@ -60,6 +67,19 @@
     }
 }
 
+fn own_reads<D, C>(core: &core::GatewayCore<D, C>) -> Vec<message::PartsRead>
+where
+    D: dialect::CallDialect,
+    C: usher_types::ClockSource,
+{
+    let reads = core.with_engines(usher_place::EnginePolicy::take_untold);
+    let reads = reads.into_iter().map(|read| message::PartsRead {
+        parts: read.parts,
+        target: read.target,
+    });
+    reads.collect()
+}
+
 fn own_uses<D, C>(core: &core::GatewayCore<D, C>) -> Vec<message::TargetUse>
 where
     D: dialect::CallDialect,
--- a/crates/usher_place/src/lib.rs
+++ b/crates/usher_place/src/lib.rs
@@ -15,6 +15,7 @@
 
 pub use again::{AgainDecision, AgainPolicy, RepeatBudget, SendOutcome};
 pub use book::{LoadBook, UseTicket};
+pub use cache::PartsRead;
 pub use engine::{CallGoal, EnginePlan, EnginePolicy};
 pub use load::{ClassTokens, LoadReport, TargetLoad};
 pub use place::{PlaceMap, PlaceView, TargetDistance};
--- a/crates/usher_place/src/load.rs
+++ b/crates/usher_place/src/load.rs
@@ -1,12 +1,20 @@
 //! What a gateway knows of the load of one target. Not for: lists of targets.
 
-use std::time;
+use std::{ops, time};
 
 use crate::urgency;
 
-/// Age at which a report of a target says nothing more about its queue: work of these services
-/// takes well under a second, and other gateways' work is unseen.
-const REPORT_LIFE: time::Duration = time::Duration::from_millis(1_500);
+/// Age at which a report of a target says nothing more about its queue: most prompts are read in
+/// less, and what gateways tell each other is younger.
+const REPORT_LIFE: time::Duration = time::Duration::from_millis(400);
+
+/// Age at which a third of a reported slowness is still expected: work of neighbours on the machine
+/// of a target comes and goes within some 600 ms.
+const SLOWNESS_LIFE: time::Duration = time::Duration::from_millis(300);
+
+/// Tokens that an engine still has to read of a prompt that it has begun, which more urgent calls
+/// don't interrupt: about half of the longest usual prompts.
+const PROMPT_REST: u64 = 8_000;
 
 /// First pause after a target failed; doubles with each failure in a row.
 const FIRST_PAUSE: time::Duration = time::Duration::from_millis(500);
@@ -66,20 +74,28 @@
         reported.max(self.running + self.others_running)
     }
 
-    /// Returns the prompt tokens that the target probably reads before those of a new call.
+    /// Returns the prompt tokens that the target probably reads before those of a new call: all of
+    /// calls that are as urgent, and the rest of a prompt of a less urgent one that it is reading.
     pub fn tokens_before(&self, urgency: urgency::SendUrgency) -> u64 {
-        let classes = 0..=urgency.class();
-        let count = |tokens: &ClassTokens| -> u64 {
-            classes.clone().filter_map(|class| tokens.get(class)).sum()
+        let count = |classes: ops::Range<usize>| -> u64 {
+            let classes = classes.filter_map(|class| {
+                let own = self.prefill_tokens.get(class)?;
+                Some(own + self.others_prefill_tokens.get(class)?)
+            });
+            classes.sum()
         };
-        count(&self.prefill_tokens) + count(&self.others_prefill_tokens)
+        let behind = urgency.class() + 1;
+        count(0..behind) + count(behind..urgency::URGENCY_CLASSES).min(PROMPT_REST)
     }
 
-    /// Returns by which factor work takes longer than usual.
+    /// Returns by which factor work probably takes longer than usual.
     pub fn slowness(&self, now: time::Instant) -> f64 {
-        self.report(now).map_or(1.0, |report| {
-            (f64::from(report.slowness) / 100.0).clamp(0.5, 20.0)
-        })
+        let Some((report, at)) = self.report else {
+            return 1.0;
+        };
+        let reported = (f64::from(report.slowness) / 100.0).clamp(0.5, 20.0);
+        let age = now.saturating_duration_since(at).as_secs_f64();
+        1.0 + (reported - 1.0) * (-age / SLOWNESS_LIFE.as_secs_f64()).exp()
     }
 
     /// Notes that the target answered.
--- a/crates/usher_place/src/place.rs
+++ b/crates/usher_place/src/place.rs
@@ -24,6 +24,21 @@
 }
 
 impl TargetDistance {
+    /// Returns the distance between regions: places of one region are equally near.
+    pub(crate) fn region(self) -> Self {
+        self.max(Self::Region)
+    }
+
+    /// Returns by which factor moving memory takes longer than within a failure domain, as the
+    /// platform states it.
+    pub(crate) fn move_factor(self) -> f64 {
+        match self {
+            Self::Domain => 1.0,
+            Self::Region => 2.0,
+            Self::Far => 10.0,
+        }
+    }
+
     /// Returns the time of a round trip.
     pub fn round_trip(self) -> time::Duration {
         match self {
--- a/crates/usher_place/src/work.rs
+++ b/crates/usher_place/src/work.rs
@@ -35,6 +35,11 @@
         self.prompt_tokens.saturating_sub(self.shared_tokens())
     }
 
+    /// Returns a number by which random choices for calls differ.
+    pub(crate) fn call_key(&self) -> u64 {
+        self.parts.last().map_or(self.prompt_tokens, |part| part.id)
+    }
+
     /// Returns a number that calls with the same shared parts have in common; `None` when the
     /// call shares nothing.
     pub fn shared_key(&self) -> Option<u64> {
--- /dev/null
+++ b/crates/usher_roster/tests/read_log.rs
@@ -0,0 +1,50 @@
+//! What gateways tell each other of parts that engines have read.
+
+use usher_roster::ReadLog;
+use usher_types::NodeName;
+use usher_wire::message::PartsRead;
+
+fn read(parts: u64) -> PartsRead {
+    PartsRead { parts, target: 1 }
+}
+
+fn parts(reads: Vec<PartsRead>) -> Vec<u64> {
+    reads.into_iter().map(|read| read.parts).collect()
+}
+
+/// Guards against reads that a gateway gets twice, gets back, or misses.
+#[test]
+fn gateway_gets_what_others_told_once() {
+    let (one, two) = (NodeName::new("gateway-1"), NodeName::new("gateway-2"));
+    let mut log = ReadLog::default();
+    log.add(&one, false, vec![read(1), read(2)]);
+    assert_eq!(parts(log.news_for(&one)), [] as [u64; 0]);
+    assert_eq!(parts(log.news_for(&two)), [1, 2]);
+    assert_eq!(parts(log.news_for(&two)), [] as [u64; 0]);
+    log.add(&two, false, vec![read(3)]);
+    assert_eq!(parts(log.news_for(&one)), [3]);
+}
+
+/// Guards against reads that go round between registrars for ever.
+#[test]
+fn registrar_passes_on_only_what_its_gateways_told() {
+    let (gateway, registrar) = (NodeName::new("gateway-1"), NodeName::new("registrar-2"));
+    let mut log = ReadLog::default();
+    log.add(&gateway, false, vec![read(1)]);
+    log.add(&registrar, true, vec![read(2)]);
+    assert_eq!(parts(log.own_news()), [1]);
+    assert_eq!(parts(log.own_news()), [] as [u64; 0]);
+    assert_eq!(parts(log.news_for(&NodeName::new("gateway-3"))), [1, 2]);
+}
+
+/// Guards against a log that grows without bound, or whose places are lost when its start is dropped.
+#[test]
+fn log_keeps_the_newest() {
+    let (one, two) = (NodeName::new("gateway-1"), NodeName::new("gateway-2"));
+    let mut log = ReadLog::default();
+    log.add(&one, false, (0..3_000).map(read).collect());
+    assert_eq!(log.news_for(&two).len(), 3_000);
+    log.add(&one, false, (3_000..9_000).map(read).collect());
+    let news = parts(log.news_for(&two));
+    assert_eq!((news.len(), news.last()), (4_096, Some(&8_999)));
+}
