Keep routes and targets beside the log, and tell them right after a restart

Change: a registrar writes what it has applied and which targets take work to a file, and tells it to gateways when it starts; reads by operators are still confirmed by a leader. Restored targets count until they are silent. Gateways still lose a second because opening packets to registrars that start later are sent again only after 1 s: next.

--- a/crates/usher_control/src/registrar/desk.rs
+++ b/crates/usher_control/src/registrar/desk.rs
@@ -20,6 +20,8 @@
     /// Tells the life of this process, because a cursor has no meaning in another one.
     epoch: u64,
     domain: usher_types::DomainName,
+    /// Version of the routes that were applied before a restart.
+    restored_routes: u64,
     clock: C,
 }
 
@@ -32,14 +34,22 @@
         domain: usher_types::DomainName,
         heartbeat: time::Duration,
         clock: C,
+        last_known: &message::LastKnown,
     ) -> Self {
-        let feed = usher_roster::RosterFeed::new(heartbeat);
+        let mut feed = usher_roster::RosterFeed::new(heartbeat);
+        for beat in &last_known.targets {
+            match usher_roster::TargetEntry::from_message(beat) {
+                Ok(entry) => feed.restore(entry, clock.now()),
+                Err(error) => tracing::warn!(%error, "record of a target on disk refused"),
+            }
+        }
         Self {
             feed: sync::Arc::new(sync::Mutex::new(feed)),
             changes: sync::Arc::new(watch::Sender::new(0)),
             access,
             epoch: usher_types::IncarnationSource::random().get(),
             domain,
+            restored_routes: last_known.routes_version,
             clock,
         }
     }
@@ -122,6 +132,18 @@
         feed.roster().iter().filter(live).count()
     }
 
+    /// Returns the targets that take work.
+    pub(crate) fn usable_targets(&self) -> Vec<message::TargetBeat> {
+        let feed = self.lock();
+        let usable = feed.roster().iter().filter(|entry| entry.takes_work());
+        usable.map(usher_roster::TargetEntry::to_message).collect()
+    }
+
+    /// Returns the number of the last change, for those that wait for the next one.
+    pub(crate) fn watch_changes(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
+    }
+
     /// Answers a watcher once something differs from what it knows, or when its wait is over.
     pub(crate) async fn watch(&self, request: message::WatchRequest) -> message::WatchReply {
         let hold = time::Duration::from_millis(u64::from(request.wait_ms)).min(MAX_HOLD);
@@ -159,6 +181,7 @@
         let role_changes = feed.role_changes_since(cursor);
         drop(feed);
         let routes_version = self.access.view(|state| state.routes().version());
+        let routes_version = routes_version.max(self.restored_routes);
         let (members_index, members) = self.access.member_addresses(request.members_index);
         let has_news = request.epoch != self.epoch
             || !targets.is_empty()
--- a/crates/usher_control/src/registrar/handler.rs
+++ b/crates/usher_control/src/registrar/handler.rs
@@ -66,7 +66,7 @@
                 ),
             };
         }
-        let reply = self.routes.applied().map(|held| message::RoutesReply {
+        let reply = self.routes.newest_known().map(|held| message::RoutesReply {
             version: held.version.get(),
             document: held.document.to_vec(),
         });
--- a/crates/usher_control/src/registrar/mod.rs
+++ b/crates/usher_control/src/registrar/mod.rs
@@ -5,6 +5,7 @@
 
 mod desk;
 mod handler;
+mod last_known;
 mod node;
 mod options;
 mod orders;
--- a/crates/usher_control/src/registrar/node.rs
+++ b/crates/usher_control/src/registrar/node.rs
@@ -88,13 +88,26 @@
         let clients = sync::Arc::new(fleet::PeerClients::new(identity.clone()));
         let router = fleet::CommandRouter::new(access.clone(), clients.clone(), self.clock.clone());
         let router = sync::Arc::new(router);
+        let file = registrar::last_known::LastKnownFile::new(self.options.folder.clone());
+        let last_known = file.read().unwrap_or_default();
+        tracing::info!(
+            routes = last_known.routes_version,
+            targets = last_known.targets.len(),
+            "taken from before the start"
+        );
         let targets = registrar::TargetDesk::new(
             access.clone(),
             self.options.domain.clone(),
             self.options.heartbeat,
             self.clock.clone(),
+            &last_known,
         );
-        let routes = registrar::RouteDesk::new(access.clone(), clients.clone(), router.clone());
+        let restored = (last_known.routes_version > 0).then(|| registrar::HeldRoutes {
+            version: usher_types::ConfigVersion::new(last_known.routes_version),
+            document: last_known.routes_document.into(),
+        });
+        let routes =
+            registrar::RouteDesk::new(access.clone(), clients.clone(), router.clone(), restored);
         let uses = registrar::uses::UseDesk::new(self.clock.clone());
         let (stop, signal) = usher_kernel::StopSource::new();
         let handler = registrar::handler::RegistrarHandler {
@@ -125,6 +138,9 @@
         ));
         let telling = registrar::uses::run(uses, access.clone(), clients, address);
         let telling = tokio::spawn(telling);
+        let keeping =
+            registrar::last_known::run(file, targets.clone(), routes.clone(), access.clone());
+        let keeping = tokio::spawn(keeping);
         let peers = registrar::peers::run(group, news, new_seeds, targets.clone(), access);
         let peers = tokio::spawn(peers);
         let expiry = tokio::spawn(run_expiry(targets.clone()));
@@ -134,7 +150,7 @@
             routes,
             stop,
             seeds,
-            tasks: vec![server, ordering, telling, peers, expiry],
+            tasks: vec![server, ordering, telling, keeping, peers, expiry],
         })
     }
 
--- a/crates/usher_control/src/registrar/routes.rs
+++ b/crates/usher_control/src/registrar/routes.rs
@@ -27,6 +27,8 @@
     access: fleet::FleetAccess,
     clients: sync::Arc<fleet::PeerClients>,
     router: sync::Arc<fleet::CommandRouter<C>>,
+    /// Routes that were applied before a restart; `None` on an empty disk.
+    restored: Option<HeldRoutes>,
 }
 
 impl<C> RouteDesk<C>
@@ -37,11 +39,13 @@
         access: fleet::FleetAccess,
         clients: sync::Arc<fleet::PeerClients>,
         router: sync::Arc<fleet::CommandRouter<C>>,
+        restored: Option<HeldRoutes>,
     ) -> Self {
         Self {
             access,
             clients,
             router,
+            restored,
         }
     }
 
@@ -111,6 +115,16 @@
         })
     }
 
+    /// Returns the newest routes that are known here, for gateways: those that were applied, or until
+    /// a leader is elected those that were applied before a restart. Both were committed.
+    pub(crate) fn newest_known(&self) -> Option<HeldRoutes> {
+        let restored = self.restored.clone();
+        self.applied()
+            .into_iter()
+            .chain(restored)
+            .max_by_key(|held| held.version)
+    }
+
     /// Confirms the version in force here; only the leader can.
     pub(crate) async fn confirm_here(&self) -> Option<u64> {
         self.access
--- a/crates/usher_roster/src/feed.rs
+++ b/crates/usher_roster/src/feed.rs
@@ -16,6 +16,8 @@
     changed: collections::BTreeMap<usher_types::TargetName, u64>,
     /// When this registrar itself last heard from a target.
     heard: collections::BTreeMap<usher_types::TargetName, time::Instant>,
+    /// Since when a target is known from before a restart, until somebody hears it.
+    restored: collections::BTreeMap<usher_types::TargetName, time::Instant>,
     last_change: u64,
     role_changes: role_change::RoleChangeList,
     /// Number of the last change of `role_changes`.
@@ -30,6 +32,7 @@
             roster: roster::TargetRoster::new(),
             changed: collections::BTreeMap::new(),
             heard: collections::BTreeMap::new(),
+            restored: collections::BTreeMap::new(),
             last_change: 0,
             role_changes: role_change::RoleChangeList::default(),
             role_changes_changed: 0,
@@ -52,6 +55,7 @@
         // A target that moved here from another registrar is announced again, so that watchers
         // know that it isn't silent.
         let moved = self.heard.insert(name.clone(), now).is_none();
+        self.restored.remove(&name);
         if entry.phase == entry::TargetPhase::Gone {
             self.heard.remove(&name);
         }
@@ -96,6 +100,7 @@
             .is_none_or(|known| entry.supersedes(known));
         if newer {
             self.heard.remove(&name);
+            self.restored.remove(&name);
             if self.role_changes.settle(&entry) {
                 self.note_role_changes();
             }
@@ -140,6 +145,16 @@
         (self.role_changes_changed > cursor).then(engines)
     }
 
+    /// Takes a target that was known before a restart. It is used until it turns out to be silent:
+    /// most targets live on when the system's own processes are restarted.
+    pub fn restore(&mut self, entry: entry::TargetEntry, now: time::Instant) {
+        let name = entry.name.clone();
+        if self.roster.merge(entry, now) {
+            self.restored.insert(name.clone(), now);
+            self.note(name);
+        }
+    }
+
     /// Marks targets that have been silent for too long; returns them.
     pub fn expire(&mut self, now: time::Instant) -> Vec<usher_types::TargetName> {
         self.roster.forget(now);
@@ -148,14 +163,14 @@
         }
         let due =
             |heard: &time::Instant| now.saturating_duration_since(*heard) >= self.silent_after;
-        let silent: Vec<_> = self
-            .heard
-            .iter()
+        let heard = self.heard.iter().chain(&self.restored);
+        let silent: Vec<_> = heard
             .filter(|(_, heard)| due(heard))
             .map(|(name, _)| name.clone())
             .collect();
         for name in &silent {
             self.heard.remove(name);
+            self.restored.remove(name);
             if let Some(known) = self.roster.get(name) {
                 let entry = entry::TargetEntry {
                     silent: true,
--- a/crates/usher_roster/tests/roster.rs
+++ b/crates/usher_roster/tests/roster.rs
@@ -139,3 +139,32 @@
     feed.expire(now + BEAT * 4);
     assert_eq!(feed.ordered_role(&name), None);
 }
+
+/// Guards against targets that are unknown for a heartbeat after all of the system's processes were
+/// killed, and against restored ones that another registrar hears and this one takes for silent.
+#[test]
+fn restored_targets_are_used_until_they_are_silent() {
+    let start = time::Instant::now();
+    let (mut feed, mut other) = (RosterFeed::new(BEAT), RosterFeed::new(BEAT));
+    let lost = TargetEntry {
+        name: TargetName::new("lost"),
+        ..beat(5, 7, Ready)
+    };
+    for feed in [&mut feed, &mut other] {
+        feed.restore(beat(5, 7, Ready), start);
+        feed.restore(lost.clone(), start);
+    }
+    assert_eq!(feed.changes_since(0, false).count(), 2);
+    // The other registrar hears one of them, and announces it although nothing else changed.
+    let before = other.last_change();
+    assert!(other.hear(beat(5, 8, Ready), start + BEAT));
+    for entry in other.changes_since(before, true) {
+        feed.merge(entry.clone(), start + BEAT);
+    }
+    assert_eq!(feed.expire(start + BEAT * 5), vec![lost.name]);
+    assert!(feed
+        .roster()
+        .get(&TargetName::new("t"))
+        .unwrap()
+        .takes_work());
+}
