Send opening packets to peers again after 0.3 s

Cause: processes that start together meet peers whose machines aren't up yet and drop the opening packet; the kernel sends it again after 1 s, so that gateways got routes 0.65 s after their registrar was there, and votes were late too. Change: a caller of the wire dials again from a new socket after 0.3 s, within the time for a hello. The test fails without the change (1.03 s).

--- a/crates/usher_wire/src/stream.rs
+++ b/crates/usher_wire/src/stream.rs
@@ -14,6 +14,11 @@
 /// How long connecting and the hello may take.
 const HELLO_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 
+/// After this time without an answer to the opening packet another one is sent from a new socket: five
+/// round trips between regions. The kernel sends it again only after a second, and a process that
+/// starts together with its peers, as after a loss of power, meets some that aren't up yet.
+const DIAL_TIMEOUT: time::Duration = time::Duration::from_millis(300);
+
 /// How long sent bytes may stay without an answer of the peer's kernel before the connection
 /// breaks; bounds how late bytes in flight can still arrive, and how long a silent cut is unseen.
 pub const UNANSWERED_LIMIT: time::Duration = time::Duration::from_secs(2);
@@ -75,17 +80,27 @@
     address: net::SocketAddr,
     identity: &WireIdentity,
 ) -> Result<(WireStream, WireIdentity), error::WireError> {
-    let dial = async {
-        let socket = tokio_net::TcpStream::connect(address).await?;
+    let dialled = async {
+        let socket = dial(address).await?;
         // The side that calls closes with a reset: what it gave up on must not arrive later.
         socket2::SockRef::from(&socket).set_linger(Some(time::Duration::ZERO))?;
         exchange(socket, identity).await
     };
-    tokio::time::timeout(HELLO_TIMEOUT, dial)
+    tokio::time::timeout(HELLO_TIMEOUT, dialled)
         .await
         .map_err(|_| error::WireError::Timeout)?
 }
 
+/// Connects to a peer; goes on trying while it doesn't answer.
+async fn dial(address: net::SocketAddr) -> std::io::Result<tokio_net::TcpStream> {
+    loop {
+        let socket = tokio_net::TcpStream::connect(address);
+        if let Ok(ended) = tokio::time::timeout(DIAL_TIMEOUT, socket).await {
+            return ended;
+        }
+    }
+}
+
 /// Exchanges hellos on a connection that a peer opened.
 ///
 /// # Errors
--- a/crates/usher_wire/tests/calls.rs
+++ b/crates/usher_wire/tests/calls.rs
@@ -144,3 +144,40 @@
         .unwrap_err();
     assert!(matches!(error, WireError::Cluster { .. }), "{error}");
 }
+
+/// Processes that start together, as after a loss of power: the peer's machine drops the opening
+/// packet. Guards against a caller that waits a second for the kernel to send it again.
+#[tokio::test]
+async fn peer_that_comes_up_late_is_reached_soon() {
+    let socket = tokio_net::TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let listener = socket.listen(1).unwrap();
+    let address = listener.local_addr().unwrap();
+    // Connections that aren't accepted fill the queue; the opening packets of others are dropped.
+    let mut waiting = Vec::new();
+    loop {
+        let dial = tokio_net::TcpStream::connect(address);
+        match tokio::time::timeout(time::Duration::from_millis(100), dial).await {
+            Ok(socket) => waiting.push(socket.unwrap()),
+            Err(_) => break,
+        }
+    }
+    let started = time::Instant::now();
+    let caller = tokio::spawn(async move {
+        let connected = usher_wire::connect(address, &identity("one", "client")).await;
+        connected.map(|_| started.elapsed())
+    });
+    tokio::time::sleep(time::Duration::from_millis(50)).await;
+    drop(waiting);
+    tokio::spawn(async move {
+        while let Ok((socket, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let accepted = usher_wire::accept(socket, &identity("one", "server")).await;
+                tokio::time::sleep(TIMEOUT).await;
+                drop(accepted);
+            });
+        }
+    });
+    let took = caller.await.unwrap().unwrap();
+    assert!(took < time::Duration::from_millis(800), "{took:?}");
+}
