--- a/crates/usher_control/src/plan/role_split.rs
+++ b/crates/usher_control/src/plan/role_split.rs
@@ -7,8 +7,9 @@
 
 /// Part of the engines of a domain that generate; the others read prompts. Reading a prompt of
 /// these services takes several times the engine time of generating its answer, and an engine in
-/// the decode role reads at less than half the speed.
-const DECODE_SHARE: f64 = 0.3;
+/// the decode role reads at less than half the speed. Rounded up: with one generator of six, that of
+/// a domain was overrun at the crest.
+const DECODE_SHARE: f64 = 0.2;
 
 usher_types::value_type! {
     /// An engine that should get another role.
@@ -68,7 +69,7 @@
         .iter()
         .filter(|target| role(target) == Some(EngineRole::Decode));
     let size = group.len() as f64;
-    let wanted = ((size * DECODE_SHARE).round() as usize).max(1);
+    let wanted = (size * DECODE_SHARE).ceil() as usize;
     let decode = decode.count();
     let (from, to) = if decode > wanted {
         (EngineRole::Decode, EngineRole::Prefill)
