Let calls wait a moment for the first routes of a gateway

Cause: a gateway that had just started sent callers away for 1.3 s although routes come 0.6 s after its start, and fetched them later from registrars of other domains even without having any. Change: a call waits up to 0.8 s, or a sixth of its patience, for the first routes; these are fetched at once from any registrar.

--- a/crates/usher_gateway/src/call.rs
+++ b/crates/usher_gateway/src/call.rs
@@ -14,6 +14,13 @@
 /// How long a caller waits that states no patience; the timeout of the route is shorter.
 const DEFAULT_PATIENCE: time::Duration = time::Duration::from_secs(60);
 
+/// How long a call waits at a gateway that has just started and has no routes. Registrars that were
+/// restarted with it are there after some 0.4 s; callers that were sent away came back a second later.
+const FIRST_ROUTES_WAIT: time::Duration = time::Duration::from_millis(800);
+
+/// The part of the caller's patience that this wait may use at most: one in this number.
+const FIRST_ROUTES_PART: u32 = 6;
+
 pub(crate) type CallAnswer = http::Response<body::AnswerBody>;
 
 /// A call that was read and has a route.
@@ -192,7 +199,10 @@
     if let Some(id) = &mark.id {
         log.id = id.to_string();
     }
-    let table = core.routes().ok_or(answer::CallRefusal::NoRoutes)?;
+    let patience = mark.patience.unwrap_or(DEFAULT_PATIENCE);
+    let limit = FIRST_ROUTES_WAIT.min(patience / FIRST_ROUTES_PART);
+    let table = core.first_routes(limit).await;
+    let table = table.ok_or(answer::CallRefusal::NoRoutes)?;
     log.version = table.version().get();
     let host = parts
         .headers
@@ -210,7 +220,7 @@
         .ok_or(answer::CallRefusal::NoRoute)?
         .clone();
     log.service = service.to_string();
-    let patience = mark.patience.unwrap_or(DEFAULT_PATIENCE).min(route.timeout);
+    let patience = patience.min(route.timeout);
     let deadline = log.arrived + patience.saturating_sub(ANSWER_MARGIN);
     let limit = table.sheet().limits.body_bytes;
     let body = read_body(body, limit, deadline).await?;
--- a/crates/usher_gateway/src/core.rs
+++ b/crates/usher_gateway/src/core.rs
@@ -1,6 +1,6 @@
 //! What all calls of a gateway share. Not for: the path of a call.
 
-use std::{collections, net, sync};
+use std::{collections, net, sync, time};
 
 use usher_place::{EnginePolicy, LoadBook, PlainPolicy, RepeatBudget};
 use usher_roster::{TargetEntry, TargetRoster};
@@ -26,7 +26,7 @@
     /// Gateways that share the budgets; 0 until it is known.
     gateways: sync::atomic::AtomicU32,
     budgets: sync::Mutex<collections::HashMap<usher_types::ServiceName, RepeatBudget>>,
-    routes: sync::RwLock<Option<sync::Arc<usher_route::RouteTable>>>,
+    routes: tokio::sync::watch::Sender<Option<sync::Arc<usher_route::RouteTable>>>,
     /// Client of the nearest registrar that answers.
     pub(crate) nearest: sync::Mutex<Option<usher_wire::CallClient>>,
     roster: sync::Mutex<TargetRoster>,
@@ -52,7 +52,7 @@
             plains: sync::Mutex::default(),
             gateways: sync::atomic::AtomicU32::new(0),
             budgets: sync::Mutex::default(),
-            routes: sync::RwLock::default(),
+            routes: tokio::sync::watch::Sender::new(None),
             nearest: sync::Mutex::default(),
             roster: sync::Mutex::default(),
             role_changes: sync::Mutex::default(),
@@ -62,8 +62,18 @@
 
     /// Returns the routes in force here.
     pub(crate) fn routes(&self) -> Option<sync::Arc<usher_route::RouteTable>> {
-        let routes = self.routes.read();
-        routes.unwrap_or_else(sync::PoisonError::into_inner).clone()
+        self.routes.borrow().clone()
+    }
+
+    /// Returns the routes in force here; waits for the first ones for some time at most.
+    pub(crate) async fn first_routes(
+        &self,
+        limit: time::Duration,
+    ) -> Option<sync::Arc<usher_route::RouteTable>> {
+        let mut routes = self.routes.subscribe();
+        let known = routes.wait_for(Option::is_some);
+        let known = tokio::time::timeout(limit, known).await.ok()?.ok()?;
+        known.clone()
     }
 
     /// Returns the version of the routes in force here; 0 before the first ones.
@@ -73,19 +83,17 @@
 
     /// Puts routes into force unless those in force are as new; routes never go back.
     pub(crate) fn take_routes(&self, table: usher_route::RouteTable) -> bool {
-        let mut routes = self
-            .routes
-            .write()
-            .unwrap_or_else(sync::PoisonError::into_inner);
-        let newer = routes
-            .as_ref()
-            .is_none_or(|known| table.version() > known.version());
-        if newer {
-            let version = i64::try_from(table.version().get()).unwrap_or(i64::MAX);
-            self.metrics.routes_version.set(version);
-            *routes = Some(sync::Arc::new(table));
-        }
-        newer
+        self.routes.send_if_modified(|routes| {
+            let newer = routes
+                .as_ref()
+                .is_none_or(|known| table.version() > known.version());
+            if newer {
+                let version = i64::try_from(table.version().get()).unwrap_or(i64::MAX);
+                self.metrics.routes_version.set(version);
+                *routes = Some(sync::Arc::new(table));
+            }
+            newer
+        })
     }
 
     /// Takes what a registrar heard of targets.
--- a/crates/usher_gateway/src/follow.rs
+++ b/crates/usher_gateway/src/follow.rs
@@ -103,7 +103,8 @@
     asked.insert(news.address, wanted);
     let domain = usher_types::DomainName::new(reply.domain);
     let distance = core.options.map.between(&core.options.domain, &domain);
-    let delay = if distance == TargetDistance::Domain {
+    let is_first = core.routes_version() == 0;
+    let delay = if is_first || distance == TargetDistance::Domain {
         time::Duration::ZERO
     } else {
         let rank = group.addresses().filter(|other| **other < news.address);
