Find lost targets sooner, tell others, and spend no budget on what isn't reached

Change: connecting takes 0.3 s at most; silent connections are probed and unacknowledged bytes break one after 1.5 s; a send that doesn't reach its target draws on no budget; gateways tell each other of targets that they lost, and two of them make the others avoid it unless it has just answered. Most of what still fails are plain calls that fail on both tries, and calls that run on engines when these crash.

--- a/crates/usher_control/src/registrar/uses.rs
+++ b/crates/usher_control/src/registrar/uses.rs
@@ -17,7 +17,7 @@
 /// How often it is told when it didn't change, so that it still counts there.
 const REPEAT_INTERVAL: time::Duration = time::Duration::from_millis(900);
 
-type UseTable = collections::BTreeMap<u64, (u32, Vec<u32>)>;
+type UseTable = collections::BTreeMap<u64, message::TargetUse>;
 
 #[derive(Clone, Debug)]
 struct HeldReport {
@@ -108,21 +108,17 @@
         let counted = reports.iter().filter(|(name, held)| counts(name, held));
         for used in counted.flat_map(|(_, held)| &held.uses) {
             let sum = table.entry(used.target).or_default();
-            sum.0 = sum.0.saturating_add(used.running);
-            if sum.1.len() < used.prefill_tokens.len() {
-                sum.1.resize(used.prefill_tokens.len(), 0);
+            sum.target = used.target;
+            sum.running = sum.running.saturating_add(used.running);
+            sum.failing = sum.failing.saturating_add(used.failing);
+            if sum.prefill_tokens.len() < used.prefill_tokens.len() {
+                sum.prefill_tokens.resize(used.prefill_tokens.len(), 0);
             }
-            for (class, tokens) in sum.1.iter_mut().zip(&used.prefill_tokens) {
+            for (class, tokens) in sum.prefill_tokens.iter_mut().zip(&used.prefill_tokens) {
                 *class = class.saturating_add(*tokens);
             }
         }
-        let uses = table.into_iter();
-        uses.map(|(target, (running, prefill_tokens))| message::TargetUse {
-            target,
-            running,
-            prefill_tokens,
-        })
-        .collect()
+        table.into_values().collect()
     }
 
     fn lock(
--- a/crates/usher_gateway/src/model.rs
+++ b/crates/usher_gateway/src/model.rs
@@ -64,17 +64,18 @@
         };
         log.expected_ms.push(placed.expected.as_millis());
         if !placed.is_whole {
-            prefills += 1;
             match prefill(core, call, log, &placed).await {
                 Ok(handle) => {
                     prompt = Some(held::HeldPrompt::new(core.clone(), placed.target, handle));
                     continue;
                 }
-                Err(text) => {
-                    log.note_send(&placed.target.name, &text);
+                Err(failed) => {
+                    log.note_send(&placed.target.name, &failed.text);
                     tried.push(placed.target.name);
-                    reason = text;
-                    if core.with_budget(&call.service, usher_place::RepeatBudget::take) {
+                    reason = failed.text;
+                    prefills += u32::from(failed.reached);
+                    let take = usher_place::RepeatBudget::take;
+                    if !failed.reached || core.with_budget(&call.service, take) {
                         continue;
                     }
                     break;
@@ -85,7 +86,6 @@
             .as_ref()
             .map_or(dialect::SendStep::Whole, held::HeldPrompt::step);
         log.is_running = true;
-        decodes += 1;
         let how = send::SendHow {
             urgency: Some(placed.urgency),
             copy_from: placed.copy_from,
@@ -94,6 +94,8 @@
         let end = send::send(core, call, &placed.target, how).await;
         log.is_running = false;
         let PlacedCall { target, ticket, .. } = &mut placed;
+        let reached = !matches!(end, send::SendEnd::NotSent(_));
+        decodes += u32::from(reached);
         match end {
             send::SendEnd::Answer(answer) => {
                 log.note_send(&target.name, answer.status.as_str());
@@ -118,7 +120,8 @@
                 if decodes > 1 {
                     if let Some(held) = prompt.take() {
                         let now = core.clock.now();
-                        core.loads.note(&held.holder().name, false, now);
+                        let refused = usher_place::TargetFailure::Refused;
+                        core.loads.note_failure(&held.holder().name, refused, now);
                         // Those that refused may run the call with a prompt of another holder.
                         tried.clear();
                         tried.push(held.holder().name.clone());
@@ -137,6 +140,7 @@
         }
         let policy = AgainPolicy {
             sends: decodes,
+            reached,
             runs: log.runs,
             left: call.left(),
         };
@@ -264,17 +268,25 @@
     }
 }
 
+/// Why an engine didn't read a prompt.
+struct FailedPrefill {
+    text: String,
+    /// Whether the engine has seen the call.
+    reached: bool,
+}
+
 /// Lets an engine read the prompt, and returns the handle under which it holds it.
 async fn prefill<D, C>(
     core: &sync::Arc<core::GatewayCore<D, C>>,
     call: &call::RoutedCall,
     log: &mut call::CallLog,
     placed: &PlacedCall,
-) -> Result<String, String>
+) -> Result<String, FailedPrefill>
 where
     D: dialect::CallDialect,
     C: usher_types::ClockSource,
 {
+    let failed = |reached| move |text| FailedPrefill { text, reached };
     let how = send::SendHow {
         urgency: Some(placed.urgency),
         copy_from: placed.copy_from,
@@ -284,16 +296,18 @@
     let end = send::send(core, call, target, how).await;
     let answer = match end {
         send::SendEnd::Answer(answer) => answer,
-        send::SendEnd::NotSent(text)
-        | send::SendEnd::NotRun(text)
-        | send::SendEnd::Broken(text) => return Err(text),
+        send::SendEnd::NotSent(text) => return Err(failed(false)(text)),
+        send::SendEnd::NotRun(text) | send::SendEnd::Broken(text) => {
+            return Err(failed(true)(text));
+        }
     };
-    let (status, _, body) = answer.read().await?;
+    let (status, _, body) = answer.read().await.map_err(failed(true))?;
     if !status.is_success() {
-        return Err(format!("prompt not read: {}", status.as_u16()));
+        let text = format!("prompt not read: {}", status.as_u16());
+        return Err(failed(true)(text));
     }
     let handle = core.dialect.read_handle(&body);
-    let handle = handle.ok_or_else(|| "the answer has no handle".to_owned())?;
+    let handle = handle.ok_or_else(|| failed(true)("the answer has no handle".to_owned()))?;
     log.note_send(&target.name, "prompt read");
     note_read(core, call, target);
     Ok(handle)
--- a/crates/usher_gateway/src/plain.rs
+++ b/crates/usher_gateway/src/plain.rs
@@ -18,6 +18,7 @@
     C: usher_types::ClockSource,
 {
     let mut tried = Vec::new();
+    let mut sends = 0;
     // The answer of a target that failed, passed on when no other one does better.
     let mut failed = None;
     let mut reason = String::new();
@@ -43,6 +44,7 @@
         };
         drop(ticket);
         log.is_running = false;
+        let reached = !matches!(end, Err(send::SendEnd::NotSent(_)));
         match end {
             Ok((status, headers, bytes)) => {
                 log.note_send(&target.name, status.as_str());
@@ -70,8 +72,10 @@
             Err(send::SendEnd::Answer(_)) => break,
         }
         tried.push(target.name);
+        sends += u32::from(reached);
         let policy = AgainPolicy {
-            sends: u32::try_from(tried.len()).unwrap_or(u32::MAX),
+            sends,
+            reached,
             runs: log.runs,
             left: call.left(),
         };
--- a/crates/usher_gateway/src/pool.rs
+++ b/crates/usher_gateway/src/pool.rs
@@ -4,11 +4,17 @@
 
 use hyper::client::conn::http1;
 
-/// How long connecting to a target may take; a few round trips between regions.
-const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(700);
+/// How long connecting to a target may take: five round trips between regions. Another target is
+/// tried then at no cost, while the kernel would send a lost opening packet again only after a second.
+const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(300);
 
-/// How long sent bytes may stay unacknowledged before the connection counts as broken.
-const USER_TIMEOUT: time::Duration = time::Duration::from_secs(2);
+/// How long sent bytes may stay unacknowledged before the connection counts as broken: a machine that
+/// is gone. Packets that are lost are sent again within some 0.3 s.
+const USER_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
+
+/// How often a silent connection is probed. The probes are answered by the target's kernel, so that
+/// a target that takes long keeps its connection.
+const PROBE_INTERVAL: time::Duration = time::Duration::from_secs(1);
 
 /// Part of the idle time that a target states after which a connection isn't used any more: its
 /// clock started earlier than ours, and a request that crosses the close is lost.
@@ -167,9 +173,13 @@
         .map_err(|_| LinkError::NotSent("connecting took too long".to_owned()))?
         .map_err(not_sent)?;
     let options = socket2::SockRef::from(&socket);
+    let probes = socket2::TcpKeepalive::new()
+        .with_time(PROBE_INTERVAL)
+        .with_interval(PROBE_INTERVAL);
     socket
         .set_nodelay(true)
         .and_then(|()| options.set_tcp_user_timeout(Some(USER_TIMEOUT)))
+        .and_then(|()| options.set_tcp_keepalive(&probes))
         .map_err(not_sent)?;
     let io = hyper_util::rt::TokioIo::new(socket);
     let (sender, connection) = http1::Builder::new()
--- a/crates/usher_gateway/src/relay.rs
+++ b/crates/usher_gateway/src/relay.rs
@@ -96,9 +96,9 @@
                 RelayEnd::CallerLeft => return self.log.end("the caller left"),
                 RelayEnd::Late => return self.fail("the time for the call is over").await,
                 RelayEnd::Broken(text) => {
-                    self.core
-                        .loads
-                        .note(&target.name, false, self.core.clock.now());
+                    let lost = usher_place::TargetFailure::Lost;
+                    let now = self.core.clock.now();
+                    self.core.loads.note_failure(&target.name, lost, now);
                     self.log.note_send(&target.name, &text);
                     tried.push(target.name);
                     self.log.runs += 1;
@@ -159,6 +159,7 @@
         let (core, call) = (self.core.clone(), self.call.clone());
         let policy = usher_place::AgainPolicy {
             sends: u32::try_from(tried.len()).unwrap_or(u32::MAX),
+            reached: true,
             runs: self.log.runs,
             left: call.left(),
         };
--- a/crates/usher_gateway/src/send.rs
+++ b/crates/usher_gateway/src/send.rs
@@ -3,6 +3,7 @@
 use std::{net, time};
 
 use http_body_util::BodyExt as _;
+use usher_place::TargetFailure;
 use usher_roster::TargetEntry;
 
 use crate::{call, core, dialect, pool};
@@ -85,16 +86,20 @@
         Ok((answer, link)) => {
             let end = check(core, call, target, is_run, answer, link).await;
             if matches!(end, SendEnd::NotRun(_)) {
-                core.loads.note(&target.name, false, core.clock.now());
+                let refused = TargetFailure::Refused;
+                let now = core.clock.now();
+                core.loads.note_failure(&target.name, refused, now);
             }
             end
         }
         Err(pool::LinkError::NotSent(text)) => {
-            core.loads.note(&target.name, false, core.clock.now());
+            core.loads
+                .note_failure(&target.name, TargetFailure::Lost, core.clock.now());
             SendEnd::NotSent(text)
         }
         Err(pool::LinkError::Broken(text)) => {
-            core.loads.note(&target.name, false, core.clock.now());
+            core.loads
+                .note_failure(&target.name, TargetFailure::Lost, core.clock.now());
             SendEnd::Broken(text)
         }
     };
@@ -145,7 +150,7 @@
         return SendEnd::NotRun(reason);
     }
     if parts.status.is_success() {
-        core.loads.note(&target.name, true, now);
+        core.loads.note_answer(&target.name, now);
     }
     SendEnd::Answer(TargetAnswer {
         status: parts.status,
--- a/crates/usher_gateway/src/uses.rs
+++ b/crates/usher_gateway/src/uses.rs
@@ -46,7 +46,12 @@
                         for (class, told) in tokens.iter_mut().zip(&used.prefill_tokens) {
                             *class = u64::from(*told);
                         }
-                        (used.target, (used.running, tokens))
+                        let used_there = usher_place::TargetUse {
+                            running: used.running,
+                            prefill_tokens: tokens,
+                            failing: used.failing,
+                        };
+                        (used.target, used_there)
                     })
                     .collect();
                 core.loads.take_others(&others);
@@ -85,11 +90,13 @@
     D: dialect::CallDialect,
     C: usher_types::ClockSource,
 {
-    let uses = core.loads.own_uses().into_iter();
-    uses.map(|(name, running, tokens)| message::TargetUse {
+    let uses = core.loads.own_uses(core.clock.now()).into_iter();
+    uses.map(|(name, used)| message::TargetUse {
         target: usher_place::text_key(name.as_str()),
-        running,
-        prefill_tokens: tokens
+        running: used.running,
+        failing: used.failing,
+        prefill_tokens: used
+            .prefill_tokens
             .map(|tokens| u32::try_from(tokens).unwrap_or(u32::MAX))
             .to_vec(),
     })
--- a/crates/usher_place/src/again.rs
+++ b/crates/usher_place/src/again.rs
@@ -90,8 +90,11 @@
 /// Decides about a call whose sends failed so far.
 #[derive(Clone, Copy, Debug)]
 pub struct AgainPolicy {
-    /// Sends so far.
+    /// Sends so far that reached a target.
     pub sends: u32,
+    /// Whether the last send reached its target. One that didn't draws on no budget: the target has
+    /// not seen it.
+    pub reached: bool,
     /// Sends so far that may have been run.
     pub runs: u32,
     /// Time left until the deadline of the call.
@@ -111,7 +114,8 @@
         };
         let harmless = self.runs == 0 || route.kind.is_repeatable();
         let allowed = self.runs < route.attempts.max(1) && self.sends < MAX_SENDS;
-        if harmless && allowed && self.left > LEAST_TIME && budget.take() {
+        let has_time = self.left > LEAST_TIME;
+        if harmless && allowed && has_time && (!self.reached || budget.take()) {
             AgainDecision::Again
         } else {
             give_up
--- a/crates/usher_place/src/book.rs
+++ b/crates/usher_place/src/book.rs
@@ -4,6 +4,17 @@
 
 use crate::{load, urgency, work};
 
+/// What gateways have at one target, as they tell each other.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct TargetUse {
+    /// Calls that are sent and not answered.
+    pub running: u32,
+    /// Prompt tokens that the target has still to read, by class of urgency.
+    pub prefill_tokens: load::ClassTokens,
+    /// Gateways that have lost the target lately.
+    pub failing: u32,
+}
+
 /// The loads by target; cheap to clone, shared by the calls of a gateway.
 #[derive(Clone, Debug, Default)]
 pub struct LoadBook {
@@ -57,21 +68,30 @@
         }
     }
 
-    /// Returns the work of this gateway: target, calls and prompt tokens.
-    pub fn own_uses(&self) -> Vec<(usher_types::TargetName, u32, load::ClassTokens)> {
+    /// Returns what this gateway has at targets and knows of their failures.
+    pub fn own_uses(&self, now: time::Instant) -> Vec<(usher_types::TargetName, TargetUse)> {
         let loads = self.lock();
-        let used = loads.iter().filter(|(_, load)| load.running > 0);
-        used.map(|(name, load)| (name.clone(), load.running, load.prefill_tokens))
+        let uses = loads.iter().map(|(name, load)| {
+            let used = TargetUse {
+                running: load.running,
+                prefill_tokens: load.prefill_tokens,
+                failing: u32::from(load.is_lost(now)),
+            };
+            (name, used)
+        });
+        uses.filter(|(_, used)| used.running > 0 || used.failing > 0)
+            .map(|(name, used)| (name.clone(), used))
             .collect()
     }
 
-    /// Takes the work of the other gateways by the key of each target's name.
-    pub fn take_others(&self, others: &collections::HashMap<u64, (u32, load::ClassTokens)>) {
+    /// Takes what the other gateways told by the key of each target's name.
+    pub fn take_others(&self, others: &collections::HashMap<u64, TargetUse>) {
         for (name, load) in self.lock().iter_mut() {
             let key = work::text_key(name.as_str());
-            let (running, prefill_tokens) = others.get(&key).copied().unwrap_or_default();
-            load.others_running = running;
-            load.others_prefill_tokens = prefill_tokens;
+            let used = others.get(&key).copied().unwrap_or_default();
+            load.others_running = used.running;
+            load.others_prefill_tokens = used.prefill_tokens;
+            load.others_failing = used.failing;
         }
     }
 
@@ -91,15 +111,19 @@
             .retain(|name, load| load.running > 0 || is_known(name));
     }
 
-    /// Notes the outcome of a call at a target.
-    pub fn note(&self, target: &usher_types::TargetName, succeeded: bool, now: time::Instant) {
-        self.update(target, |load| {
-            if succeeded {
-                load.succeeded();
-            } else {
-                load.failed(now);
-            }
-        });
+    /// Notes that a target answered a call.
+    pub fn note_answer(&self, target: &usher_types::TargetName, now: time::Instant) {
+        self.update(target, |load| load.succeeded(now));
+    }
+
+    /// Notes that a target failed a call.
+    pub fn note_failure(
+        &self,
+        target: &usher_types::TargetName,
+        how: load::TargetFailure,
+        now: time::Instant,
+    ) {
+        self.update(target, |load| load.failed(now, how));
     }
 
     fn lock(&self) -> sync::MutexGuard<'_, LoadTable> {
--- a/crates/usher_place/src/lib.rs
+++ b/crates/usher_place/src/lib.rs
@@ -14,10 +14,10 @@
 mod work;
 
 pub use again::{AgainDecision, AgainPolicy, RepeatBudget, SendOutcome};
-pub use book::{LoadBook, UseTicket};
+pub use book::{LoadBook, TargetUse, UseTicket};
 pub use cache::PartsRead;
 pub use engine::{CallGoal, EnginePlan, EnginePolicy};
-pub use load::{ClassTokens, LoadReport, TargetLoad};
+pub use load::{ClassTokens, LoadReport, TargetFailure, TargetLoad};
 pub use place::{PlaceMap, PlaceView, TargetDistance};
 pub use plain::PlainPolicy;
 pub use urgency::{SendUrgency, URGENCY_CLASSES};
--- a/crates/usher_place/src/load.rs
+++ b/crates/usher_place/src/load.rs
@@ -22,6 +22,12 @@
 /// Longest pause after failures, so that a target that recovered is found again soon.
 const LONGEST_PAUSE: time::Duration = time::Duration::from_secs(4);
 
+/// How many other gateways must tell that a target fails: one alone may itself be cut off.
+const LEAST_WITNESSES: u32 = 2;
+
+/// How long an answer to this gateway counts more than what others tell.
+const ANSWER_LIFE: time::Duration = time::Duration::from_millis(500);
+
 usher_types::value_type! {
     /// What a target said of its load in an answer.
     #[derive(Copy)]
@@ -37,6 +43,16 @@
     }
 }
 
+usher_types::value_type! {
+    /// How a target failed a call.
+    pub enum TargetFailure {
+        /// It refused the call: it may be full for this gateway's calls only.
+        Refused,
+        /// It couldn't be reached, or the connection broke.
+        Lost,
+    }
+}
+
 /// Prompt tokens by class of urgency.
 pub type ClassTokens = [u64; urgency::URGENCY_CLASSES];
 
@@ -51,8 +67,13 @@
     pub others_running: u32,
     /// Prompt tokens of calls of the other gateways that the target has still to read.
     pub others_prefill_tokens: ClassTokens,
+    /// Other gateways that have lost the target lately.
+    pub others_failing: u32,
     report: Option<(LoadReport, time::Instant)>,
+    succeeded_at: Option<time::Instant>,
     failures: u32,
+    /// Whether the last failure was a lost connection.
+    is_lost: bool,
     avoid_until: Option<time::Instant>,
 }
 
@@ -99,20 +120,36 @@
     }
 
     /// Notes that the target answered.
-    pub fn succeeded(&mut self) {
+    pub fn succeeded(&mut self, now: time::Instant) {
+        self.succeeded_at = Some(now);
         self.failures = 0;
         self.avoid_until = None;
     }
 
     /// Notes that the target failed a call, so that it is avoided for a while.
-    pub fn failed(&mut self, now: time::Instant) {
+    pub fn failed(&mut self, now: time::Instant, how: TargetFailure) {
         let pause = FIRST_PAUSE * 2_u32.pow(self.failures.min(3));
         self.failures += 1;
         self.avoid_until = Some(now + pause.min(LONGEST_PAUSE));
+        self.is_lost = how == TargetFailure::Lost;
     }
 
-    /// Returns whether the target failed lately.
-    pub fn is_avoided(&self, now: time::Instant) -> bool {
+    /// Returns whether a call of this gateway failed there lately.
+    fn has_failed(&self, now: time::Instant) -> bool {
         self.avoid_until.is_some_and(|until| now < until)
     }
+
+    /// Returns whether this gateway has lost the target lately, which others should know.
+    pub fn is_lost(&self, now: time::Instant) -> bool {
+        self.is_lost && self.has_failed(now)
+    }
+
+    /// Returns whether the target is avoided: a call failed there, or other gateways tell so and it
+    /// has not just answered this one.
+    pub fn is_avoided(&self, now: time::Instant) -> bool {
+        let answered = self
+            .succeeded_at
+            .is_some_and(|at| now.saturating_duration_since(at) < ANSWER_LIFE);
+        self.has_failed(now) || (self.others_failing >= LEAST_WITNESSES && !answered)
+    }
 }
--- a/crates/usher_place/tests/again.rs
+++ b/crates/usher_place/tests/again.rs
@@ -5,8 +5,8 @@
 use usher_place::{AgainDecision, AgainPolicy, RepeatBudget};
 use usher_route::{RepeatKind, RouteRule};
 
-fn decide(kind: RepeatKind, attempts: u32, sends: u32, runs: u32, left_ms: u64) -> AgainDecision {
-    let route = RouteRule {
+fn route(kind: RepeatKind, attempts: u32) -> RouteRule {
+    RouteRule {
         name: "route".to_owned(),
         host: "desk.example".to_owned(),
         prefix: "/".to_owned(),
@@ -17,11 +17,47 @@
         priority: 0,
         services: Vec::new(),
         attempts,
-    };
+    }
+}
+
+fn decide(kind: RepeatKind, attempts: u32, sends: u32, runs: u32, left_ms: u64) -> AgainDecision {
+    let route = route(kind, attempts);
     let mut budget = RepeatBudget::new(0.2, 50.0);
     budget.set_gateways(1);
     let left = time::Duration::from_millis(left_ms);
-    AgainPolicy { sends, runs, left }.decide(&route, &mut budget)
+    let policy = AgainPolicy {
+        sends,
+        reached: true,
+        runs,
+        left,
+    };
+    policy.decide(&route, &mut budget)
+}
+
+/// A crash of many engines, while 90 gateways share the budget. Guards against calls that are refused
+/// for want of it although no engine has seen them.
+#[test]
+fn target_that_is_not_reached_costs_no_budget() {
+    let mut budget = RepeatBudget::new(0.2, 10.0);
+    budget.set_gateways(90);
+    while budget.take() {}
+    let policy = AgainPolicy {
+        sends: 0,
+        reached: false,
+        runs: 0,
+        left: time::Duration::from_secs(3),
+    };
+    let route = route(RepeatKind::Once, 1);
+    assert_eq!(policy.decide(&route, &mut budget), AgainDecision::Again);
+    let reached = AgainPolicy {
+        sends: 1,
+        reached: true,
+        ..policy
+    };
+    assert_eq!(
+        reached.decide(&route, &mut budget),
+        AgainDecision::RefuseNotRun
+    );
 }
 
 fn check(
--- a/crates/usher_place/tests/engines.rs
+++ b/crates/usher_place/tests/engines.rs
@@ -4,7 +4,7 @@
 
 use usher_place::{
     CallGoal, EnginePlan, EnginePolicy, LoadBook, PlaceMap, PlaceView, PromptPart, PromptWork,
-    SendUrgency,
+    SendUrgency, TargetFailure, TargetUse,
 };
 use usher_roster::{TargetEntry, TargetPhase};
 use usher_types::{DomainName, EngineRole, RegionName, TargetName};
@@ -163,9 +163,11 @@
     assert_eq!(plan.source, Some(gateway.address("b-2")));
     assert_eq!(plan.tokens, 3_720);
     // A holder that failed is no source.
-    gateway
-        .loads
-        .note(&TargetName::new("b-2"), false, time::Instant::now());
+    gateway.loads.note_failure(
+        &TargetName::new("b-2"),
+        TargetFailure::Lost,
+        time::Instant::now(),
+    );
     assert_eq!(gateway.place(&work).unwrap().source, None);
 }
 
@@ -290,7 +292,12 @@
     let home = gateway.place(&work).unwrap().reader.name;
     gateway.loads.know([&home].into_iter());
     let key = usher_place::text_key(home.as_str());
-    let others = collections::HashMap::from([(key, (9, [0, 70_000, 0, 0]))]);
+    let used = TargetUse {
+        running: 9,
+        prefill_tokens: [0, 70_000, 0, 0],
+        failing: 0,
+    };
+    let others = collections::HashMap::from([(key, used)]);
     gateway.loads.take_others(&others);
     assert_ne!(gateway.place(&work).unwrap().reader.name, home);
 }
@@ -351,9 +358,44 @@
     let loads = LoadBook::new();
     let name = TargetName::new("a-1");
     let mut ticket = loads.start(&name, 500, SendUrgency::of_rank(0));
-    assert_eq!(loads.own_uses(), vec![(name.clone(), 1, [500, 0, 0, 0])]);
+    let now = time::Instant::now();
+    let uses = || loads.own_uses(now);
+    assert_eq!(uses()[0].1.prefill_tokens, [500, 0, 0, 0]);
     ticket.prefilled();
-    assert_eq!(loads.own_uses(), vec![(name, 1, [0; 4])]);
+    let used = TargetUse {
+        running: 1,
+        ..TargetUse::default()
+    };
+    assert_eq!(uses(), vec![(name, used)]);
     drop(ticket);
-    assert!(loads.own_uses().is_empty());
+    assert!(uses().is_empty());
+}
+
+/// A crash of an engine that each of 90 gateways would find out by a call of its own. Guards against
+/// these calls, and against one gateway that is cut off and makes all others avoid engines.
+#[test]
+fn failures_of_other_gateways_count() {
+    let now = time::Instant::now();
+    let name = TargetName::new("a-1");
+    let (loads, failing) = (LoadBook::new(), LoadBook::new());
+    loads.know([&name].into_iter());
+    failing.note_failure(&name, TargetFailure::Lost, now);
+    let told = failing.own_uses(now);
+    assert_eq!(told.len(), 1, "a target without calls is told too");
+    // A refusal may concern this gateway only.
+    failing.note_failure(&name, TargetFailure::Refused, now);
+    assert!(failing.own_uses(now).is_empty());
+    let tell = |gateways: u32| {
+        let used = TargetUse {
+            failing: gateways,
+            ..told[0].1
+        };
+        let key = usher_place::text_key(name.as_str());
+        loads.take_others(&collections::HashMap::from([(key, used)]));
+        loads.view(|loads| loads[&name].is_avoided(now))
+    };
+    assert!(!tell(1));
+    assert!(tell(2));
+    loads.note_answer(&name, now);
+    assert!(!tell(2), "it has just answered this gateway");
 }
