Add a soak of random faults against real processes

Seeded scripts of the scenario language: processes killed, stopped, frozen and restarted, control processes cut off, cut one way, delayed and reset, changes by an operator, loads in between; then repair, and checks that answers are whole, nothing ran twice and the newest change is in force. The relay delays, resets and cuts one way now.

--- a/crates/usher_scenario/src/lib.rs
+++ b/crates/usher_scenario/src/lib.rs
@@ -1,7 +1,7 @@
 //! Scenario scripts against the real daemons, for tests only.
 //!
-//! For: a small language of faults and expectations, the relay that cuts links, and the set of
-//! processes that a script controls. Not for: a model of hosts or networks.
+//! For: a small language of faults and expectations, random scripts of it, the relay that harms links,
+//! and the set of processes that a script controls. Not for: a model of hosts or networks.
 
 mod caller;
 mod error;
@@ -12,6 +12,7 @@
 mod relay;
 mod runner;
 mod settings_file;
+mod soak;
 mod step;
 
 pub use error::{ParseScriptError, ScenarioError};
@@ -19,4 +20,5 @@
 pub use parser::parse_script;
 pub use relay::LinkRelay;
 pub use runner::ScenarioRunner;
+pub use soak::soak_script;
 pub use step::{LoadKind, ProcessKind, ProcessName, ScriptLine, ScriptStep};
--- a/crates/usher_scenario/src/parser.rs
+++ b/crates/usher_scenario/src/parser.rs
@@ -36,7 +36,7 @@
 }
 
 const STEPS: &str = "one of: start, load, apply, race, kill, stop, restart, freeze, thaw, wipe, \
-                     cut, heal, pause, await, expect";
+                     cut, cut-one-way, delay, reset, heal, pause, await, expect";
 
 fn parse_step(words: &[&str]) -> Result<step::ScriptStep, &'static str> {
     use step::ScriptStep as Step;
@@ -68,6 +68,15 @@
             from: step::ProcessName::new(*from),
             to: Some(step::ProcessName::new(*to)),
         }),
+        ["cut-one-way", from, to] => Ok(Step::CutOneWay {
+            from: step::ProcessName::new(*from),
+            to: step::ProcessName::new(*to),
+        }),
+        ["delay", name, delay] => Ok(Step::Delay {
+            name: step::ProcessName::new(*name),
+            delay: parse_duration(delay)?,
+        }),
+        ["reset", name] => Ok(Step::Reset(step::ProcessName::new(*name))),
         ["heal"] => Ok(Step::Heal),
         ["pause", limit] => Ok(Step::Pause(parse_duration(limit)?)),
         ["await", "ready", limit] => Ok(Step::AwaitReady(parse_duration(limit)?)),
--- a/crates/usher_scenario/src/relay.rs
+++ b/crates/usher_scenario/src/relay.rs
@@ -1,4 +1,5 @@
-//! A TCP relay in front of a process, whose links can be cut silently. Not for: delays or loss.
+//! A TCP relay in front of a process, whose links can be cut silently, either way, delayed and reset.
+//! Not for: loss of packets.
 
 use std::{io, net, time};
 
@@ -103,11 +104,22 @@
     if far.write_all(&first).await.is_err() {
         return;
     }
+    // A connection that ends here ends with a reset on both sides.
+    for socket in [&near, &far] {
+        let _ = socket2::SockRef::from(socket).set_linger(Some(time::Duration::ZERO));
+    }
     let (near_read, near_write) = near.into_split();
     let (far_read, far_write) = far.into_split();
+    let back = RelayLink {
+        from: link.to.clone(),
+        to: link.from.clone(),
+        table: link.table.clone(),
+    };
+    let mut watched = link.clone();
     tokio::select! {
-        () = copy(near_read, far_write, link.clone()) => {}
-        () = copy(far_read, near_write, link) => {}
+        () = copy(near_read, far_write, link) => {}
+        () = copy(far_read, near_write, back) => {}
+        () = watched.wait_reset() => {}
     }
 }
 
@@ -137,6 +149,7 @@
             Ok(0) | Err(_) => break,
             Ok(count) => count,
         };
+        tokio::time::sleep(link.delay()).await;
         if !link.wait_open().await || sink.write_all(&buffer[..count]).await.is_err() {
             return;
         }
@@ -146,6 +159,19 @@
 }
 
 impl RelayLink {
+    fn delay(&self) -> time::Duration {
+        self.table.borrow().delay_between(&self.from, &self.to)
+    }
+
+    /// Waits until the connections of either side are reset.
+    async fn wait_reset(&mut self) {
+        let (from, to) = (&self.from, &self.to);
+        let before = self.table.borrow().resets_between(from, to);
+        let changed = |table: &link_table::LinkTable| table.resets_between(from, to) != before;
+        // The table is dropped with the scenario, which ends all relays.
+        let _ = self.table.wait_for(changed).await;
+    }
+
     /// Waits until the link is open; returns false when the scenario has ended.
     async fn wait_open(&mut self) -> bool {
         let (from, to) = (&self.from, &self.to);
--- a/crates/usher_scenario/src/runner/mod.rs
+++ b/crates/usher_scenario/src/runner/mod.rs
@@ -121,6 +121,19 @@
             Step::Stop(name) => self.stop(number, &name).await,
             Step::Wipe(name) => self.wipe(number, &name),
             Step::Cut { from, to } => self.cut(number, &from, to.as_ref()).await,
+            Step::CutOneWay { from, to } => {
+                self.links
+                    .send_modify(|table| table.cut_one_way(&from, &to));
+                Ok(())
+            }
+            Step::Delay { name, delay } => {
+                self.links.send_modify(|table| table.delay(&name, delay));
+                Ok(())
+            }
+            Step::Reset(name) => {
+                self.links.send_modify(|table| table.reset(&name));
+                Ok(())
+            }
             Step::Heal => {
                 self.links.send_modify(link_table::LinkTable::heal);
                 Ok(())
--- /dev/null
+++ b/crates/usher_scenario/src/soak.rs
@@ -0,0 +1,168 @@
+//! Random scripts of faults from a seed. Not for: running them.
+
+use std::{collections, fmt::Write as _};
+
+/// Control processes: three voters and two spares.
+const CONTROLS: u64 = 5;
+
+/// Entry processes.
+const ENTRIES: u64 = 3;
+
+/// Engines.
+const ENGINES: u64 = 4;
+
+/// Faults of one script.
+const FAULTS: usize = 14;
+
+/// Longest pause between two faults, in ms; short ones make faults overlap.
+const LONGEST_PAUSE: u64 = 1_200;
+
+/// A sequence of numbers that depends only on its seed.
+struct SoakRandom(u64);
+
+impl SoakRandom {
+    /// Returns a number below a limit.
+    fn below(&mut self, limit: u64) -> u64 {
+        // SplitMix64 (Steele, Lea and Flood, 2014).
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut value = self.0;
+        value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        (value ^ (value >> 31)) % limit
+    }
+}
+
+/// What a script has broken so far.
+#[derive(Default)]
+struct SoakState {
+    /// Processes that don't run.
+    down: collections::BTreeSet<String>,
+    frozen: Option<String>,
+    /// Control process that can't reach the others, or not as usual.
+    harmed: Option<String>,
+    changes: u64,
+}
+
+impl SoakState {
+    /// Returns whether another control process may fail: one of three voters may be lost at a time.
+    fn may_lose_control(&self) -> bool {
+        let is_control = |name: &String| name.starts_with("control");
+        !self.down.iter().any(is_control)
+            && !self.frozen.as_ref().is_some_and(is_control)
+            && self.harmed.is_none()
+    }
+}
+
+/// Returns the script of a seed: a group with callers and operators, faults in series and
+/// overlapping, then repair and the checks of what was promised.
+///
+/// ```
+/// let script = usher_scenario::soak_script(7);
+/// assert_eq!(script, usher_scenario::soak_script(7));
+/// usher_scenario::parse_script(&script).unwrap();
+/// ```
+pub fn soak_script(seed: u64) -> String {
+    let mut random = SoakRandom(seed);
+    let mut state = SoakState::default();
+    let mut script = format!(
+        "start control {CONTROLS}\nstart entry {ENTRIES}\nstart engine {ENGINES}\nstart plain 1\n\
+         apply ana first\nawait ready 60s\nload chat 40\nload order 20\n"
+    );
+    for _ in 0..FAULTS {
+        let fault = fault(&mut random, &mut state);
+        let pause = random.below(LONGEST_PAUSE) + 50;
+        let _ = writeln!(script, "{fault}pause {pause}ms");
+    }
+    script.push_str("heal\n");
+    if state.frozen.is_some() {
+        script.push_str("thaw frozen\n");
+    }
+    for name in &state.down {
+        let _ = writeln!(script, "restart {name}");
+    }
+    script.push_str(
+        "apply ana last\nexpect config 30s\nawait load 120s\nexpect whole\nexpect once\n",
+    );
+    script
+}
+
+/// Returns the lines of one fault, of an end of one, or of a change by an operator.
+fn fault(random: &mut SoakRandom, state: &mut SoakState) -> String {
+    let control = format!("control-{}", random.below(CONTROLS) + 1);
+    let other = format!("control-{}", random.below(CONTROLS) + 1);
+    let entry = format!("entry-{}", random.below(ENTRIES) + 1);
+    let engine = format!("engine-{}", random.below(ENGINES) + 1);
+    match random.below(12) {
+        0 if state.may_lose_control() => lose(state, "kill", control),
+        1 if state.may_lose_control() => freeze(state, control),
+        2 if state.may_lose_control() => {
+            harm(state, control.clone(), &format!("cut {control} all"))
+        }
+        3 if state.may_lose_control() && control != other => harm(
+            state,
+            control.clone(),
+            &format!("cut-one-way {control} {other}"),
+        ),
+        4 if state.may_lose_control() => {
+            let delay = random.below(300) + 20;
+            harm(
+                state,
+                control.clone(),
+                &format!("delay {control} {delay}ms"),
+            )
+        }
+        5 => format!("reset {control}\n"),
+        6 if !state.down.iter().any(|name| name.starts_with("entry")) => {
+            let how = if random.below(2) == 0 { "kill" } else { "stop" };
+            lose(state, how, entry)
+        }
+        7 if !state.down.iter().any(|name| name.starts_with("engine")) => {
+            lose(state, "kill", engine)
+        }
+        8 if state.frozen.is_none() => freeze(state, engine),
+        9 => repair(state),
+        10 => {
+            state.changes += 1;
+            format!("apply bruno change-{}\n", state.changes)
+        }
+        _ => format!("{}load chat 5\nload order 3\n", repair(state)),
+    }
+}
+
+fn lose(state: &mut SoakState, how: &str, name: String) -> String {
+    // A frozen process doesn't take the signal to stop.
+    if state.frozen.as_ref() == Some(&name) {
+        return repair(state);
+    }
+    let line = format!("{how} {name}\n");
+    state.down.insert(name);
+    line
+}
+
+fn freeze(state: &mut SoakState, name: String) -> String {
+    if state.frozen.is_some() || state.down.contains(&name) {
+        return repair(state);
+    }
+    let line = format!("freeze {name}\n");
+    state.frozen = Some(name);
+    line
+}
+
+fn harm(state: &mut SoakState, name: String, line: &str) -> String {
+    state.harmed = Some(name);
+    format!("{line}\n")
+}
+
+/// Ends the oldest kind of harm that lasts.
+fn repair(state: &mut SoakState) -> String {
+    if state.frozen.take().is_some() {
+        return "thaw frozen\n".to_owned();
+    }
+    if state.harmed.take().is_some() {
+        return "heal\n".to_owned();
+    }
+    match state.down.pop_first() {
+        Some(name) => format!("restart {name}\n"),
+        None => "load chat 5\n".to_owned(),
+    }
+}
--- a/crates/usher_scenario/src/step.rs
+++ b/crates/usher_scenario/src/step.rs
@@ -105,7 +105,23 @@
         /// Other side; `None` means all.
         to: Option<ProcessName>,
     },
-    /// Lets all held bytes go on.
+    /// Holds what one process sends to another, while the answers pass.
+    CutOneWay {
+        /// Sending side.
+        from: ProcessName,
+        /// Receiving side.
+        to: ProcessName,
+    },
+    /// Delays what passes from and to a process.
+    Delay {
+        /// The process.
+        name: ProcessName,
+        /// Delay of each piece.
+        delay: time::Duration,
+    },
+    /// Resets the open connections from and to a process.
+    Reset(ProcessName),
+    /// Lets all held bytes go on, without delay.
     Heal,
     /// Waits a fixed time, to let a fault last.
     Pause(time::Duration),
