Enforce the limits of request heads and idle connections

Cause: both were read from the configuration and not enforced. Change: a longer head gets 431 with a log line; connections wait for a request and its head as long as the routes state, 30 s before there are any. The size of a head counts no space that may be left out, so that callers within the limit are never refused.

--- a/crates/usher_gateway/src/answer.rs
+++ b/crates/usher_gateway/src/answer.rs
@@ -16,6 +16,14 @@
     /// The call has no id.
     #[error("the call has no id")]
     NoId,
+    /// The head is too long.
+    #[error("the head has {head} bytes, more than {limit}")]
+    HeadTooLong {
+        /// Its size.
+        head: usize,
+        /// Largest head.
+        limit: usize,
+    },
     /// The body is too long.
     #[error("the body is longer than {limit} bytes")]
     TooLong {
@@ -63,6 +71,7 @@
             }
             Self::NoRoute => http::StatusCode::NOT_FOUND,
             Self::NoId => http::StatusCode::BAD_REQUEST,
+            Self::HeadTooLong { .. } => http::StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::TooLong { .. } => http::StatusCode::PAYLOAD_TOO_LARGE,
             Self::NoBody => http::StatusCode::REQUEST_TIMEOUT,
             Self::Unknown(_) => http::StatusCode::BAD_GATEWAY,
--- a/crates/usher_gateway/src/call.rs
+++ b/crates/usher_gateway/src/call.rs
@@ -199,11 +199,16 @@
     if let Some(id) = &mark.id {
         log.id = id.to_string();
     }
+    let head = head_bytes(&parts);
     let patience = mark.patience.unwrap_or(DEFAULT_PATIENCE);
     let limit = FIRST_ROUTES_WAIT.min(patience / FIRST_ROUTES_PART);
     let table = core.first_routes(limit).await;
     let table = table.ok_or(answer::CallRefusal::NoRoutes)?;
     log.version = table.version().get();
+    let limit = table.sheet().limits.head_bytes;
+    if head > limit {
+        return Err(answer::CallRefusal::HeadTooLong { head, limit });
+    }
     let host = parts
         .headers
         .get(http::header::HOST)
@@ -262,6 +267,16 @@
     }
 }
 
+/// Returns the size of a head as its caller wrote it at least: without spaces that may be left out.
+fn head_bytes(parts: &http::request::Parts) -> usize {
+    const LINE_BYTES: usize = " HTTP/1.1\r\n".len() + 1;
+    const HEADER_BYTES: usize = ":\r\n".len();
+    let line = parts.method.as_str().len() + parts.uri.to_string().len() + LINE_BYTES;
+    let headers = parts.headers.iter();
+    let headers = headers.map(|(name, value)| name.as_str().len() + value.len() + HEADER_BYTES);
+    line + headers.sum::<usize>() + "\r\n".len()
+}
+
 /// Removes headers that concern only one connection.
 pub(crate) fn remove_connection_headers(headers: &mut http::HeaderMap) {
     let named: Vec<String> = headers
--- a/crates/usher_gateway/src/core.rs
+++ b/crates/usher_gateway/src/core.rs
@@ -76,6 +76,14 @@
         known.clone()
     }
 
+    /// Returns how long a connection of a caller may wait for a request and its head, as the routes
+    /// state it.
+    pub(crate) fn idle_time(&self) -> Option<time::Duration> {
+        let routes = self.routes()?;
+        let limits = &routes.sheet().limits;
+        Some(limits.idle_time + limits.head_time)
+    }
+
     /// Returns the version of the routes in force here; 0 before the first ones.
     pub(crate) fn routes_version(&self) -> u64 {
         self.routes().map_or(0, |routes| routes.version().get())
--- a/crates/usher_gateway/src/front.rs
+++ b/crates/usher_gateway/src/front.rs
@@ -10,9 +10,9 @@
 /// How long to wait after a failed accept, for instance without file handles.
 const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(50);
 
-/// Longest time without a new request on a connection. The head of a request has the same limit:
-/// the library measures both from the end of the request before.
-const IDLE_TIME: time::Duration = time::Duration::from_secs(30);
+/// Longest time without a new request on a connection, its head included, before any routes state
+/// it: the library measures both from the end of the request before.
+pub(crate) const IDLE_TIME: time::Duration = time::Duration::from_secs(30);
 
 /// How long a gateway that stops still accepts connections and requests. A load balancer that asks
 /// once a second needs two refusals to take it out, and callers are told to close meanwhile.
@@ -35,13 +35,16 @@
     }
 }
 
-/// Serves connections until the gateway stops.
-pub(crate) async fn serve<S, F>(
+/// Serves connections until the gateway stops; `idle_time` tells how long a new connection may wait
+/// for each request.
+pub(crate) async fn serve<S, F, I>(
     listener: net::TcpListener,
     service: S,
+    idle_time: I,
     open: OpenConnections,
     stop: usher_kernel::StopSignal,
 ) where
+    I: Fn() -> time::Duration,
     S: Fn(http::Request<hyper::body::Incoming>) -> F + Clone + 'static + Send,
     F: future::Future<Output = Result<http::Response<body::AnswerBody>, convert::Infallible>>
         + Send
@@ -54,7 +57,9 @@
             () = &mut lingered => return,
             accepted = listener.accept() => match accepted {
                 Ok((socket, _)) => {
-                    let connection = run(socket, service.clone(), open.clone(), stop.clone());
+                    let idle_time = idle_time();
+                    let open = open.clone();
+                    let connection = run(socket, service.clone(), idle_time, open, stop.clone());
                     tokio::spawn(connection);
                 }
                 Err(error) => {
@@ -74,6 +79,7 @@
 async fn run<S, F>(
     socket: net::TcpStream,
     service: S,
+    idle_time: time::Duration,
     open: OpenConnections,
     stop: usher_kernel::StopSignal,
 ) where
@@ -99,7 +105,7 @@
     });
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(rt::TokioTimer::new())
-        .header_read_timeout(IDLE_TIME)
+        .header_read_timeout(idle_time)
         .serve_connection(rt::TokioIo::new(socket), service);
     tokio::pin!(connection);
     let lingered = linger(stop);
--- a/crates/usher_gateway/src/node.rs
+++ b/crates/usher_gateway/src/node.rs
@@ -62,6 +62,8 @@
             let answer = health::answer(&checked, &signal, request.uri().path());
             async move { answer }
         };
+        let limited = core.clone();
+        let idle_time = move || limited.idle_time().unwrap_or(front::IDLE_TIME);
         let identity = usher_wire::WireIdentity {
             cluster: core.options.cluster.clone(),
             node: core.options.node.clone(),
@@ -76,10 +78,17 @@
         let (seeds, new_seeds) = mpsc::channel(1);
         let grace = core.options.grace;
         let tasks = vec![
-            tokio::spawn(front::serve(callers, service, open.clone(), stop.clone())),
+            tokio::spawn(front::serve(
+                callers,
+                service,
+                idle_time,
+                open.clone(),
+                stop.clone(),
+            )),
             tokio::spawn(front::serve(
                 checks,
                 health,
+                || front::IDLE_TIME,
                 front::OpenConnections::new(),
                 stop,
             )),
