--- a/crates/usher_place/src/book.rs
+++ b/crates/usher_place/src/book.rs
@@ -21,7 +21,8 @@
     loads: sync::Arc<sync::Mutex<LoadTable>>,
 }
 
-type LoadTable = collections::HashMap<usher_types::TargetName, load::TargetLoad>;
+/// The loads by target.
+pub(crate) type LoadTable = collections::HashMap<usher_types::TargetName, load::TargetLoad>;
 
 impl LoadBook {
     /// Makes an empty book.
--- a/crates/usher_place/src/engine.rs
+++ b/crates/usher_place/src/engine.rs
@@ -5,20 +5,15 @@
 use usher_roster::TargetEntry;
 use usher_types::EngineRole;
 
-use crate::{cache, load, place, urgency, work};
+use crate::{cache, draw, load, place, reader, urgency, work};
 
 /// Prompt tokens that a prefill engine reads in a second. The sheets give 38 to 57 in a ms; steps
 /// and long prompts take more, and 28 did better than 40 in trials.
-const PREFILL_RATE: f64 = 28_000.0;
+pub(crate) const PREFILL_RATE: f64 = 28_000.0;
 
 /// By how much an engine in the decode role is slower at reading a prompt: twice by the protocol,
 /// and its short chunks also wait for the steps of calls that generate.
-const DECODE_PREFILL_FACTOR: f64 = 2.8;
-
-/// By how much shared parts that must be read again count beyond the time that they take: the
-/// work also holds up every call behind it, so that calls which leave their home under load would
-/// make the load grow.
-const AGAIN_WEIGHT: f64 = 3.0;
+pub(crate) const DECODE_PREFILL_FACTOR: f64 = 2.8;
 
 /// What an engine that failed lately is thought to cost beyond its queue, in seconds.
 const FAILED_COST: f64 = 2.0;
@@ -40,20 +35,10 @@
 
 /// Time that one token of memory needs between two engines of a failure domain, in seconds: 18 KB
 /// at 370 Gbit/s.
-const MOVE_TIME_PER_TOKEN: f64 = 4e-7;
-
-/// What an engine of another region costs beyond the time of its trips, in seconds: the prompt goes
-/// there twice and the answer comes back over a link whose bytes are paid, and the region of the
-/// caller doesn't get the shared parts.
-const FAR_COST: f64 = 0.1;
+pub(crate) const MOVE_TIME_PER_TOKEN: f64 = 4e-7;
 
 /// Fixed cost of a second send and of taking over memory, in seconds.
-const MOVE_COST: f64 = 0.02;
-
-/// Engines of the nearest region among which a call chooses, drawn by the call. Loads are known 0.1
-/// to 0.2 s late: when each of 90 gateways chose among all engines, 50 calls went to the same one
-/// within 0.2 s, and first events came 0.3 to 0.8 s later.
-const DRAWN: usize = 3;
+pub(crate) const MOVE_COST: f64 = 0.02;
 
 /// What a call wants.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -133,94 +118,16 @@
         goal: &CallGoal,
         view: &place::PlaceView<'_>,
     ) -> Option<EnginePlan> {
-        let timely = urgency::SendUrgency::of_rank(goal.rank);
-        let plan = self.choose_for(work, timely, view)?;
-        if plan.expected <= goal.left {
-            return Some(plan);
-        }
-        self.choose_for(work, urgency::SendUrgency::late(), view)
-    }
-
-    fn choose_for<'t>(
-        &self,
-        work: &work::PromptWork,
-        urgency: urgency::SendUrgency,
-        view: &place::PlaceView<'t>,
-    ) -> Option<EnginePlan> {
-        let reads_only = |target: &&TargetEntry| target.role == Some(EngineRole::Prefill);
-        let readers: Vec<&TargetEntry> = view.candidates().filter(reads_only).collect();
-        let generators: Vec<&TargetEntry> = view.candidates().filter(|t| !reads_only(t)).collect();
-        if generators.is_empty() {
-            return None;
-        }
-        let is_whole = readers.is_empty();
-        let candidates = if is_whole { generators } else { readers };
         let parts = work.shared_key();
         let holders: Vec<u64> = parts.map_or_else(Vec::new, |parts| {
             self.cache.holders(parts, view.now).collect()
         });
-        let home = parts.and_then(|parts| home(parts, &candidates, view));
-        view.loads.view(|loads| {
-            let is_usable = |target: &&TargetEntry| {
-                let load = loads.get(&target.name);
-                !load.is_some_and(|load| load.is_avoided(view.now))
-            };
-            let sources: Vec<&TargetEntry> = view
-                .targets
-                .iter()
-                .filter(|target| target.takes_work() && is_usable(target))
-                .filter(|target| holders.contains(&work::text_key(target.name.as_str())))
-                .collect();
-            let drawn = draw(work.call_key(), &candidates, |t| is_usable(t), view);
-            let is_choice = |target: &&TargetEntry| {
-                let has_parts = || holders.contains(&work::text_key(target.name.as_str()));
-                let drawn = drawn.near.iter().chain(&drawn.far);
-                let is_drawn = || drawn.into_iter().any(|drawn| drawn.name == target.name);
-                home == Some(&target.name) || is_drawn() || has_parts()
-            };
-            let plan = |target: &'t TargetEntry| {
-                let load = loads.get(&target.name);
-                let queued = load.map_or(0, |load| load.tokens_before(urgency));
-                let factor = if is_whole { DECODE_PREFILL_FACTOR } else { 1.0 };
-                let slowness = load.map_or(1.0, |load| load.slowness(view.now));
-                let time_of = |tokens: f64| tokens / PREFILL_RATE * factor * slowness;
-                let key = work::text_key(target.name.as_str());
-                let supply = if parts.is_none() || holders.contains(&key) {
-                    PartsSupply::Kept
-                } else {
-                    let time = time_of(work.shared_tokens() as f64);
-                    let is_first = home == Some(&target.name) && sources.is_empty();
-                    supply(work, target, &sources, view, time, is_first)
-                };
-                let tokens = match supply {
-                    PartsSupply::Read { .. } => work.prompt_tokens,
-                    PartsSupply::Kept | PartsSupply::Copied { .. } => work.own_tokens(),
-                };
-                let read = time_of((queued + work.own_tokens()) as f64) + supply.time();
-                let trip = view.distance(target).round_trip().as_secs_f64();
-                let rest = if is_whole {
-                    0.0
-                } else {
-                    trip + MOVE_COST + work.prompt_tokens as f64 * MOVE_TIME_PER_TOKEN
-                };
-                let is_far = view.distance(target) == place::TargetDistance::Far;
-                let far = if is_far { FAR_COST } else { 0.0 };
-                let time = trip + read + rest;
-                let cost = time + supply.extra() + far + failed_cost(load, view.now);
-                (cost, time, tokens, supply.source())
-            };
-            let choices = candidates.iter().filter(|target| is_choice(target));
-            let plans = choices.map(|target| (*target, plan(target)));
-            let best = plans.min_by(|(_, one), (_, other)| one.0.total_cmp(&other.0));
-            best.map(|(target, (_, time, tokens, source))| EnginePlan {
-                reader: target.clone(),
-                is_whole,
-                tokens,
-                urgency,
-                expected: time::Duration::try_from_secs_f64(time).unwrap_or(time::Duration::MAX),
-                source,
-            })
-        })
+        let choice = reader::ReaderChoice::new(work, view, &holders)?;
+        let plan = choice.plan(urgency::SendUrgency::of_rank(goal.rank))?;
+        if plan.expected <= goal.left {
+            return Some(plan);
+        }
+        choice.plan(urgency::SendUrgency::late())
     }
 
     /// Chooses the engine that generates from a prompt that another engine holds; the view counts
@@ -248,11 +155,8 @@
                 .candidates()
                 .filter(|target| target.role != Some(EngineRole::Prefill))
                 .collect();
-            let is_usable = |target: &&TargetEntry| {
-                let load = loads.get(&target.name);
-                !load.is_some_and(|load| load.is_avoided(view.now))
-            };
-            let drawn = draw(work.call_key(), &generators, is_usable, view);
+            let is_usable = |target: &TargetEntry| view.is_usable(loads, target);
+            let drawn = draw::draw(work.call_key(), &generators, is_usable, view);
             let choices = if drawn.near.is_empty() {
                 generators
             } else {
@@ -265,120 +169,8 @@
     }
 }
 
-/// How an engine gets the shared parts of a prompt.
-#[derive(Clone, Copy, Debug)]
-enum PartsSupply {
-    /// It has them.
-    Kept,
-    /// It copies them from another engine.
-    Copied { from: net::SocketAddr, time: f64 },
-    /// It reads them; `again` where another engine has read them or is to read them.
-    Read { time: f64, again: bool },
-}
-
-impl PartsSupply {
-    /// Returns how long it takes, in seconds.
-    fn time(self) -> f64 {
-        match self {
-            Self::Kept => 0.0,
-            Self::Copied { time, .. } | Self::Read { time, .. } => time,
-        }
-    }
-
-    /// Returns what it costs beyond that, in seconds.
-    fn extra(self) -> f64 {
-        match self {
-            Self::Read { time, again: true } => time * AGAIN_WEIGHT,
-            Self::Kept | Self::Copied { .. } | Self::Read { .. } => 0.0,
-        }
-    }
-
-    fn source(self) -> Option<net::SocketAddr> {
-        match self {
-            Self::Copied { from, .. } => Some(from),
-            Self::Kept | Self::Read { .. } => None,
-        }
-    }
-}
-
-/// Returns how an engine that doesn't have the shared parts gets them soonest, where reading them
-/// takes `read_time`; `is_first` says that no engine has them and that this one is their home.
-fn supply(
-    work: &work::PromptWork,
-    target: &TargetEntry,
-    sources: &[&TargetEntry],
-    view: &place::PlaceView<'_>,
-    read_time: f64,
-    is_first: bool,
-) -> PartsSupply {
-    let copy = |source: &&TargetEntry| {
-        let distance = view.map.between(&source.domain, &target.domain);
-        let moving = work.shared_tokens() as f64 * MOVE_TIME_PER_TOKEN * distance.move_factor();
-        let trip = distance.round_trip().as_secs_f64();
-        (source.address, MOVE_COST + trip + moving)
-    };
-    let copies = sources.iter().map(copy);
-    let best = copies.min_by(|(_, one), (_, other)| one.total_cmp(other));
-    match best {
-        Some((from, time)) if time < read_time => PartsSupply::Copied { from, time },
-        _ => PartsSupply::Read {
-            time: read_time,
-            again: !is_first,
-        },
-    }
-}
-
-/// Returns the home of shared parts among the engines of the nearest region: all gateways of a
-/// region agree on it without a word, so that parts which no engine has are read there once.
-fn home<'t>(
-    parts: u64,
-    candidates: &[&'t TargetEntry],
-    view: &place::PlaceView<'_>,
-) -> Option<&'t usher_types::TargetName> {
-    let region = |target: &TargetEntry| view.distance(target).region();
-    let nearest = candidates.iter().map(|target| region(target)).min()?;
-    let near = candidates.iter().filter(|target| region(target) == nearest);
-    let home = near.min_by_key(|target| work::mix(parts, work::text_key(target.name.as_str())));
-    home.map(|target| &target.name)
-}
-
-/// Engines drawn for a call.
-struct DrawnEngines<'t> {
-    near: Vec<&'t TargetEntry>,
-    far: Option<&'t TargetEntry>,
-}
-
-/// Draws some engines of the nearest region, and one of the others.
-fn draw<'t>(
-    call: u64,
-    candidates: &[&'t TargetEntry],
-    is_usable: impl Fn(&&TargetEntry) -> bool,
-    view: &place::PlaceView<'_>,
-) -> DrawnEngines<'t> {
-    let mut lots: Vec<_> = candidates
-        .iter()
-        .filter(|target| is_usable(target))
-        .map(|target| {
-            let region = view.distance(target).region();
-            let lot = work::mix(call, work::text_key(target.name.as_str()));
-            (region, lot, *target)
-        })
-        .collect();
-    lots.sort_by_key(|(region, lot, _)| (*region, *lot));
-    let nearest = lots.first().map(|(region, _, _)| *region);
-    let far = lots.partition_point(|(region, _, _)| Some(*region) == nearest);
-    let (near, far) = lots.split_at(far);
-    DrawnEngines {
-        near: near
-            .iter()
-            .take(DRAWN)
-            .map(|(_, _, target)| *target)
-            .collect(),
-        far: far.first().map(|(_, _, target)| *target),
-    }
-}
-
-fn failed_cost(load: Option<&load::TargetLoad>, now: time::Instant) -> f64 {
+/// Returns what it costs that an engine failed lately, in seconds.
+pub(crate) fn failed_cost(load: Option<&load::TargetLoad>, now: time::Instant) -> f64 {
     let failed = load.is_some_and(|load| load.is_avoided(now));
     if failed {
         FAILED_COST
--- a/crates/usher_place/src/lib.rs
+++ b/crates/usher_place/src/lib.rs
@@ -6,10 +6,13 @@
 mod again;
 mod book;
 mod cache;
+mod draw;
 mod engine;
 mod load;
 mod place;
 mod plain;
+mod reader;
+mod supply;
 mod urgency;
 mod work;
 
--- a/crates/usher_place/src/place.rs
+++ b/crates/usher_place/src/place.rs
@@ -102,6 +102,16 @@
         self.map.between(self.from, &target.domain)
     }
 
+    /// Returns whether a target isn't avoided at present.
+    pub(crate) fn is_usable(
+        &self,
+        loads: &book::LoadTable,
+        target: &usher_roster::TargetEntry,
+    ) -> bool {
+        let load = loads.get(&target.name);
+        !load.is_some_and(|load| load.is_avoided(self.now))
+    }
+
     /// Returns the targets that may get the call.
     pub(crate) fn candidates(&self) -> impl Iterator<Item = &'t usher_roster::TargetEntry> {
         let tried = self.tried;
