Log the way of a routes version and count fetches

The log could not tell a slow log of the registrars from slow fetches or slow parsing. Registrars log each applied version and how long a put took; gateways log when a newer version is offered, and with each fetch its time, its size, the time to parse it and the time since the offer. Gateways count fetches, their bytes and the newest offered version.

--- a/crates/usher_control/src/registrar/node.rs
+++ b/crates/usher_control/src/registrar/node.rs
@@ -112,6 +112,7 @@
         });
         let routes =
             registrar::RouteStore::new(access.clone(), clients.clone(), router.clone(), restored);
+        let apply_log = tokio::spawn(routes.clone().log_applied());
         let gateway_loads = registrar::load_aggregator::LoadAggregator::new(self.clock.clone());
         let (stop, signal) = usher_kernel::StopSource::new();
         let handler = registrar::handler::RegistrarHandler {
@@ -157,6 +158,7 @@
             seeds,
             tasks: vec![
                 server,
+                apply_log,
                 role_orders,
                 load_reports,
                 file_writer,
--- a/crates/usher_control/src/registrar/route_store.rs
+++ b/crates/usher_control/src/registrar/route_store.rs
@@ -59,6 +59,8 @@
         &self,
         routes: VersionedRoutes,
     ) -> Result<usher_types::ConfigVersion, error::CommandError> {
+        let started = tokio::time::Instant::now();
+        let bytes = routes.document.len();
         let put = message::RoutePut {
             version: routes.version.get(),
             document: routes.document.to_vec(),
@@ -70,7 +72,14 @@
         match outcome.kind {
             Some(state_outcome::Kind::Routes(outcome)) => {
                 let version = usher_types::ConfigVersion::new(outcome.version);
-                tracing::info!(put = %routes.version, in_force = %version, outcome.changed, "routes put");
+                tracing::info!(
+                    put = %routes.version,
+                    in_force = %version,
+                    outcome.changed,
+                    bytes,
+                    propose_ms = started.elapsed().as_millis(),
+                    "routes put"
+                );
                 Ok(version)
             }
             _ => Err(error::CommandError::Unknown(
@@ -125,6 +134,22 @@
         })
     }
 
+    /// Logs each version of the routes that this node applies, until the task is aborted.
+    pub(crate) async fn log_applied(self) {
+        let mut applied = self.access.watch_applied();
+        let mut known = 0;
+        while applied.changed().await.is_ok() {
+            let (version, bytes) = self.access.view(|state| {
+                let routes = state.routes();
+                (routes.version(), routes.document().len())
+            });
+            if version != known {
+                tracing::info!(version, previous = known, bytes, "routes applied");
+                known = version;
+            }
+        }
+    }
+
     /// Returns the newest routes known to this node, for gateways: the applied ones, or, until a
     /// leader is elected, those applied before the restart. Both have been committed.
     pub(crate) fn newest_known(&self) -> Option<VersionedRoutes> {
--- a/crates/usher_gateway/src/metrics.rs
+++ b/crates/usher_gateway/src/metrics.rs
@@ -26,6 +26,9 @@
     total: LatencyFamily,
     pub(crate) running: gauge::Gauge,
     pub(crate) routes_version: gauge::Gauge,
+    routes_offered: gauge::Gauge,
+    routes_fetches: family::Family<Labels, counter::Counter>,
+    routes_bytes: counter::Counter,
     pub(crate) targets: gauge::Gauge,
     pub(crate) gateways: gauge::Gauge,
     registry: sync::Arc<registry::Registry>,
@@ -44,6 +47,9 @@
         let total = LatencyFamily::new_with_constructor(latency);
         let running = gauge::Gauge::default();
         let routes_version = gauge::Gauge::default();
+        let routes_offered = gauge::Gauge::default();
+        let routes_fetches = family::Family::default();
+        let routes_bytes = counter::Counter::default();
         let targets = gauge::Gauge::default();
         let gateways = gauge::Gauge::default();
         registry.register(
@@ -74,6 +80,14 @@
             "version of the routes in force here",
             routes_version.clone(),
         );
+        let name = "routes_offered_version";
+        let help = "newest version of the routes that a registrar has offered";
+        registry.register(name, help, routes_offered.clone());
+        let help = "requests for routes to registrars, by outcome";
+        registry.register("routes_fetches", help, routes_fetches.clone());
+        let name = "routes_fetched_bytes";
+        let help = "bytes of routes received from registrars";
+        registry.register(name, help, routes_bytes.clone());
         registry.register("targets", "targets that take work", targets.clone());
         let help = "gateways that share budgets of repeated sends";
         registry.register("gateways", help, gateways.clone());
@@ -84,6 +98,9 @@
             total,
             running,
             routes_version,
+            routes_offered,
+            routes_fetches,
+            routes_bytes,
             targets,
             gateways,
             registry: sync::Arc::new(registry),
@@ -116,6 +133,19 @@
         self.sends.get_or_create(&labels).inc();
     }
 
+    /// Records that a registrar offers a version of the routes.
+    pub(crate) fn set_offered_version(&self, version: u64) {
+        let version = i64::try_from(version).unwrap_or(i64::MAX);
+        self.routes_offered.set(version.max(self.routes_offered.get()));
+    }
+
+    /// Records the outcome of a request for routes and the size of its answer.
+    pub(crate) fn routes_fetched(&self, outcome: &'static str, bytes: usize) {
+        let labels = vec![("outcome", outcome.to_owned())];
+        self.routes_fetches.get_or_create(&labels).inc();
+        self.routes_bytes.inc_by(bytes as u64);
+    }
+
     /// Returns all metrics in the text format.
     pub(crate) fn render(&self) -> String {
         let mut page = String::new();
--- a/crates/usher_gateway/src/registrar_watch.rs
+++ b/crates/usher_gateway/src/registrar_watch.rs
@@ -101,6 +101,7 @@
         return;
     }
     requested.insert(update.address, offered);
+    core.metrics.set_offered_version(offered);
     let domain = usher_types::DomainName::new(reply.domain);
     let distance = core.options.map.between(&core.options.domain, &domain);
     let is_first = core.routes_version() == 0;
@@ -110,36 +111,70 @@
         let rank = group.addresses().filter(|other| **other < update.address);
         FETCH_STAGGER * u32::try_from(1 + rank.count()).unwrap_or(1)
     };
+    tracing::info!(
+        version = offered,
+        held = core.routes_version(),
+        from = %update.address,
+        delay_ms = delay.as_millis(),
+        "newer routes offered"
+    );
     let core = core.clone();
+    let offered_at = tokio::time::Instant::now();
     tokio::spawn(async move {
         tokio::time::sleep(delay).await;
         if offered > core.routes_version() {
-            fetch(&core, &update.client).await;
+            fetch(&core, &update.client, offered_at).await;
         }
     });
 }
 
 /// Fetches the routes from a registrar and activates them.
-async fn fetch<D, C>(core: &core::GatewayCore<D, C>, client: &usher_wire::CallClient)
-where
+async fn fetch<D, C>(
+    core: &core::GatewayCore<D, C>,
+    client: &usher_wire::CallClient,
+    offered_at: tokio::time::Instant,
+) where
     D: dialect::CallDialect,
     C: usher_types::ClockSource,
 {
+    let started = tokio::time::Instant::now();
     let request = message::RoutesRequest { confirmed: false };
     let call = client.call(envelope::Body::RoutesRequest(request), FETCH_TIMEOUT);
     let reply = match call.await {
         Ok(envelope::Body::RoutesReply(reply)) => reply,
-        Ok(_) => return,
+        Ok(_) => {
+            tracing::warn!(from = %client.address(), "the reply is not a routes reply");
+            return;
+        }
         Err(error) => {
-            tracing::warn!(%error, from = %client.address(), "failed to fetch the routes");
+            core.metrics.routes_fetched("failed", 0);
+            tracing::warn!(
+                %error,
+                from = %client.address(),
+                held = core.routes_version(),
+                fetch_ms = started.elapsed().as_millis(),
+                offered_ms = offered_at.elapsed().as_millis(),
+                "failed to fetch the routes"
+            );
             return;
         }
     };
+    let bytes = reply.document.len();
+    core.metrics.routes_fetched("answered", bytes);
+    let fetched = tokio::time::Instant::now();
     match core.dialect.read_routes(&reply.document) {
         Ok(sheet) => {
             let version = sheet.version;
             if core.update_routes(usher_route::RouteTable::new(sheet)) {
-                tracing::info!(%version, from = %client.address(), "routes in force");
+                tracing::info!(
+                    %version,
+                    from = %client.address(),
+                    bytes,
+                    fetch_ms = (fetched - started).as_millis(),
+                    parse_ms = fetched.elapsed().as_millis(),
+                    offered_ms = offered_at.elapsed().as_millis(),
+                    "routes in force"
+                );
             }
         }
         Err(reason) => {
