--- a/crates/usher_gateway/src/metrics.rs
+++ b/crates/usher_gateway/src/metrics.rs
@@ -136,7 +136,8 @@
     /// Records that a registrar offers a version of the routes.
     pub(crate) fn set_offered_version(&self, version: u64) {
         let version = i64::try_from(version).unwrap_or(i64::MAX);
-        self.routes_offered.set(version.max(self.routes_offered.get()));
+        self.routes_offered
+            .set(version.max(self.routes_offered.get()));
     }
 
     /// Records the outcome of a request for routes and the size of its answer.
