--- /dev/null
+++ b/crates/usher_gateway/tests/routes.rs
@@ -0,0 +1,63 @@
+//! A gateway follows the routes that registrars offer, over a thin link and beside registrars that
+//! don't answer.
+
+mod support;
+
+use std::time;
+
+use support::{Document, GatewayUnderTest, StandInRegistrar, ThinLink};
+
+/// Time within which a confirmed change must be in force at every gateway.
+const IN_FORCE_WITHIN: time::Duration = time::Duration::from_secs(3);
+
+/// Link of a gateway of the grown deployments: 10 Mbit/s.
+const LINK_BYTES_PER_SECOND: u64 = 1_250_000;
+
+/// Size of a document with 2,500 routes.
+const LARGE_DOCUMENT: usize = 600_000;
+
+/// Guards against gateways that stay on old routes because all registrars send them each version of
+/// a large document at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn storm_of_large_documents_is_in_force_in_time() {
+    let link = ThinLink::new(LINK_BYTES_PER_SECOND);
+    let mut registrars = Vec::new();
+    for _ in 0..5 {
+        registrars.push(StandInRegistrar::start(link.clone()).await);
+    }
+    let gateway = GatewayUnderTest::start(&registrars).await;
+    let mut offered = Vec::new();
+    for version in 1..=16 {
+        let document = Document::new(version, LARGE_DOCUMENT);
+        for registrar in &registrars {
+            registrar.offer(&document);
+        }
+        offered.push((version, time::Instant::now()));
+        tokio::time::sleep(time::Duration::from_millis(250)).await;
+    }
+    let in_force = gateway.wait_for_routes(16).await;
+    let late: Vec<_> = offered
+        .iter()
+        .filter_map(|(version, at)| {
+            let reached = in_force.iter().find(|(known, _)| known >= version)?.1;
+            let delay = reached.saturating_duration_since(*at);
+            (delay > IN_FORCE_WITHIN).then_some((*version, delay))
+        })
+        .collect();
+    assert!(late.is_empty(), "in force too late: {late:?}");
+}
+
+/// Guards against a gateway that never asks again for a version after one request for it was lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_request_for_routes_is_repeated() {
+    let registrar = StandInRegistrar::start(ThinLink::new(LINK_BYTES_PER_SECOND)).await;
+    let gateway = GatewayUnderTest::start(std::slice::from_ref(&registrar)).await;
+    registrar.offer(&Document::new(1, 100));
+    gateway.wait_for_routes(1).await;
+    registrar.lose_route_requests(1);
+    registrar.offer(&Document::new(2, 100));
+    let offered = time::Instant::now();
+    let in_force = gateway.wait_for_routes(2).await;
+    let delay = in_force.last().unwrap().1 - offered;
+    assert!(delay <= IN_FORCE_WITHIN, "in force after {delay:?}");
+}
