Fetch changes of the routes until the gateway is current

What callers saw: 404 on routes that had been confirmed more than 3 s before, and answers after seconds, while large configurations followed each other quickly on the grown deployments.

Cause: each registrar offered each version to each gateway, and the gateway requested the whole document from each of them: up to 16 copies of 0.6 MB shared a link of 10 Mbit/s, most passed the limit of 1.5 s, and their bytes delayed the next ones. A version whose request failed was not requested again from that registrar. The class of the fault: state was handed on by one reaction to each event, at the cost of the whole state.

Change: registrars keep the routes in the order of their last change and send what changed since the gateway's version, in parts of 32 KiB, closed by a digest of the result. A gateway compares the version in force with the newest offered one, has one request under way, asks near registrars first, and goes on with a growing delay for each registrar until it is current. Its table changes in place, and a look-up no longer walks all routes of a host. Processes of the version before still get and send documents.

The test of a registrar's restart uses a document that its dialect can parse, because a registrar offers only what it can publish.

--- a/crates/pimentousher/src/daemon/registrar.rs
+++ b/crates/pimentousher/src/daemon/registrar.rs
@@ -40,7 +40,8 @@
 
 /// Runs a registrar until it receives a stop signal.
 ///
-/// `dialect` is the HTTP protocol in which it queries and orders engines; `routes` builds its own
+/// `dialect` is the HTTP protocol in which it queries and orders engines, and the encoding of the
+/// routes; `routes` builds its own
 /// HTTP interface for targets and operators.
 ///
 /// # Errors
@@ -52,7 +53,7 @@
     routes: R,
 ) -> Result<(), error::CommandError>
 where
-    D: usher_control::OrderDialect,
+    D: usher_control::OrderDialect + usher_control::RouteDialect,
     R: FnOnce(
         usher_control::TargetRegistry<usher_types::BootClock>,
         usher_control::RouteStore<usher_types::BootClock>,
--- a/crates/usher_control/src/registrar/handler.rs
+++ b/crates/usher_control/src/registrar/handler.rs
@@ -11,6 +11,7 @@
     pub(crate) router: std::sync::Arc<fleet::CommandRouter<C>>,
     pub(crate) targets: registrar::TargetRegistry<C>,
     pub(crate) routes: registrar::RouteStore<C>,
+    pub(crate) publisher: registrar::route_publisher::RoutePublisher,
     pub(crate) gateway_loads: registrar::load_aggregator::LoadAggregator<C>,
 }
 
@@ -58,7 +59,7 @@
             return match self.routes.confirm_as_leader().await {
                 Some(version) => envelope::Body::RoutesReply(message::RoutesReply {
                     version,
-                    document: Vec::new(),
+                    ..Default::default()
                 }),
                 None => wire_handler::refuse(
                     message::ErrorKind::NotLeader,
@@ -66,12 +67,17 @@
                 ),
             };
         }
+        if let Some(changes) = &request.changes {
+            return envelope::Body::RoutesReply(self.publisher.part(changes));
+        }
+        // A gateway of a version without changes gets the document.
         let reply = self
             .routes
             .newest_known()
             .map(|newest| message::RoutesReply {
                 version: newest.version.get(),
                 document: newest.document.to_vec(),
+                changes: None,
             });
         envelope::Body::RoutesReply(reply.unwrap_or_default())
     }
--- a/crates/usher_control/src/registrar/mod.rs
+++ b/crates/usher_control/src/registrar/mod.rs
@@ -11,11 +11,13 @@
 mod options;
 mod peer_watch;
 mod role_orders;
+mod route_publisher;
 mod route_store;
 mod target_registry;
 
 pub use node::{RegistrarNode, RunningRegistrar};
 pub use options::RegistrarOptions;
 pub use role_orders::{EngineRequest, OrderDialect, RoleOrder};
+pub use route_publisher::RouteDialect;
 pub use route_store::{RouteStore, VersionedRoutes};
 pub use target_registry::TargetRegistry;
--- a/crates/usher_control/src/registrar/node.rs
+++ b/crates/usher_control/src/registrar/node.rs
@@ -56,11 +56,11 @@
 
 impl<D, C> RegistrarNode<D, C>
 where
-    D: registrar::OrderDialect,
+    D: registrar::OrderDialect + registrar::RouteDialect,
     C: usher_types::ClockSource,
 {
-    /// Creates a registrar that sends orders to engines in `dialect`, and whose leases and timeouts
-    /// follow `clock`.
+    /// Creates a registrar that sends orders to engines and reads the routes in `dialect`, and whose
+    /// leases and timeouts follow `clock`.
     pub fn new(options: registrar::RegistrarOptions, dialect: D, clock: C) -> Self {
         Self {
             options,
@@ -99,12 +99,16 @@
             targets = last_known.targets.len(),
             "last-known routes and targets restored"
         );
+        let publisher = registrar::route_publisher::RoutePublisher::new(
+            usher_types::IncarnationSource::random().get(),
+        );
         let targets = registrar::TargetRegistry::new(
             access.clone(),
             self.options.domain.clone(),
             self.options.heartbeat,
             self.clock.clone(),
             &last_known,
+            publisher.watch_version(),
         );
         let restored = (last_known.routes_version > 0).then(|| registrar::VersionedRoutes {
             version: usher_types::ConfigVersion::new(last_known.routes_version),
@@ -112,7 +116,15 @@
         });
         let routes =
             registrar::RouteStore::new(access.clone(), clients.clone(), router.clone(), restored);
-        let apply_log = tokio::spawn(routes.clone().log_applied());
+        if let Some(restored) = routes.newest_known() {
+            publisher.publish(&self.dialect, &restored);
+        }
+        let published = tokio::spawn(registrar::route_publisher::run(
+            publisher.clone(),
+            self.dialect.clone(),
+            routes.clone(),
+            access.clone(),
+        ));
         let gateway_loads = registrar::load_aggregator::LoadAggregator::new(self.clock.clone());
         let (stop, signal) = usher_kernel::StopSource::new();
         let handler = registrar::handler::RegistrarHandler {
@@ -120,6 +132,7 @@
             router,
             targets: targets.clone(),
             routes: routes.clone(),
+            publisher,
             gateway_loads: gateway_loads.clone(),
         };
         let server_identity = identity.clone();
@@ -158,7 +171,7 @@
             seeds,
             tasks: vec![
                 server,
-                apply_log,
+                published,
                 role_orders,
                 load_reports,
                 file_writer,
--- a/crates/usher_control/src/registrar/route_store.rs
+++ b/crates/usher_control/src/registrar/route_store.rs
@@ -134,22 +134,6 @@
         })
     }
 
-    /// Logs each version of the routes that this node applies, until the task is aborted.
-    pub(crate) async fn log_applied(self) {
-        let mut applied = self.access.watch_applied();
-        let mut known = 0;
-        while applied.changed().await.is_ok() {
-            let (version, bytes) = self.access.view(|state| {
-                let routes = state.routes();
-                (routes.version(), routes.document().len())
-            });
-            if version != known {
-                tracing::info!(version, previous = known, bytes, "routes applied");
-                known = version;
-            }
-        }
-    }
-
     /// Returns the newest routes known to this node, for gateways: the applied ones, or, until a
     /// leader is elected, those applied before the restart. Both have been committed.
     pub(crate) fn newest_known(&self) -> Option<VersionedRoutes> {
@@ -177,7 +161,10 @@
             .status()
             .leader
             .ok_or(error::CommandError::NoLeader)?;
-        let request = message::RoutesRequest { confirmed: true };
+        let request = message::RoutesRequest {
+            confirmed: true,
+            changes: None,
+        };
         let client = self.clients.find(address);
         let call = client.call(envelope::Body::RoutesRequest(request), CONFIRM_TIMEOUT);
         match call.await {
--- a/crates/usher_control/src/registrar/target_registry.rs
+++ b/crates/usher_control/src/registrar/target_registry.rs
@@ -21,8 +21,8 @@
     /// Identifies the run of this process; a cursor of another run is not valid here.
     epoch: u64,
     domain: usher_types::DomainName,
-    /// Version of the routes that had been applied before the restart.
-    restored_routes: u64,
+    /// Version of the routes that gateways can fetch here.
+    published_routes: watch::Receiver<u64>,
     clock: C,
 }
 
@@ -36,6 +36,7 @@
         heartbeat: time::Duration,
         clock: C,
         last_known: &message::LastKnown,
+        published_routes: watch::Receiver<u64>,
     ) -> Self {
         let mut feed = usher_roster::RosterFeed::new(heartbeat);
         for beat in &last_known.targets {
@@ -52,7 +53,7 @@
             access,
             epoch: usher_types::IncarnationSource::random().get(),
             domain,
-            restored_routes: last_known.routes_version,
+            published_routes,
             clock,
         }
     }
@@ -160,11 +161,13 @@
         let wait = time::Duration::from_millis(u64::from(request.wait_ms)).min(MAX_WAIT);
         let mut changes = self.changes.subscribe();
         let mut applied = self.access.watch_applied();
+        let mut published = self.published_routes.clone();
         let timeout = tokio::time::sleep(wait);
         tokio::pin!(timeout);
         loop {
             changes.mark_unchanged();
             applied.mark_unchanged();
+            published.mark_unchanged();
             let (reply, has_changes) = self.reply(&request);
             if has_changes {
                 return reply;
@@ -173,6 +176,7 @@
                 () = &mut timeout => return reply,
                 _ = changes.changed() => {}
                 _ = applied.changed() => {}
+                _ = published.changed() => {}
             }
         }
     }
@@ -191,8 +195,7 @@
         let last_change = feed.last_change();
         let role_changes = feed.role_changes_since(cursor);
         drop(feed);
-        let routes_version = self.access.view(|state| state.routes().version());
-        let routes_version = routes_version.max(self.restored_routes);
+        let routes_version = *self.published_routes.borrow();
         let (members_index, members) = self.access.member_addresses(request.members_index);
         let has_changes = request.epoch != self.epoch
             || !targets.is_empty()
--- a/crates/usher_control/tests/registrar_restart.rs
+++ b/crates/usher_control/tests/registrar_restart.rs
@@ -4,8 +4,8 @@
 
 use prost::Message as _;
 use usher_control::{
-    EngineRequest, OrderDialect, RegistrarNode, RegistrarOptions, RoleOrder, RunningRegistrar,
-    VersionedRoutes,
+    EngineRequest, OrderDialect, RegistrarNode, RegistrarOptions, RoleOrder, RouteDialect,
+    RunningRegistrar, VersionedRoutes,
 };
 use usher_roster::{TargetEntry, TargetPhase};
 use usher_wire::message::{self, envelope};
@@ -54,6 +54,20 @@
     node.start().await.unwrap()
 }
 
+/// Documents of this test are the number of their version.
+impl RouteDialect for NoOrders {
+    fn read_routes(&self, document: &[u8]) -> Result<usher_route::RouteSheet, String> {
+        let text = std::str::from_utf8(document).map_err(|error| error.to_string())?;
+        let version = text.parse::<u64>().map_err(|error| error.to_string())?;
+        Ok(usher_route::RouteSheet {
+            version: usher_types::ConfigVersion::new(version),
+            routes: Vec::new(),
+            services: std::collections::BTreeMap::new(),
+            limits: usher_route::CallerLimits::default(),
+        })
+    }
+}
+
 /// Returns the first answer to a watch request, without waiting for changes.
 async fn first_reply(address: net::SocketAddr) -> message::WatchReply {
     let identity = usher_wire::WireIdentity {
@@ -87,7 +101,7 @@
     let registrar = start(&folder, address, true).await;
     let routes = VersionedRoutes {
         version: usher_types::ConfigVersion::new(7),
-        document: bytes::Bytes::from_static(b"the routes"),
+        document: bytes::Bytes::from_static(b"7"),
     };
     while registrar.routes().put(routes.clone()).await.is_err() {
         tokio::time::sleep(time::Duration::from_millis(50)).await;
--- a/crates/usher_gateway/src/call.rs
+++ b/crates/usher_gateway/src/call.rs
@@ -206,7 +206,8 @@
     let table = core.wait_for_routes(limit).await;
     let table = table.ok_or(answer::CallRefusal::NoRoutes)?;
     log.version = table.version().get();
-    let limit = table.sheet().limits.head_bytes;
+    let limits = *table.limits();
+    let limit = limits.head_bytes;
     if head > limit {
         return Err(answer::CallRefusal::HeadTooLong { head, limit });
     }
@@ -218,7 +219,10 @@
         .unwrap_or_default();
     let route = table
         .find(host, parts.uri.path())
-        .ok_or(answer::CallRefusal::NoRoute)?;
+        .ok_or(answer::CallRefusal::NoRoute)?
+        .clone();
+    // Routes that a call holds are copied by the next change of them.
+    drop(table);
     log.route.clone_from(&route.name);
     let id = metadata.id.clone().ok_or(answer::CallRefusal::NoId)?;
     let service = route
@@ -228,8 +232,7 @@
     log.service = service.to_string();
     let caller_timeout = caller_timeout.min(route.timeout);
     let deadline = log.arrived + caller_timeout.saturating_sub(ANSWER_MARGIN);
-    let limit = table.sheet().limits.body_bytes;
-    let body = read_body(body, limit, deadline).await?;
+    let body = read_body(body, limits.body_bytes, deadline).await?;
     let mut headers = parts.headers;
     remove_connection_headers(&mut headers);
     headers.remove(http::header::CONTENT_LENGTH);
@@ -238,7 +241,7 @@
     Ok(RoutedCall {
         id,
         metadata,
-        route: route.clone(),
+        route,
         service,
         method: parts.method,
         uri: origin_form(&parts.uri),
--- a/crates/usher_gateway/src/core.rs
+++ b/crates/usher_gateway/src/core.rs
@@ -81,7 +81,7 @@
     /// head, as the routes state it.
     pub(crate) fn idle_timeout(&self) -> Option<time::Duration> {
         let routes = self.routes()?;
-        let limits = &routes.sheet().limits;
+        let limits = routes.limits();
         Some(limits.idle_timeout + limits.head_timeout)
     }
 
@@ -90,20 +90,37 @@
         self.routes().map_or(0, |routes| routes.version().get())
     }
 
-    /// Activates routes if they are newer than the active ones; returns whether they are. The
-    /// version never goes back.
-    pub(crate) fn update_routes(&self, table: usher_route::RouteTable) -> bool {
-        self.routes.send_if_modified(|routes| {
-            let newer = routes
+    /// Changes the active routes to a newer version; returns whether it is newer. The version never
+    /// goes back.
+    ///
+    /// # Errors
+    ///
+    /// Fails as `change` does, which must then leave the routes as they are.
+    pub(crate) fn update_routes<E>(
+        &self,
+        version: usher_types::ConfigVersion,
+        change: impl FnOnce(&mut usher_route::RouteTable) -> Result<(), E>,
+    ) -> Result<bool, E> {
+        let mut changed = Ok(());
+        let is_newer = self.routes.send_if_modified(|routes| {
+            if routes
                 .as_ref()
-                .is_none_or(|known| table.version() > known.version());
-            if newer {
-                let version = i64::try_from(table.version().get()).unwrap_or(i64::MAX);
+                .is_some_and(|known| version <= known.version())
+            {
+                return false;
+            }
+            let had_routes = routes.is_some();
+            let mut table = routes.take().unwrap_or_default();
+            // Copies the routes only while a call looks up its own.
+            changed = change(sync::Arc::make_mut(&mut table));
+            if changed.is_ok() {
+                let version = i64::try_from(version.get()).unwrap_or(i64::MAX);
                 self.metrics.routes_version.set(version);
-                *routes = Some(sync::Arc::new(table));
             }
-            newer
-        })
+            *routes = (had_routes || changed.is_ok()).then_some(table);
+            changed.is_ok()
+        });
+        changed.map(|()| is_newer)
     }
 
     /// Merges target entries that a registrar sent.
--- a/crates/usher_gateway/src/lib.rs
+++ b/crates/usher_gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod pool;
 mod registrar_watch;
 mod relay;
+mod route_follower;
 mod send;
 mod server;
 
--- a/crates/usher_gateway/src/metrics.rs
+++ b/crates/usher_gateway/src/metrics.rs
@@ -140,10 +140,14 @@
             .set(version.max(self.routes_offered.get()));
     }
 
-    /// Records the outcome of a request for routes and the size of its answer.
-    pub(crate) fn routes_fetched(&self, outcome: &'static str, bytes: usize) {
+    /// Records the outcome of a request for routes.
+    pub(crate) fn routes_fetched(&self, outcome: &'static str) {
         let labels = vec![("outcome", outcome.to_owned())];
         self.routes_fetches.get_or_create(&labels).inc();
+    }
+
+    /// Records the size of a reply with routes.
+    pub(crate) fn routes_received(&self, bytes: usize) {
         self.routes_bytes.inc_by(bytes as u64);
     }
 
--- a/crates/usher_gateway/src/node.rs
+++ b/crates/usher_gateway/src/node.rs
@@ -4,7 +4,9 @@
 
 use tokio::{sync::mpsc, task};
 
-use crate::{call, core, dialect, health, load_exchange, options, registrar_watch, server};
+use crate::{
+    call, core, dialect, health, load_exchange, options, registrar_watch, route_follower, server,
+};
 
 /// Interval at which idle connections to targets are checked.
 const PRUNE_INTERVAL: time::Duration = time::Duration::from_secs(1);
@@ -80,6 +82,7 @@
             core.options.seeds.clone(),
         );
         let (seeds, new_seeds) = mpsc::channel(1);
+        let offers = route_follower::RouteOffers::default();
         let grace = core.options.grace;
         let tasks = vec![
             tokio::spawn(server::serve(
@@ -101,7 +104,9 @@
                 group,
                 updates,
                 new_seeds,
+                offers.clone(),
             )),
+            tokio::spawn(route_follower::run(core.clone(), offers)),
             tokio::spawn(load_exchange::run(core.clone())),
             tokio::spawn(prune(core)),
         ];
--- a/crates/usher_gateway/src/registrar_watch.rs
+++ b/crates/usher_gateway/src/registrar_watch.rs
@@ -1,19 +1,12 @@
-//! Applies updates of the registrars: targets, routes and control nodes. Not for: calls.
+//! Applies updates of the registrars: targets, offered routes and control nodes. Not for: calls,
+//! nor fetching the routes.
 
-use std::{collections, net, sync, time};
+use std::{collections, net, sync};
 
 use tokio::sync::mpsc;
 use usher_place::TargetDistance;
-use usher_wire::message::{self, envelope};
 
-use crate::{core, dialect};
-
-/// Maximum time for a registrar to send the routes.
-const FETCH_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
-
-/// Delay before the routes are fetched from a registrar of another failure domain, and between such
-/// registrars: traffic between regions is billed by volume.
-const FETCH_STAGGER: time::Duration = time::Duration::from_millis(250);
+use crate::{core, dialect, route_follower};
 
 /// Applies updates until the task is aborted; new seeds come from changed settings.
 pub(crate) async fn run<D, C>(
@@ -21,17 +14,17 @@
     mut group: usher_watch::WatchGroup,
     mut updates: mpsc::Receiver<usher_watch::WatchUpdate>,
     mut seeds: mpsc::Receiver<Vec<net::SocketAddr>>,
+    offers: route_follower::RouteOffers,
 ) where
     D: dialect::CallDialect,
     C: usher_types::ClockSource,
 {
-    let mut requested = collections::HashMap::new();
     let mut reachable = collections::BTreeMap::new();
     loop {
         tokio::select! {
             Some(update) = updates.recv() => {
                 update_nearest(&core, &mut reachable, &update);
-                apply_update(&core, &mut group, &mut requested, update);
+                apply_update(&core, &mut group, &offers, update);
             }
             Some(seeds) = seeds.recv() => group.set_seeds(seeds),
             else => return,
@@ -68,14 +61,14 @@
 fn apply_update<D, C>(
     core: &sync::Arc<core::GatewayCore<D, C>>,
     group: &mut usher_watch::WatchGroup,
-    requested: &mut collections::HashMap<net::SocketAddr, u64>,
+    offers: &route_follower::RouteOffers,
     update: usher_watch::WatchUpdate,
 ) where
     D: dialect::CallDialect,
     C: usher_types::ClockSource,
 {
     let Some(reply) = update.reply else {
-        requested.remove(&update.address);
+        offers.withdraw(update.address);
         core.set_role_changes(update.address, None);
         return;
     };
@@ -96,89 +89,13 @@
         let engines = engines.map(|name| usher_types::TargetName::new(name.as_str()));
         core.set_role_changes(update.address, Some(engines.collect()));
     }
-    let offered = reply.routes_version;
-    if offered <= core.routes_version() || requested.get(&update.address) == Some(&offered) {
-        return;
-    }
-    requested.insert(update.address, offered);
-    core.metrics.set_offered_version(offered);
     let domain = usher_types::DomainName::new(reply.domain);
     let distance = core.options.map.between(&core.options.domain, &domain);
-    let is_first = core.routes_version() == 0;
-    let delay = if is_first || distance == TargetDistance::SameDomain {
-        time::Duration::ZERO
-    } else {
-        let rank = group.addresses().filter(|other| **other < update.address);
-        FETCH_STAGGER * u32::try_from(1 + rank.count()).unwrap_or(1)
-    };
-    tracing::info!(
-        version = offered,
-        held = core.routes_version(),
-        from = %update.address,
-        delay_ms = delay.as_millis(),
-        "newer routes offered"
+    core.metrics.set_offered_version(reply.routes_version);
+    offers.offer(
+        update.client,
+        reply.routes_version,
+        distance,
+        core.clock.now(),
     );
-    let core = core.clone();
-    let offered_at = tokio::time::Instant::now();
-    tokio::spawn(async move {
-        tokio::time::sleep(delay).await;
-        if offered > core.routes_version() {
-            fetch(&core, &update.client, offered_at).await;
-        }
-    });
-}
-
-/// Fetches the routes from a registrar and activates them.
-async fn fetch<D, C>(
-    core: &core::GatewayCore<D, C>,
-    client: &usher_wire::CallClient,
-    offered_at: tokio::time::Instant,
-) where
-    D: dialect::CallDialect,
-    C: usher_types::ClockSource,
-{
-    let started = tokio::time::Instant::now();
-    let request = message::RoutesRequest { confirmed: false };
-    let call = client.call(envelope::Body::RoutesRequest(request), FETCH_TIMEOUT);
-    let reply = match call.await {
-        Ok(envelope::Body::RoutesReply(reply)) => reply,
-        Ok(_) => {
-            tracing::warn!(from = %client.address(), "the reply is not a routes reply");
-            return;
-        }
-        Err(error) => {
-            core.metrics.routes_fetched("failed", 0);
-            tracing::warn!(
-                %error,
-                from = %client.address(),
-                held = core.routes_version(),
-                fetch_ms = started.elapsed().as_millis(),
-                offered_ms = offered_at.elapsed().as_millis(),
-                "failed to fetch the routes"
-            );
-            return;
-        }
-    };
-    let bytes = reply.document.len();
-    core.metrics.routes_fetched("answered", bytes);
-    let fetched = tokio::time::Instant::now();
-    match core.dialect.read_routes(&reply.document) {
-        Ok(sheet) => {
-            let version = sheet.version;
-            if core.update_routes(usher_route::RouteTable::new(sheet)) {
-                tracing::info!(
-                    %version,
-                    from = %client.address(),
-                    bytes,
-                    fetch_ms = (fetched - started).as_millis(),
-                    parse_ms = fetched.elapsed().as_millis(),
-                    offered_ms = offered_at.elapsed().as_millis(),
-                    "routes in force"
-                );
-            }
-        }
-        Err(reason) => {
-            tracing::error!(version = reply.version, %reason, "failed to parse the routes");
-        }
-    }
 }
--- a/crates/usher_gateway/tests/support/mod.rs
+++ b/crates/usher_gateway/tests/support/mod.rs
@@ -113,6 +113,7 @@
                 Some(envelope::Body::RoutesReply(message::RoutesReply {
                     version: document.version,
                     document: document.bytes,
+                    ..Default::default()
                 }))
             }
             _ => None,
--- a/crates/usher_route/src/error.rs
+++ b/crates/usher_route/src/error.rs
@@ -44,3 +44,54 @@
         prefix: String,
     },
 }
+
+/// An error in the message of a route.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum RecordError {
+    /// The kind is not known to this version of the program.
+    #[error("route {route}: unknown kind {kind}")]
+    Kind {
+        /// Name of the route.
+        route: String,
+        /// Number of the kind.
+        kind: i32,
+    },
+    /// The priority doesn't fit.
+    #[error("route {route}: priority {priority} is above 255")]
+    Priority {
+        /// Name of the route.
+        route: String,
+        /// The priority.
+        priority: u32,
+    },
+}
+
+/// The reason for which a transfer of changes can't be used.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum TransferError {
+    /// A record is invalid.
+    #[error(transparent)]
+    Record(#[from] RecordError),
+    /// A part arrived without the parts before it.
+    #[error("part {change} doesn't follow the parts received before")]
+    Gap {
+        /// Number of the last change of the part.
+        change: u64,
+    },
+    /// The changes apply to a version that isn't in force here.
+    #[error("the changes apply to version {base}, but version {held} is in force")]
+    Base {
+        /// Version to which the changes apply.
+        base: usher_types::ConfigVersion,
+        /// Version in force.
+        held: usher_types::ConfigVersion,
+    },
+    /// The resulting set isn't the one that the sender holds.
+    #[error("the digest of the routes is {computed:x}, expected {expected:x}")]
+    Digest {
+        /// Digest of the resulting set.
+        computed: u64,
+        /// Digest that the sender states.
+        expected: u64,
+    },
+}
--- a/crates/usher_route/src/lib.rs
+++ b/crates/usher_route/src/lib.rs
@@ -1,14 +1,22 @@
-//! Routes by host and path: their rules, the validation of a set, and the look-up.
+//! Routes by host and path: their rules, the validation of a set, the look-up, and the changes
+//! from one version to the next.
 //!
-//! For: gateways and registrars, which share one definition of a set. Not for: the encoding of a
-//! set on the wire, nor the choice of a target.
+//! For: gateways and registrars, which share one definition of a set. Not for: the encoding in
+//! which an author sends a set, nor the choice of a target.
 
 mod error;
+mod feed;
+mod key;
+mod record;
 mod rule;
 mod sheet;
 mod table;
+mod transfer;
 
-pub use error::RouteError;
+pub use error::{RecordError, RouteError, TransferError};
+pub use feed::RouteFeed;
+pub use key::RouteKey;
 pub use rule::{CallerLimits, EngineTraits, RepeatKind, RouteRule, ServiceRule, ServiceWeight};
 pub use sheet::RouteSheet;
 pub use table::RouteTable;
+pub use transfer::RouteTransfer;
--- a/crates/usher_route/src/table.rs
+++ b/crates/usher_route/src/table.rs
@@ -2,38 +2,90 @@
 
 use std::{collections, sync};
 
-use crate::{rule, sheet};
+use crate::{key, rule, sheet};
 
-/// A validated set of routes with an index by host.
-#[derive(Clone, Debug)]
+/// The routes of one host.
+#[derive(Clone, Debug, Default)]
+struct HostRoutes {
+    by_prefix: collections::HashMap<String, sync::Arc<rule::RouteRule>>,
+    /// Lengths of the prefixes, each with the number of routes that have it.
+    lengths: collections::BTreeMap<usize, usize>,
+}
+
+impl HostRoutes {
+    fn insert(
+        &mut self,
+        prefix: String,
+        rule: sync::Arc<rule::RouteRule>,
+    ) -> Option<sync::Arc<rule::RouteRule>> {
+        let length = prefix.len();
+        let replaced = self.by_prefix.insert(prefix, rule);
+        if replaced.is_none() {
+            *self.lengths.entry(length).or_default() += 1;
+        }
+        replaced
+    }
+
+    fn remove(&mut self, prefix: &str) -> Option<sync::Arc<rule::RouteRule>> {
+        let removed = self.by_prefix.remove(prefix)?;
+        if let Some(count) = self.lengths.get_mut(&prefix.len()) {
+            *count -= 1;
+            if *count == 0 {
+                self.lengths.remove(&prefix.len());
+            }
+        }
+        Some(removed)
+    }
+
+    /// Returns the route with the longest prefix of a path.
+    fn find(&self, path: &str) -> Option<&sync::Arc<rule::RouteRule>> {
+        let lengths = self.lengths.range(..=path.len()).rev();
+        lengths
+            .filter_map(|(length, _)| path.get(..*length))
+            .find_map(|prefix| self.by_prefix.get(prefix))
+    }
+}
+
+/// A validated set of routes with an index by host and prefix.
+///
+/// A change costs time by its own size: neither it nor a look-up goes through all routes.
+#[derive(Clone, Debug, Default)]
 pub struct RouteTable {
-    sheet: sheet::RouteSheet,
-    /// Routes of each host, those with the longest prefix first.
-    hosts: collections::HashMap<String, Vec<sync::Arc<rule::RouteRule>>>,
+    version: usher_types::ConfigVersion,
+    limits: rule::CallerLimits,
+    hosts: collections::HashMap<String, HostRoutes>,
+    digest: u64,
 }
 
 impl RouteTable {
     /// Makes the index of a validated set.
     pub fn new(sheet: sheet::RouteSheet) -> Self {
-        let mut hosts = collections::HashMap::<_, Vec<_>>::new();
-        for route in &sheet.routes {
-            let routes = hosts.entry(route.host.to_ascii_lowercase()).or_default();
-            routes.push(sync::Arc::new(route.clone()));
-        }
-        for routes in hosts.values_mut() {
-            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        let mut table = Self::default();
+        for rule in sheet.routes {
+            // Hosts that differ only in case are the same host; the first route has precedence.
+            if table.get(&key::RouteKey::of(&rule)).is_none() {
+                table.insert(sync::Arc::new(rule));
+            }
         }
-        Self { sheet, hosts }
-    }
-
-    /// Returns the set.
-    pub fn sheet(&self) -> &sheet::RouteSheet {
-        &self.sheet
+        table.version = sheet.version;
+        table.limits = sheet.limits;
+        table
     }
 
     /// Returns the version of the set.
     pub fn version(&self) -> usher_types::ConfigVersion {
-        self.sheet.version
+        self.version
+    }
+
+    /// Returns the limits on the requests of callers.
+    pub fn limits(&self) -> &rule::CallerLimits {
+        &self.limits
+    }
+
+    /// Returns the sum of the checksums of all routes. Equal sets have equal digests, in whatever
+    /// order they were made.
+    pub fn digest(&self) -> u64 {
+        self.digest
     }
 
     /// Returns the route of a host, which may include a port, with the longest matching prefix.
@@ -50,6 +102,66 @@
             Some(routes) => routes,
             None => self.hosts.get(&name.to_ascii_lowercase())?,
         };
-        routes.iter().find(|route| path.starts_with(&route.prefix))
+        routes.find(path)
+    }
+
+    /// Returns the route with a key.
+    pub(crate) fn get(&self, key: &key::RouteKey) -> Option<&sync::Arc<rule::RouteRule>> {
+        self.hosts.get(&key.host)?.by_prefix.get(&key.prefix)
+    }
+
+    /// Returns the keys of all routes.
+    pub(crate) fn keys(&self) -> impl Iterator<Item = key::RouteKey> + '_ {
+        self.hosts.iter().flat_map(|(host, routes)| {
+            let prefixes = routes.by_prefix.keys();
+            prefixes.map(|prefix| key::RouteKey {
+                host: host.clone(),
+                prefix: prefix.clone(),
+            })
+        })
+    }
+
+    /// Returns the number of routes.
+    pub fn len(&self) -> usize {
+        let hosts = self.hosts.values();
+        hosts.map(|routes| routes.by_prefix.len()).sum()
+    }
+
+    /// Returns whether there are no routes.
+    pub fn is_empty(&self) -> bool {
+        self.hosts.is_empty()
+    }
+
+    /// Adds a route or replaces the one with the same key.
+    pub(crate) fn insert(&mut self, rule: sync::Arc<rule::RouteRule>) {
+        let key = key::RouteKey::of(&rule);
+        let checksum = rule.checksum();
+        let routes = self.hosts.entry(key.host).or_default();
+        let replaced = routes.insert(key.prefix, rule);
+        let replaced = replaced.map_or(0, |rule| rule.checksum());
+        self.digest = self.digest.wrapping_add(checksum).wrapping_sub(replaced);
+    }
+
+    /// Removes the route with a key, if there is one.
+    pub(crate) fn remove(&mut self, key: &key::RouteKey) {
+        let Some(routes) = self.hosts.get_mut(&key.host) else {
+            return;
+        };
+        if let Some(removed) = routes.remove(&key.prefix) {
+            self.digest = self.digest.wrapping_sub(removed.checksum());
+        }
+        if routes.by_prefix.is_empty() {
+            self.hosts.remove(&key.host);
+        }
+    }
+
+    /// Sets the version and the limits after the routes have been changed.
+    pub(crate) fn complete(
+        &mut self,
+        version: usher_types::ConfigVersion,
+        limits: rule::CallerLimits,
+    ) {
+        self.version = version;
+        self.limits = limits;
     }
 }
