Bound the log of a replica by its size

Found while following a version from the operator to the table: a registrar kept the last 10,000 log entries in memory, and each entry of a change holds the whole document.

The class is that of the incident: a cost by the size of the document for each change.

--- a/crates/usher_consensus/src/core/mod.rs
+++ b/crates/usher_consensus/src/core/mod.rs
@@ -168,6 +168,11 @@
         }
     }
 
+    /// Returns the payload of the log entries in memory, in bytes.
+    pub fn log_bytes(&self) -> usize {
+        self.log.bytes()
+    }
+
     /// Returns the commit index.
     pub fn commit(&self) -> u64 {
         self.commit
--- a/crates/usher_consensus/src/core/output.rs
+++ b/crates/usher_consensus/src/core/output.rs
@@ -74,7 +74,7 @@
     ///
     /// The driver must make the returned image durable. Returns `None` if the index is not
     /// committed, no longer in the log or not newer than the last snapshot. The last `keep_entries`
-    /// entries before the index stay in memory.
+    /// entries before the index stay in memory, within `keep_bytes`.
     pub fn snapshot_taken(
         &mut self,
         index: u64,
@@ -91,7 +91,9 @@
             data,
         });
         self.image = Some(image.clone());
-        let through = index.saturating_sub(self.settings.keep_entries);
+        let by_count = index.saturating_sub(self.settings.keep_entries);
+        let by_size = self.log.start_of_last(index, self.settings.keep_bytes);
+        let through = by_count.max(by_size);
         if through > self.log.base_index() {
             self.log.compact(through);
         }
--- a/crates/usher_consensus/src/log.rs
+++ b/crates/usher_consensus/src/log.rs
@@ -10,6 +10,8 @@
     base_index: u64,
     base_term: u64,
     entries: collections::VecDeque<message::LogEntry>,
+    /// Payload of all entries, in bytes.
+    bytes: usize,
 }
 
 impl EntryLog {
@@ -18,9 +20,15 @@
             base_index,
             base_term,
             entries: collections::VecDeque::new(),
+            bytes: 0,
         }
     }
 
+    /// Returns the payload of all entries in memory, in bytes.
+    pub(crate) fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     /// Returns the index before the first entry in memory.
     pub(crate) fn base_index(&self) -> u64 {
         self.base_index
@@ -58,15 +66,19 @@
             entry.index,
             next - 1
         ) {
+            self.bytes += entry.payload.len();
             self.entries.push_back(entry);
         }
     }
 
     /// Removes all entries from index `from` on.
     pub(crate) fn truncate(&mut self, from: u64) {
-        let keep = from.saturating_sub(self.base_index + 1);
-        self.entries
-            .truncate(usize::try_from(keep).unwrap_or(usize::MAX));
+        while self.last_index() >= from {
+            let Some(entry) = self.entries.pop_back() else {
+                return;
+            };
+            self.bytes -= entry.payload.len();
+        }
     }
 
     /// Drops the entries up to and including `through`; does nothing when it is not in the log.
@@ -74,12 +86,30 @@
         let Some(term) = self.term(through) else {
             return;
         };
-        while self.base_index < through && self.entries.pop_front().is_some() {
+        while self.base_index < through {
+            let Some(entry) = self.entries.pop_front() else {
+                break;
+            };
+            self.bytes -= entry.payload.len();
             self.base_index += 1;
         }
         self.base_term = term;
     }
 
+    /// Returns the index after which the entries up to `through` have a payload of at most `bytes`.
+    pub(crate) fn start_of_last(&self, through: u64, bytes: usize) -> u64 {
+        let mut start = through;
+        let mut size = 0;
+        while let Some(entry) = self.get(start) {
+            size += entry.payload.len();
+            if size > bytes {
+                break;
+            }
+            start -= 1;
+        }
+        start
+    }
+
     /// Copies the entries `from..=through` up to a total payload of `bytes`; returns at least one
     /// entry if the range holds any.
     pub(crate) fn slice(&self, from: u64, through: u64, bytes: usize) -> Vec<message::LogEntry> {
--- a/crates/usher_consensus/src/settings.rs
+++ b/crates/usher_consensus/src/settings.rs
@@ -24,6 +24,9 @@
     /// Number of entries before a snapshot's index that stay in memory, so that peers that are
     /// slightly behind need no snapshot.
     pub keep_entries: u64,
+    /// Maximum payload of those entries, in bytes. Commands can have megabytes; a peer that needs
+    /// more of them gets a snapshot, which is smaller then.
+    pub keep_bytes: usize,
     /// Safety mechanisms that tests disable to show what they prevent.
     #[doc(hidden)]
     pub faults: CoreFaults,
@@ -41,6 +44,7 @@
             append_window: 8_192,
             piece_bytes: 512 * 1_024,
             keep_entries: 10_000,
+            keep_bytes: 8 * 1_024 * 1_024,
             faults: CoreFaults::default(),
         }
     }
--- a/crates/usher_control/src/registrar/node.rs
+++ b/crates/usher_control/src/registrar/node.rs
@@ -4,10 +4,13 @@
 
 use crate::{error, fleet, listen, registrar};
 
-/// Number of applied commands between two snapshots. Each command contains all routes, so this
-/// limits the log to about ten megabytes.
+/// Number of applied commands between two snapshots.
 const SNAPSHOT_ENTRIES: u64 = 48;
 
+/// Payload of applied commands between two snapshots, in bytes. Each command contains all routes,
+/// up to three megabytes.
+const SNAPSHOT_BYTES: usize = 8 * 1_024 * 1_024;
+
 /// Silence after which a member loses its vote to a replacement that has caught up. A VM that was
 /// removed counts as lost until 4 s after the start of its replacement.
 const LOST_AFTER: time::Duration = time::Duration::from_millis(2_000);
@@ -198,6 +201,7 @@
         )
         .with_location(options.region.as_str(), options.domain.as_str())
         .with_snapshot_entries(SNAPSHOT_ENTRIES)
+        .with_snapshot_bytes(SNAPSHOT_BYTES)
         .with_peers(seeds().map(|address| (name(address), address)))
         .with_initial_members(founders)
         .with_repair(Some(usher_replica::RepairPolicy {
--- a/crates/usher_replica/src/driver/mod.rs
+++ b/crates/usher_replica/src/driver/mod.rs
@@ -76,6 +76,8 @@
     next_read: u64,
     applied: u64,
     snapshot_index: u64,
+    /// Payload of the entries that were applied after the last snapshot, in bytes.
+    applied_bytes: usize,
     snapshot_running: bool,
     /// Log index of the membership in the status, and the term when it was published.
     published_membership: Option<(u64, u64)>,
@@ -124,6 +126,7 @@
             applied,
             snapshot_index: applied,
             snapshot_running: false,
+            applied_bytes: 0,
             published_membership: None,
             next_notice: now,
             next_repair: now,
--- a/crates/usher_replica/src/driver/output.rs
+++ b/crates/usher_replica/src/driver/output.rs
@@ -79,6 +79,7 @@
                 state.index = image.index;
                 self.applied = image.index;
                 self.snapshot_index = image.index;
+                self.applied_bytes = 0;
                 let index = usher_types::LogIndex::new(image.index);
                 self.shared.applied.send_replace(index);
             }
@@ -120,6 +121,7 @@
                 message::EntryKind::Noop => Vec::new(),
             };
             self.applied = entry.index;
+            self.applied_bytes += entry.payload.len();
             state.index = entry.index;
             outcomes.push((entry.index, entry.term, outcome));
         }
@@ -190,7 +192,8 @@
     }
 
     fn take_snapshot(&mut self) {
-        let due = self.applied >= self.snapshot_index + self.settings.snapshot_entries;
+        let due = self.applied >= self.snapshot_index + self.settings.snapshot_entries
+            || self.applied_bytes >= self.settings.snapshot_bytes;
         if !due || self.snapshot_running {
             return;
         }
@@ -199,6 +202,7 @@
             return;
         };
         self.snapshot_index = image.index;
+        self.applied_bytes = 0;
         self.snapshot_running = true;
         if self.storage.snapshots.send(image).is_err() {
             self.stop_reason = Some("storage thread ended".to_owned());
@@ -226,6 +230,7 @@
         status.leader = leader;
         status.commit = usher_types::LogIndex::new(self.core.commit());
         status.applied = usher_types::LogIndex::new(self.applied);
+        status.log_bytes = self.core.log_bytes();
         status.lease_until = self.core.lease_until();
         status.last_leader_contact = self.core.last_leader_contact();
     }
--- a/crates/usher_replica/src/settings.rs
+++ b/crates/usher_replica/src/settings.rs
@@ -36,6 +36,9 @@
     pub repair_interval: time::Duration,
     /// Number of applied entries after which a snapshot is taken.
     pub snapshot_entries: u64,
+    /// Payload of applied entries, in bytes, after which a snapshot is taken even if there are fewer
+    /// entries. It bounds the log in memory and on disk when commands are large.
+    pub snapshot_bytes: usize,
     /// Limits of the log.
     pub log: usher_log::LogSettings,
     /// Time after which the outcome of a proposal counts as unknown.
@@ -68,6 +71,7 @@
             }),
             repair_interval: time::Duration::from_secs(1),
             snapshot_entries: 10_000,
+            snapshot_bytes: 64 * 1_024 * 1_024,
             log: usher_log::LogSettings::default(),
             propose_timeout: time::Duration::from_secs(5),
             read_timeout: time::Duration::from_secs(2),
@@ -127,6 +131,13 @@
         self
     }
 
+    /// Sets the payload of applied entries, in bytes, after which a snapshot is taken.
+    #[must_use]
+    pub fn with_snapshot_bytes(mut self, bytes: usize) -> Self {
+        self.snapshot_bytes = bytes;
+        self
+    }
+
     /// Sets the timings and limits of consensus.
     #[must_use]
     pub fn with_consensus(mut self, consensus: usher_consensus::ConsensusSettings) -> Self {
