Ask for the role changes again after an interrupted watch

Change: a request after a failure asks for the list whatever the position.

The new test failed without the change: 3 targets took work, expected 2.

--- a/crates/usher_control/src/registrar/target_registry.rs
+++ b/crates/usher_control/src/registrar/target_registry.rs
@@ -193,7 +193,8 @@
             .map(usher_roster::TargetEntry::to_message)
             .collect();
         let last_change = feed.last_change();
-        let role_changes = feed.role_changes_since(cursor);
+        let known_role_changes = if request.all_role_changes { 0 } else { cursor };
+        let role_changes = feed.role_changes_since(known_role_changes);
         drop(feed);
         let routes_version = *self.published_routes.borrow();
         let (members_index, members) = self.access.member_addresses(request.members_index);
--- a/crates/usher_gateway/tests/routes.rs
+++ b/crates/usher_gateway/tests/routes.rs
@@ -1,5 +1,5 @@
-//! A gateway follows the routes that registrars offer, over a thin link and beside registrars that
-//! don't answer.
+//! A gateway follows the routes and the role changes that registrars tell, over a thin link and
+//! beside registrars that don't answer.
 
 mod support;
 
@@ -61,3 +61,17 @@
     let delay = in_force.last().unwrap().1 - offered;
     assert!(delay <= IN_FORCE_WITHIN, "in force after {delay:?}");
 }
+
+/// Guards against calls to an engine whose role is changing after a watch was interrupted: the
+/// gateway had dropped the list, and asked only for later changes of it.
+#[tokio::test(flavor = "multi_thread")]
+async fn role_changes_are_known_after_an_interrupted_watch() {
+    let registrar = StandInRegistrar::start(ThinLink::new(LINK_BYTES_PER_SECOND)).await;
+    registrar.set_engines(&["e1", "e2", "e3"], &["e2"]);
+    let gateway = GatewayUnderTest::start(std::slice::from_ref(&registrar)).await;
+    gateway.wait_for_targets(2).await;
+    registrar.lose_watches(1);
+    // A registrar that can't be reached excludes no engine.
+    gateway.wait_for_targets(3).await;
+    gateway.wait_for_targets(2).await;
+}
--- a/crates/usher_gateway/tests/support/mod.rs
+++ b/crates/usher_gateway/tests/support/mod.rs
@@ -71,11 +71,24 @@
 struct RegistrarState {
     link: ThinLink,
     document: tokio::sync::watch::Sender<Document>,
+    /// Targets and engines whose role changes, told to watchers that don't know them.
+    roster: sync::Mutex<Roster>,
+    /// Number of watch requests that get no reply.
+    lost_watches: sync::atomic::AtomicUsize,
     /// Number of requests for routes that get no reply.
     lost_requests: sync::atomic::AtomicUsize,
     route_requests: sync::atomic::AtomicUsize,
 }
 
+#[derive(Clone, Debug, Default)]
+struct Roster {
+    targets: Vec<message::TargetBeat>,
+    role_changes: Vec<String>,
+}
+
+/// Number of the last change of a stand-in's roster.
+const ROSTER_CHANGE: u64 = 1;
+
 struct RegistrarHandler(sync::Arc<RegistrarState>);
 
 impl usher_wire::CallHandler for RegistrarHandler {
@@ -87,6 +100,30 @@
         let state = &self.0;
         match body {
             envelope::Body::WatchRequest(request) => {
+                let relaxed = sync::atomic::Ordering::Relaxed;
+                let lose = |left: usize| left.checked_sub(1);
+                let lost = state.lost_watches.fetch_update(relaxed, relaxed, lose);
+                if lost.is_ok() {
+                    return None;
+                }
+                let roster = state.roster.lock().unwrap().clone();
+                let is_behind = request.cursor < ROSTER_CHANGE && !roster.targets.is_empty();
+                if is_behind || request.all_role_changes {
+                    return Some(envelope::Body::WatchReply(message::WatchReply {
+                        epoch: 1,
+                        cursor: ROSTER_CHANGE,
+                        domain: "d".to_owned(),
+                        targets: if is_behind {
+                            roster.targets
+                        } else {
+                            Vec::new()
+                        },
+                        role_changes: Some(message::RoleChangeList {
+                            engines: roster.role_changes,
+                        }),
+                        ..Default::default()
+                    }));
+                }
                 let wait = time::Duration::from_millis(u64::from(request.wait_ms));
                 let mut document = state.document.subscribe();
                 let newer = document.wait_for(|known| known.version != request.routes_version);
@@ -95,6 +132,7 @@
                 state.link.send(50).await;
                 Some(envelope::Body::WatchReply(message::WatchReply {
                     epoch: 1,
+                    cursor: request.cursor,
                     routes_version,
                     domain: "d".to_owned(),
                     ..Default::default()
@@ -128,6 +166,8 @@
         let state = sync::Arc::new(RegistrarState {
             link,
             document: tokio::sync::watch::Sender::new(Document::new(0, 1)),
+            roster: sync::Mutex::default(),
+            lost_watches: sync::atomic::AtomicUsize::new(0),
             lost_requests: sync::atomic::AtomicUsize::new(0),
             route_requests: sync::atomic::AtomicUsize::new(0),
         });
@@ -153,6 +193,29 @@
         self.state.document.send_replace(document.clone());
     }
 
+    /// Tells watchers of engines, of which some change their role.
+    pub fn set_engines(&self, engines: &[&str], changing: &[&str]) {
+        let beat = |name: &&str| message::TargetBeat {
+            name: (*name).to_owned(),
+            service: "model".to_owned(),
+            address: "127.0.0.1:1".to_owned(),
+            domain: "d".to_owned(),
+            role: "prefill".to_owned(),
+            sequence: 1,
+            ..Default::default()
+        };
+        *self.state.roster.lock().unwrap() = Roster {
+            targets: engines.iter().map(beat).collect(),
+            role_changes: changing.iter().map(|name| (*name).to_owned()).collect(),
+        };
+    }
+
+    /// Gives no reply to the next watch requests.
+    pub fn lose_watches(&self, count: usize) {
+        let relaxed = sync::atomic::Ordering::Relaxed;
+        self.state.lost_watches.store(count, relaxed);
+    }
+
     /// Gives no reply to the next requests for routes.
     pub fn lose_route_requests(&self, count: usize) {
         let relaxed = sync::atomic::Ordering::Relaxed;
@@ -266,7 +329,8 @@
         let reader = tokio::spawn(async move {
             loop {
                 tokio::time::sleep(READ_INTERVAL).await;
-                let version = routes_version(health).await.unwrap_or(0);
+                let version = metric(health, "gateway_routes_version").await;
+                let version = version.unwrap_or(0);
                 let mut known = known.lock().unwrap();
                 if version > known.last().map_or(0, |(known, _)| *known) {
                     known.push((version, time::Instant::now()));
@@ -282,6 +346,22 @@
         }
     }
 
+    /// Waits until this many targets take work.
+    pub async fn wait_for_targets(&self, count: u64) {
+        let limit = time::Instant::now() + HANG_LIMIT;
+        loop {
+            let known = metric(self.health, "gateway_targets").await;
+            if known == Some(count) {
+                return;
+            }
+            assert!(
+                time::Instant::now() < limit,
+                "{known:?} targets take work, expected {count}"
+            );
+            tokio::time::sleep(READ_INTERVAL).await;
+        }
+    }
+
     /// Waits until a version is in force; returns all versions that were seen in force.
     pub async fn wait_for_routes(&self, version: u64) -> Vec<(u64, time::Instant)> {
         let limit = time::Instant::now() + HANG_LIMIT;
@@ -299,7 +379,8 @@
     }
 }
 
-async fn routes_version(health: net::SocketAddr) -> Option<u64> {
+/// Reads a gauge of a gateway.
+async fn metric(health: net::SocketAddr, name: &str) -> Option<u64> {
     let mut socket = tokio::net::TcpStream::connect(health).await.ok()?;
     let request = b"GET /metrics HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n";
     socket.write_all(request).await.ok()?;
@@ -307,6 +388,6 @@
     socket.read_to_string(&mut page).await.ok()?;
     let line = page
         .lines()
-        .find_map(|line| line.strip_prefix("gateway_routes_version "))?;
+        .find_map(|line| line.strip_prefix(name)?.strip_prefix(' '))?;
     line.parse().ok()
 }
--- a/crates/usher_watch/src/watch.rs
+++ b/crates/usher_watch/src/watch.rs
@@ -51,7 +51,7 @@
     let mut cursor = WatchCursor::default();
     let mut reachable = true;
     loop {
-        let body = envelope::Body::WatchRequest(request(&options, cursor));
+        let body = envelope::Body::WatchRequest(request(&options, cursor, !reachable));
         let reply = match client.call(body, LONG_POLL_TIMEOUT + REPLY_MARGIN).await {
             Ok(envelope::Body::WatchReply(reply)) => Some(reply),
             Ok(_) => None,
@@ -91,7 +91,11 @@
     }
 }
 
-fn request(options: &WatchOptions, cursor: WatchCursor) -> message::WatchRequest {
+fn request(
+    options: &WatchOptions,
+    cursor: WatchCursor,
+    all_role_changes: bool,
+) -> message::WatchRequest {
     message::WatchRequest {
         epoch: cursor.epoch,
         cursor: cursor.cursor,
@@ -100,5 +104,6 @@
         wait_ms: u32::try_from(LONG_POLL_TIMEOUT.as_millis()).unwrap_or(u32::MAX),
         gateway: options.is_gateway,
         own_targets_only: !options.is_gateway,
+        all_role_changes,
     }
 }
