Send large frames by their difference from the one before

Found while following a version: a change of one of 2,500 routes sent the whole document to the leader and to each other registrar.

Change: each side of a connection keeps the last frame of 64 KiB or more, and the next such frame is compressed by Zstandard with that one as its prefix. A side announces in its hello that it can decode this; others get whole frames. What is logged and stored stays the same.

In the new test a frame of 200,000 bytes takes under 1,000; without the change it is sent whole.

--- a/crates/usher_wire/src/error.rs
+++ b/crates/usher_wire/src/error.rs
@@ -13,6 +13,9 @@
     /// A frame is not a valid message.
     #[error("frame is not a valid message: {0}")]
     Decode(#[from] prost::DecodeError),
+    /// A frame that stands for a difference can't be restored.
+    #[error("difference from the frame before can't be applied: {0}")]
+    Delta(&'static str),
     /// The peer closed the connection.
     #[error("peer closed the connection")]
     Closed,
--- a/crates/usher_wire/src/lib.rs
+++ b/crates/usher_wire/src/lib.rs
@@ -1,10 +1,12 @@
 //! Messages and framing between the system's own processes.
 //!
-//! Covers the messages, connections with a versioned hello, calls and replies. Not for: the
-//! meaning of messages, nor for HTTP.
+//! Covers the messages, connections with a versioned hello, calls and replies, and how a large
+//! message that resembles the one before is sent by what differs. Not for: the meaning of messages,
+//! nor for HTTP.
 
 mod call;
 mod codec;
+mod delta;
 mod error;
 mod server;
 mod stream;
--- a/crates/usher_wire/src/stream.rs
+++ b/crates/usher_wire/src/stream.rs
@@ -48,6 +48,7 @@
             cluster: self.cluster.clone(),
             node: self.node.to_string(),
             incarnation: self.incarnation.get(),
+            takes_deltas: true,
         }
     }
 
@@ -137,9 +138,8 @@
         .map_err(error::WireError::Io)?;
     let frame = frames.next().await.ok_or(error::WireError::Closed)??;
     let hello = message::Hello::decode(frame).map_err(|_| error::WireError::NoHello)?;
+    let sends_deltas = hello.takes_deltas;
     let peer = identity.check(hello)?;
-    Ok((
-        frames.map_codec(|_| envelope_codec::EnvelopeCodec::new()),
-        peer,
-    ))
+    let codec = envelope_codec::EnvelopeCodec::new().with_deltas(sends_deltas);
+    Ok((frames.map_codec(|_| codec), peer))
 }
--- a/crates/usher_wire/tests/frames.rs
+++ b/crates/usher_wire/tests/frames.rs
@@ -44,6 +44,90 @@
     }
 }
 
+/// Makes an envelope with a document of many routes, of which one has another timeout.
+fn document(version: usize, routes: usize) -> message::Envelope {
+    let route = |number: usize| {
+        let timeout = if number == version { 9_999 } else { 4_000 };
+        format!(
+            "{{\"name\":\"r-{number}\",\"pathPrefix\":\"/{number}/\",\"timeoutMs\":{timeout}}},"
+        )
+    };
+    let text: String = (0..routes).map(route).collect();
+    let reply = message::RoutesReply {
+        version: version as u64,
+        document: format!("{{\"version\":{version},\"routes\":[{text}]}}").into_bytes(),
+        changes: None,
+    };
+    message::Envelope {
+        call: version as u64,
+        body: Some(message::envelope::Body::RoutesReply(reply)),
+    }
+}
+
+fn encode(codec: &mut EnvelopeCodec, envelope: &message::Envelope) -> BytesMut {
+    let mut buffer = BytesMut::new();
+    codec.encode(envelope.clone(), &mut buffer).unwrap();
+    buffer
+}
+
+/// Guards against a change of one route that sends the whole document to each control node.
+#[test]
+fn large_frame_is_sent_by_its_difference_from_the_last_one() {
+    let mut sender = EnvelopeCodec::new().with_deltas(true);
+    let mut receiver = EnvelopeCodec::new();
+    for version in 1..20 {
+        let envelope = document(version, 4_000);
+        let mut frame = encode(&mut sender, &envelope);
+        if version == 1 {
+            assert!(frame.len() > 200_000, "{} bytes", frame.len());
+        } else {
+            assert!(frame.len() < 1_000, "{} bytes", frame.len());
+        }
+        assert_eq!(receiver.decode(&mut frame).unwrap(), Some(envelope));
+        let small = document(version, 2);
+        let mut frame = encode(&mut sender, &small);
+        assert_eq!(receiver.decode(&mut frame).unwrap(), Some(small));
+    }
+}
+
+/// Guards against a peer of the version before that gets frames it can't decode.
+#[test]
+fn peer_without_deltas_gets_whole_frames() {
+    let mut sender = EnvelopeCodec::new();
+    for version in 1..4 {
+        assert!(encode(&mut sender, &document(version, 4_000)).len() > 200_000);
+    }
+}
+
+/// Guards against a difference that is applied to another frame than its own, and against one that
+/// allocates more than a frame may have.
+#[test]
+fn difference_that_does_not_fit_is_refused() {
+    let mut sender = EnvelopeCodec::new().with_deltas(true);
+    encode(&mut sender, &document(1, 4_000));
+    let frame = encode(&mut sender, &document(2, 4_000));
+    assert!(EnvelopeCodec::new().decode(&mut frame.clone()).is_err());
+    let mut receiver = EnvelopeCodec::new();
+    let mut other = encode(&mut EnvelopeCodec::new(), &document(3, 5_000));
+    receiver.decode(&mut other).unwrap();
+    assert!(receiver.decode(&mut frame.clone()).is_err());
+    for position in 4..frame.len() {
+        let mut receiver = EnvelopeCodec::new();
+        let mut first = encode(&mut EnvelopeCodec::new(), &document(1, 4_000));
+        receiver.decode(&mut first).unwrap();
+        let mut changed = frame.clone();
+        changed[position] ^= 0x55;
+        if let Ok(Some(envelope)) = receiver.decode(&mut changed) {
+            let is_own = envelope == document(2, 4_000);
+            let is_whole = !matches!(
+                &envelope.body,
+                Some(message::envelope::Body::RoutesReply(_))
+            );
+            assert!(is_own || is_whole, "byte {position}");
+        }
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 512, failure_persistence: None, ..ProptestConfig::default() })]
 
