Limit what a gateway holds of answers without end

A stream event without end was kept whole, and its buffer was searched from the start for each chunk.

Plain answers keep 8 MiB, but beyond their first 64 KiB all together take at most 24 MiB while they are read, so that short answers are not refused. The request that frees a handle ends after 2 s.

--- /dev/null
+++ b/crates/usher_gateway/src/answer_buffer.rs
@@ -0,0 +1,94 @@
+//! Reads the answers of targets into memory, within limits. Not for: streams.
+
+use std::sync;
+
+use http_body_util::BodyExt as _;
+
+/// Largest answer that is buffered, in bytes; plain answers have a few kilobytes.
+const MAX_ANSWER_BYTES: usize = 8 * 1_024 * 1_024;
+
+/// Largest answer that only the gateway itself reads, in bytes: refusals and handles.
+pub(crate) const MAX_OWN_ANSWER_BYTES: usize = 64 * 1_024;
+
+/// Size up to which an answer is buffered whatever the others take, in bytes.
+const FREE_BYTES: usize = 64 * 1_024;
+
+/// Bytes that all larger answers may take together while they are read. Targets that send without
+/// end would otherwise fill the memory by many answers at once.
+const MAX_TOTAL_BYTES: usize = 24 * 1_024 * 1_024;
+
+/// The bytes that are held by answers that are being read; cheap to clone.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct AnswerBuffer {
+    held: sync::Arc<sync::atomic::AtomicUsize>,
+}
+
+/// Bytes of one answer beyond the free ones, which are returned when it is dropped.
+struct HeldBytes {
+    buffer: AnswerBuffer,
+    bytes: usize,
+}
+
+impl AnswerBuffer {
+    /// Reads a complete body.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the body ends early or is too long, or when other long answers leave no room for
+    /// it.
+    pub(crate) async fn read(&self, body: hyper::body::Incoming) -> Result<bytes::Bytes, String> {
+        let mut held = HeldBytes {
+            buffer: self.clone(),
+            bytes: 0,
+        };
+        let mut body = body;
+        let mut content = bytes::BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|error| error.to_string())?;
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
+            content.extend_from_slice(&data);
+            if content.len() > MAX_ANSWER_BYTES {
+                return Err(format!(
+                    "the answer is longer than {MAX_ANSWER_BYTES} bytes"
+                ));
+            }
+            held.grow(content.len().saturating_sub(FREE_BYTES))?;
+        }
+        Ok(content.freeze())
+    }
+}
+
+impl HeldBytes {
+    fn grow(&mut self, bytes: usize) -> Result<(), String> {
+        let added = bytes.saturating_sub(self.bytes);
+        let relaxed = sync::atomic::Ordering::Relaxed;
+        let before = self.buffer.held.fetch_add(added, relaxed);
+        self.bytes += added;
+        if added > 0 && before + added > MAX_TOTAL_BYTES {
+            return Err(format!(
+                "long answers take more than {MAX_TOTAL_BYTES} bytes together"
+            ));
+        }
+        Ok(())
+    }
+}
+
+impl Drop for HeldBytes {
+    fn drop(&mut self) {
+        let relaxed = sync::atomic::Ordering::Relaxed;
+        self.buffer.held.fetch_sub(self.bytes, relaxed);
+    }
+}
+
+/// Reads a body that only the gateway itself needs.
+///
+/// # Errors
+///
+/// Fails when the body ends early or is too long.
+pub(crate) async fn read_own(body: hyper::body::Incoming) -> Result<bytes::Bytes, String> {
+    let body = http_body_util::Limited::new(body, MAX_OWN_ANSWER_BYTES).collect();
+    let body = body.await.map_err(|error| error.to_string())?;
+    Ok(body.to_bytes())
+}
--- a/crates/usher_gateway/src/core.rs
+++ b/crates/usher_gateway/src/core.rs
@@ -5,7 +5,7 @@
 use usher_place::{EnginePolicy, LoadTracker, PlainPolicy, RetryBudget};
 use usher_roster::{TargetEntry, TargetRoster};
 
-use crate::{dialect, metrics, options, pool};
+use crate::{answer_buffer, dialect, metrics, options, pool};
 
 type ServiceIndex = collections::HashMap<usher_types::ServiceName, sync::Arc<Vec<TargetEntry>>>;
 
@@ -19,6 +19,7 @@
     pub(crate) dialect: D,
     pub(crate) clock: C,
     pub(crate) pool: pool::TargetPool,
+    pub(crate) answers: answer_buffer::AnswerBuffer,
     pub(crate) loads: LoadTracker,
     pub(crate) metrics: metrics::GatewayMetrics,
     pub(crate) engine_policy: sync::Mutex<EnginePolicy>,
@@ -47,6 +48,7 @@
             dialect,
             clock,
             pool: pool::TargetPool::default(),
+            answers: answer_buffer::AnswerBuffer::default(),
             loads: LoadTracker::new(),
             metrics: metrics::GatewayMetrics::new(),
             engine_policy: sync::Mutex::default(),
--- a/crates/usher_gateway/src/held_prompt.rs
+++ b/crates/usher_gateway/src/held_prompt.rs
@@ -1,11 +1,14 @@
 //! A prompt that one engine holds for another. Not for: choosing either of them.
 
-use std::{net, sync};
+use std::{net, sync, time};
 
-use http_body_util::BodyExt as _;
 use usher_roster::TargetEntry;
 
-use crate::{core, dialect, pool};
+use crate::{answer_buffer, core, dialect, pool};
+
+/// Time for an engine to free a prompt. No call waits for it, and the engine drops the prompt by
+/// itself some seconds later.
+const FREE_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 
 /// A prompt that an engine holds; freed when it is dropped without having been taken.
 pub(crate) struct HeldPrompt<D, C>
@@ -87,15 +90,17 @@
     };
     *request.uri_mut() = uri;
     insert_host(request.headers_mut(), holder.address);
-    match core.pool.send(holder, request).await {
-        Ok((answer, connection)) => {
-            if answer.into_body().collect().await.is_ok() {
-                connection.release();
-            }
-        }
-        Err(error) => {
-            tracing::debug!(target = %holder.name, %error, "failed to free a held prompt");
-        }
+    let exchange = async {
+        let sent = core.pool.send(holder, request).await;
+        let (answer, connection) = sent.map_err(|error| error.to_string())?;
+        answer_buffer::read_own(answer.into_body()).await?;
+        connection.release();
+        Ok::<_, String>(())
+    };
+    let exchange = tokio::time::timeout(FREE_TIMEOUT, exchange).await;
+    let exchange = exchange.unwrap_or_else(|_| Err(format!("no answer within {FREE_TIMEOUT:?}")));
+    if let Err(error) = exchange {
+        tracing::debug!(target = %holder.name, error, "failed to free a held prompt");
     }
 }
 
--- a/crates/usher_gateway/src/lib.rs
+++ b/crates/usher_gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! translates.
 
 mod answer;
+mod answer_buffer;
 mod body;
 mod call;
 mod core;
--- a/crates/usher_gateway/src/model.rs
+++ b/crates/usher_gateway/src/model.rs
@@ -109,7 +109,7 @@
                 }
                 guard.finish_prefill();
                 record_read(core, call, target);
-                return to_response(placed, answer).await;
+                return to_response(core, placed, answer).await;
             }
             send::SendResult::NotSent(text) => {
                 log.record_send(&target.name, &text);
@@ -307,7 +307,7 @@
             return Err(failed(true)(text));
         }
     };
-    let (status, _, body) = answer.read().await.map_err(failed(true))?;
+    let (status, body) = answer.read_own().await.map_err(failed(true))?;
     if !status.is_success() {
         let text = format!("prefill failed with status {}", status.as_u16());
         return Err(failed(true)(text));
@@ -321,7 +321,8 @@
 }
 
 /// Converts the answer of an engine to a response for the caller.
-async fn to_response(
+async fn to_response<D, C>(
+    core: &core::GatewayCore<D, C>,
     placed: PlacedCall,
     answer: send::TargetAnswer,
 ) -> Result<CallResponse, answer::CallRefusal> {
@@ -332,7 +333,7 @@
             answer,
         })));
     }
-    let read = answer.read().await;
+    let read = answer.read(&core.answers).await;
     let (status, headers, bytes) = read.map_err(answer::CallRefusal::Unknown)?;
     Ok(CallResponse::complete(
         status,
--- a/crates/usher_gateway/src/plain.rs
+++ b/crates/usher_gateway/src/plain.rs
@@ -40,9 +40,10 @@
         let options = send::SendOptions::new(dialect::SendStep::Complete);
         let result = send::send(core, call, &target, options).await;
         let result = match result {
-            send::SendResult::Answer(answer) => {
-                answer.read().await.map_err(send::SendResult::Broken)
-            }
+            send::SendResult::Answer(answer) => answer
+                .read(&core.answers)
+                .await
+                .map_err(send::SendResult::Broken),
             other => Err(other),
         };
         drop(guard);
--- a/crates/usher_gateway/src/pool.rs
+++ b/crates/usher_gateway/src/pool.rs
@@ -27,6 +27,10 @@
 /// Maximum time until a connection is reusable after its answer was read.
 const RELEASE_TIMEOUT: time::Duration = time::Duration::from_millis(500);
 
+/// Largest head of an answer, and size of the read buffer of a connection, in bytes. A target that
+/// sends without end fills no more on each connection.
+const MAX_HEAD_BYTES: usize = 64 * 1_024;
+
 type ConnectionSender = http1::SendRequest<RequestBody>;
 pub(crate) type RequestBody = http_body_util::Full<bytes::Bytes>;
 
@@ -190,6 +194,7 @@
         .map_err(not_sent)?;
     let io = hyper_util::rt::TokioIo::new(socket);
     let (sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_HEAD_BYTES)
         .handshake(io)
         .await
         .map_err(not_sent)?;
--- a/crates/usher_gateway/src/relay.rs
+++ b/crates/usher_gateway/src/relay.rs
@@ -140,7 +140,10 @@
                 }
             };
             let bytes = match &mut self.splitter {
-                Some(splitter) => splitter.push(&bytes).unwrap_or_default(),
+                Some(splitter) => match splitter.push(&bytes) {
+                    Ok(events) => events.unwrap_or_default(),
+                    Err(error) => return RelayResult::Broken(error.to_string()),
+                },
                 None => bytes,
             };
             if bytes.is_empty() {
--- a/crates/usher_gateway/src/send.rs
+++ b/crates/usher_gateway/src/send.rs
@@ -2,14 +2,10 @@
 
 use std::{net, time};
 
-use http_body_util::BodyExt as _;
 use usher_place::TargetFailure;
 use usher_roster::TargetEntry;
 
-use crate::{call, core, dialect, pool};
-
-/// Largest answer that is buffered; plain answers have a few kilobytes.
-const MAX_ANSWER_BYTES: usize = 8 * 1_024 * 1_024;
+use crate::{answer_buffer, call, core, dialect, pool};
 
 /// Maximum time to read the body of a refusal.
 const REFUSAL_TIMEOUT: time::Duration = time::Duration::from_millis(500);
@@ -143,7 +139,7 @@
     }
     if metadata.not_run || metadata.wrong_target {
         let reason = format!("refused with {}", parts.status.as_u16());
-        let read = http_body_util::Limited::new(body, MAX_ANSWER_BYTES).collect();
+        let read = answer_buffer::read_own(body);
         if matches!(tokio::time::timeout(REFUSAL_TIMEOUT, read).await, Ok(Ok(_))) {
             connection.release();
         }
@@ -161,17 +157,28 @@
 }
 
 impl TargetAnswer {
-    /// Reads the complete body.
+    /// Reads the complete body for the caller.
     ///
     /// # Errors
     ///
-    /// Fails when the body ends early; the answer must not be passed on then.
+    /// Fails when the body ends early or is too long; the answer must not be passed on then.
     pub(crate) async fn read(
         self,
+        buffer: &answer_buffer::AnswerBuffer,
     ) -> Result<(http::StatusCode, http::HeaderMap, bytes::Bytes), String> {
-        let read = http_body_util::Limited::new(self.body, MAX_ANSWER_BYTES).collect();
-        let body = read.await.map_err(|error| error.to_string())?;
+        let body = buffer.read(self.body).await?;
+        self.connection.release();
+        Ok((self.status, self.headers, body))
+    }
+
+    /// Reads the complete body of an answer that is not passed on.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the body ends early or is too long.
+    pub(crate) async fn read_own(self) -> Result<(http::StatusCode, bytes::Bytes), String> {
+        let body = answer_buffer::read_own(self.body).await?;
         self.connection.release();
-        Ok((self.status, self.headers, body.to_bytes()))
+        Ok((self.status, body))
     }
 }
