Report reads of shared prefixes until a report is confirmed

Found by looking for the incident's class elsewhere, by reading: a gateway took its new reads off the list when it sent them to a registrar. When the reply did not come within 0.3 s, the other gateways never learned of them, and the same prefix was not reported again for 5 s. While no registrar could be reached the list grew without a limit.

Change: reads stay on the list until the report is answered; the list keeps the newest 1,024. A report that arrived although its reply was lost is sent twice, which the other gateways take as another read of the same prefix.

The tests use calls that did not exist before, so that they were not seen failing. What is lost between a registrar and a gateway, or between registrars, is still not sent again: estimates only, in the postmortem.

--- a/crates/usher_gateway/src/load_exchange.rs
+++ b/crates/usher_gateway/src/load_exchange.rs
@@ -30,10 +30,12 @@
         let Some(client) = client else {
             continue;
         };
+        let reads = own_reads(&core);
+        let reported = reads.len();
         let report = message::UseReport {
             uses: own_loads(&core),
             gateways: 0,
-            reads: own_reads(&core),
+            reads,
         };
         let body = envelope::Body::UseReport(report);
         match client.call(body, REPLY_TIMEOUT).await {
@@ -61,7 +63,10 @@
                     prefix: read.parts,
                     target: read.target,
                 });
-                core.with_engine_policy(|policy| policy.merge_reads(reads, now));
+                core.with_engine_policy(|policy| {
+                    policy.mark_reported(reported);
+                    policy.merge_reads(reads, now);
+                });
             }
             Ok(_) => {}
             Err(error) => {
@@ -77,7 +82,7 @@
     D: dialect::CallDialect,
     C: usher_types::ClockSource,
 {
-    let reads = core.with_engine_policy(usher_place::EnginePolicy::take_unreported);
+    let reads = core.with_engine_policy(usher_place::EnginePolicy::unreported);
     let reads = reads.into_iter().map(|read| message::PartsRead {
         parts: read.prefix,
         target: read.target,
--- a/crates/usher_place/src/cache_estimate.rs
+++ b/crates/usher_place/src/cache_estimate.rs
@@ -15,6 +15,9 @@
 /// Number of tracked prefixes at which expired ones are removed.
 const PRUNE_THRESHOLD: usize = 20_000;
 
+/// Maximum number of unreported reads while no registrar can be reached; the newest are kept.
+const MAX_UNREPORTED: usize = 1_024;
+
 usher_types::value_type! {
     /// A shared prefix that an engine has read, as gateways report it to each other.
     #[derive(Copy)]
@@ -61,10 +64,17 @@
         None
     }
 
-    /// Returns the reads that have not been reported to the other gateways, and marks them as
-    /// reported.
-    pub(crate) fn take_unreported(&mut self) -> Vec<PrefixRead> {
-        std::mem::take(&mut self.unreported)
+    /// Returns the newest reads that have not been reported to the other gateways, and forgets older
+    /// ones.
+    pub(crate) fn unreported(&mut self) -> Vec<PrefixRead> {
+        let excess = self.unreported.len().saturating_sub(MAX_UNREPORTED);
+        self.unreported.drain(..excess);
+        self.unreported.clone()
+    }
+
+    /// Marks the first reads of the last [`Self::unreported`] as reported.
+    pub(crate) fn mark_reported(&mut self, count: usize) {
+        self.unreported.drain(..count.min(self.unreported.len()));
     }
 
     /// Returns the engines that probably have the prefix cached.
--- a/crates/usher_place/src/engine.rs
+++ b/crates/usher_place/src/engine.rs
@@ -87,10 +87,15 @@
         }
     }
 
-    /// Returns the reads that have not been reported to the other gateways, and marks them as
-    /// reported.
-    pub fn take_unreported(&mut self) -> Vec<cache_estimate::PrefixRead> {
-        self.cache.take_unreported()
+    /// Returns the newest reads that have not been reported to the other gateways. They are returned
+    /// again until [`Self::mark_reported`].
+    pub fn unreported(&mut self) -> Vec<cache_estimate::PrefixRead> {
+        self.cache.unreported()
+    }
+
+    /// Marks the first reads of the last [`Self::unreported`] as reported.
+    pub fn mark_reported(&mut self, count: usize) {
+        self.cache.mark_reported(count);
     }
 
     /// Adds reads that other gateways reported.
--- a/crates/usher_place/tests/engines.rs
+++ b/crates/usher_place/tests/engines.rs
@@ -96,7 +96,7 @@
     fn report_read(&mut self, engine: &str, work: &PromptWork) {
         let (now, mut other) = (time::Instant::now(), EnginePolicy::default());
         other.record_read(&TargetName::new(engine), work, now);
-        self.policy.merge_reads(other.take_unreported(), now);
+        self.policy.merge_reads(other.unreported(), now);
     }
 
     fn address(&self, engine: &str) -> net::SocketAddr {
@@ -415,3 +415,34 @@
         "the target has just answered this gateway"
     );
 }
+
+/// Guards against reads that the other gateways never learn of because one report was lost.
+#[test]
+fn reads_are_reported_until_a_report_is_confirmed() {
+    let (now, mut policy) = (time::Instant::now(), EnginePolicy::default());
+    let engine = TargetName::new("reader");
+    policy.record_read(&engine, &work(800, 200), now);
+    let lost = policy.unreported();
+    assert!(!lost.is_empty());
+    policy.record_read(&TargetName::new("other"), &work(800, 200), now);
+    let sent = policy.unreported();
+    assert!(sent.len() > lost.len());
+    assert_eq!(sent[..lost.len()], lost);
+    policy.record_read(&TargetName::new("third"), &work(800, 200), now);
+    policy.mark_reported(sent.len());
+    let later = policy.unreported();
+    assert_eq!(later.len(), sent.len() - lost.len());
+    policy.mark_reported(later.len());
+    assert!(policy.unreported().is_empty());
+}
+
+/// Guards against a list that grows for as long as no registrar can be reached.
+#[test]
+fn unreported_reads_are_bounded() {
+    let (now, mut policy) = (time::Instant::now(), EnginePolicy::default());
+    for number in 0..5_000 {
+        let engine = TargetName::new(format!("engine-{number}"));
+        policy.record_read(&engine, &work(800, 200), now);
+    }
+    assert!(policy.unreported().len() <= 1_024);
+}
