Measure what a change of the routes costs at the target size

`bench scale` gets rows for the transfer of all routes and of one changed route to a gateway, the time to publish, apply and look up a route, and the frame of a changed document between control nodes, from 1,375 to 11,000 routes.

--- a/crates/pimentousher/src/scale/mod.rs
+++ b/crates/pimentousher/src/scale/mod.rs
@@ -3,7 +3,7 @@
 //!
 //! Each figure is measured at four or more sizes, and a line fitted through them is evaluated at
 //! the target size: an installation with 760 targets, 340 entries, 8 control nodes, 11,000 teams
-//! and 4,900 requests per second. The figures depend on the machine and its other load.
+//! with a route each, and 4,900 requests per second. The figures depend on the machine and its other load.
 
 mod control_cost;
 mod entry_cost;
@@ -11,6 +11,7 @@
 mod policy_cost;
 mod report;
 mod resident_memory;
+mod route_cost;
 mod state_cost;
 
 use std::io;
@@ -30,6 +31,7 @@
     let mut states = state_cost::FleetStates::new();
     let mut rows = policies.measure();
     rows.extend(states.measure());
+    rows.extend(route_cost::measure());
     rows.extend(control_cost::measure()?);
     rows.extend(entry_cost::measure()?);
     Ok(ScaleReport { rows })
--- a/crates/pimentousher/src/scale/report.rs
+++ b/crates/pimentousher/src/scale/report.rs
@@ -7,7 +7,7 @@
 /// One figure at several sizes, and the value of its fitted line at the target size.
 #[derive(Clone, Debug, PartialEq, serde::Serialize)]
 pub struct ScaleRow {
-    /// Daemon that bears the cost: entry or control.
+    /// Daemon that bears the cost: entry, control, gateway or registrar.
     pub role: &'static str,
     /// Name of the measured figure.
     pub figure: &'static str,
