Answer a request for routes from a position that no part had

The position of a request comes from another process. The largest number overflowed: a panic where overflow is checked, and elsewhere all routes instead of none. The new test panicked before.

--- a/crates/usher_route/src/feed.rs
+++ b/crates/usher_route/src/feed.rs
@@ -118,7 +118,7 @@
         };
         let mut bytes = 0;
         let mut reached = position;
-        for (number, key) in self.order.range(position + 1..) {
+        for (number, key) in self.order.range(position.saturating_add(1)..) {
             if bytes >= PART_BYTES {
                 break;
             }
@@ -134,7 +134,11 @@
             }
             reached = *number;
         }
-        part.last = self.order.range(reached + 1..).next().is_none();
+        part.last = self
+            .order
+            .range(reached.saturating_add(1)..)
+            .next()
+            .is_none();
         part.next = Some(message::RouteCursor {
             epoch: self.epoch,
             change: reached,
--- a/crates/usher_route/tests/feed.rs
+++ b/crates/usher_route/tests/feed.rs
@@ -202,6 +202,23 @@
     assert_same(&table, sheet(1, &known));
 }
 
+/// Guards against a request that ends a registrar, or brings routes from a position that no part
+/// had.
+#[test]
+fn position_that_no_part_had_is_answered() {
+    let mut feed = RouteFeed::new(1);
+    feed.update(sheet(1, &routes(3)));
+    let after = |epoch, change| usher_wire::message::RouteChangesRequest {
+        base_version: u64::MAX,
+        after: Some(usher_wire::message::RouteCursor { epoch, change }),
+    };
+    let part = feed.part(&after(1, u64::MAX));
+    assert!(part.last && part.changed.is_empty());
+    let part = feed.part(&after(2, u64::MAX));
+    assert!(part.first && part.last);
+    assert_eq!(part.changed.len(), 3);
+}
+
 /// Guards against a look-up that takes a shorter prefix, a removed route, or time for all routes.
 #[test]
 fn longest_prefix_wins_after_changes() {
