Go on with the registrar that has sent part of a transfer

Found by reading the follower again: a transfer of several parts started anew when a nearer registrar offered the version on the way, and a registrar whose watch comes and goes had no failures each time it was back, so that it was asked first again. A gateway with a thin link beside such a registrar could start over without end. A registrar that answered with a version that isn't newer left an empty transfer, whose next request asked for all routes.

--- a/crates/usher_gateway/src/route_follower.rs
+++ b/crates/usher_gateway/src/route_follower.rs
@@ -99,13 +99,18 @@
     D: dialect::CallDialect,
     C: usher_types::ClockSource,
 {
-    let mut open = None;
+    let mut open: Option<OpenTransfer> = None;
     // Set when the routes in force turned out to differ from those of their version.
     let mut needs_all = false;
     loop {
         let changed = offers.changed.notified();
         let now = core.clock.now();
-        let choice = offers.lock().selector.choose(core.routes_version(), now);
+        let has_parts = open.as_ref().filter(|open| !open.transfer.is_empty());
+        let source_of_open = has_parts.map(|open| open.source);
+        let choice = {
+            let selector = &mut offers.lock().selector;
+            selector.choose(core.routes_version(), source_of_open, now)
+        };
         let (source, timeout) = match choice {
             SourceChoice::Fetch { source, timeout } => (source, timeout),
             SourceChoice::Wait(until) => {
@@ -125,7 +130,7 @@
         let base = if needs_all { 0 } else { core.routes_version() };
         let mut transfer = open
             .take()
-            .filter(|open: &OpenTransfer| open.source == source)
+            .filter(|open| open.source == source)
             .unwrap_or_else(|| OpenTransfer {
                 source,
                 transfer: RouteTransfer::new(usher_types::ConfigVersion::new(base)),
@@ -165,11 +170,11 @@
                     fetch_ms = ended.saturating_duration_since(now).as_millis(),
                     "failed to fetch the routes"
                 );
-                if matches!(error, FetchError::Transfer(_)) {
-                    needs_all = true;
-                } else {
+                match error {
                     // The next request to the registrar asks for the same part again.
-                    open = Some(transfer);
+                    FetchError::Call(_) => open = Some(transfer),
+                    FetchError::Transfer(_) => needs_all = true,
+                    _ => {}
                 }
             }
         }
--- a/crates/usher_watch/src/source_selector.rs
+++ b/crates/usher_watch/src/source_selector.rs
@@ -73,9 +73,12 @@
         known.preference = preference;
     }
 
-    /// Forgets a source that can't be reached.
+    /// Records that a source can't be reached and offers nothing. Its failures still count when it is
+    /// back: a source that comes and goes would otherwise always be asked first.
     pub fn withdraw(&mut self, source: net::SocketAddr) {
-        self.sources.remove(&source);
+        if let Some(known) = self.sources.get_mut(&source) {
+            known.version = 0;
+        }
     }
 
     /// Records that a request to a source has failed.
@@ -99,8 +102,14 @@
         self.sources.values().map(|source| source.version).max()
     }
 
-    /// Returns the next step of a follower that holds a version and has no request under way.
-    pub fn choose(&mut self, held: u64, now: time::Instant) -> SourceChoice {
+    /// Returns the next step of a follower that holds a version and has no request under way. A
+    /// source that has sent a part of a transfer goes on, unless its last request failed.
+    pub fn choose(
+        &mut self,
+        held: u64,
+        open: Option<net::SocketAddr>,
+        now: time::Instant,
+    ) -> SourceChoice {
         let newer = |source: &&Source| source.version > held;
         if !self.sources.values().any(|source| newer(&source)) {
             self.behind_since = None;
@@ -117,7 +126,10 @@
         let ready = newer
             .clone()
             .filter(|(_, source)| due(source) <= now)
-            .min_by_key(|(address, source)| (source.failures, source.preference, **address));
+            .min_by_key(|(address, source)| {
+                let is_other = open != Some(**address);
+                (is_other, source.failures, source.preference, **address)
+            });
         if let Some((address, source)) = ready {
             return SourceChoice::Fetch {
                 source: *address,
--- a/crates/usher_watch/tests/source_selector.rs
+++ b/crates/usher_watch/tests/source_selector.rs
@@ -27,14 +27,14 @@
 fn near_source_is_asked_first() {
     let (mut selector, now) = (SourceSelector::default(), time::Instant::now());
     selector.offer(address(1), 2, FAR, now);
-    assert_eq!(selector.choose(1, now), SourceChoice::Wait(now + FAR));
+    assert_eq!(selector.choose(1, None, now), SourceChoice::Wait(now + FAR));
     selector.offer(address(2), 2, time::Duration::ZERO, now + 30 * MS);
-    let choice = selector.choose(1, now + 30 * MS);
+    let choice = selector.choose(1, None, now + 30 * MS);
     assert_eq!(source_of(&choice), Some(address(2)));
     selector.record_success(address(2));
     // The delay starts again with the next version.
     selector.offer(address(1), 3, FAR, now + 240 * MS);
-    let choice = selector.choose(2, now + 240 * MS);
+    let choice = selector.choose(2, None, now + 240 * MS);
     assert_eq!(choice, SourceChoice::Wait(now + 490 * MS));
 }
 
@@ -43,7 +43,7 @@
 fn first_version_is_taken_from_any_source() {
     let (mut selector, now) = (SourceSelector::default(), time::Instant::now());
     selector.offer(address(1), 2, FAR, now);
-    let choice = selector.choose(0, now);
+    let choice = selector.choose(0, None, now);
     assert_eq!(source_of(&choice), Some(address(1)));
 }
 
@@ -54,26 +54,48 @@
     let (mut selector, now) = (SourceSelector::default(), time::Instant::now());
     selector.offer(address(1), 2, time::Duration::ZERO, now);
     selector.offer(address(2), 2, time::Duration::ZERO, now);
-    let first = source_of(&selector.choose(1, now)).unwrap();
+    let first = source_of(&selector.choose(1, None, now)).unwrap();
     selector.record_failure(first, now);
-    let second = source_of(&selector.choose(1, now)).unwrap();
+    let second = source_of(&selector.choose(1, None, now)).unwrap();
     assert_ne!(first, second);
     selector.record_failure(second, now);
-    let SourceChoice::Wait(until) = selector.choose(1, now) else {
+    let SourceChoice::Wait(until) = selector.choose(1, None, now) else {
         panic!("a source is asked again without a delay");
     };
-    assert!(source_of(&selector.choose(1, until)).is_some());
+    assert!(source_of(&selector.choose(1, None, until)).is_some());
 }
 
 /// Guards against requests to a source that offers nothing newer, or is out of reach.
 #[test]
 fn nothing_is_asked_when_current() {
     let (mut selector, now) = (SourceSelector::default(), time::Instant::now());
-    assert_eq!(selector.choose(0, now), SourceChoice::Current);
+    assert_eq!(selector.choose(0, None, now), SourceChoice::Current);
     selector.offer(address(1), 2, time::Duration::ZERO, now);
-    assert_eq!(selector.choose(2, now), SourceChoice::Current);
+    assert_eq!(selector.choose(2, None, now), SourceChoice::Current);
     selector.withdraw(address(1));
-    assert_eq!(selector.choose(1, now), SourceChoice::Current);
+    assert_eq!(selector.choose(1, None, now), SourceChoice::Current);
+}
+
+/// Guards against a long transfer that never ends because its source is changed for one that is
+/// nearer but doesn't answer.
+#[test]
+fn source_of_an_open_transfer_goes_on() {
+    let (mut selector, now) = (SourceSelector::default(), time::Instant::now());
+    let (far, near) = (address(1), address(2));
+    selector.offer(far, 2, FAR, now);
+    selector.choose(1, None, now);
+    let later = now + FAR;
+    assert_eq!(source_of(&selector.choose(1, None, later)), Some(far));
+    selector.offer(near, 2, time::Duration::ZERO, later);
+    assert_eq!(source_of(&selector.choose(1, Some(far), later)), Some(far));
+    selector.record_failure(far, later);
+    assert_eq!(source_of(&selector.choose(1, Some(far), later)), Some(near));
+    // A source that comes back has failed all the same.
+    selector.record_failure(near, later);
+    selector.withdraw(near);
+    selector.offer(near, 2, time::Duration::ZERO, later);
+    let choice = selector.choose(1, Some(far), later);
+    assert_eq!(choice, SourceChoice::Wait(later + 100 * MS));
 }
 
 /// The behaviour of a source in a run.
@@ -112,7 +134,7 @@
                     offered += 1;
                 }
             }
-            match selector.choose(1, now) {
+            match selector.choose(1, None, now) {
                 SourceChoice::Fetch { source, timeout } => {
                     let times = asked.entry(source).or_default();
                     let plan = plans[usize::from(source.port())];
