--- a/crates/pimentousher/src/daemon/registrar.rs
+++ b/crates/pimentousher/src/daemon/registrar.rs
@@ -53,7 +53,7 @@
     routes: R,
 ) -> Result<(), error::CommandError>
 where
-    D: usher_control::OrderDialect + usher_control::RouteDialect,
+    D: usher_control::OrderDialect + usher_route::RouteDialect,
     R: FnOnce(
         usher_control::TargetRegistry<usher_types::BootClock>,
         usher_control::RouteStore<usher_types::BootClock>,
--- a/crates/usher_control/src/lib.rs
+++ b/crates/usher_control/src/lib.rs
@@ -19,6 +19,6 @@
 pub use node::{ControlNode, RunningControl};
 pub use options::{ControlOptions, ControlPeer};
 pub use registrar::{
-    EngineRequest, OrderDialect, RegistrarNode, RegistrarOptions, RoleOrder, RouteDialect,
-    RouteStore, RunningRegistrar, TargetRegistry, VersionedRoutes,
+    EngineRequest, OrderDialect, RegistrarNode, RegistrarOptions, RoleOrder, RouteStore,
+    RunningRegistrar, TargetRegistry, VersionedRoutes,
 };
--- a/crates/usher_control/src/registrar/mod.rs
+++ b/crates/usher_control/src/registrar/mod.rs
@@ -18,6 +18,5 @@
 pub use node::{RegistrarNode, RunningRegistrar};
 pub use options::RegistrarOptions;
 pub use role_orders::{EngineRequest, OrderDialect, RoleOrder};
-pub use route_publisher::RouteDialect;
 pub use route_store::{RouteStore, VersionedRoutes};
 pub use target_registry::TargetRegistry;
--- a/crates/usher_control/src/registrar/node.rs
+++ b/crates/usher_control/src/registrar/node.rs
@@ -59,7 +59,7 @@
 
 impl<D, C> RegistrarNode<D, C>
 where
-    D: registrar::OrderDialect + registrar::RouteDialect,
+    D: registrar::OrderDialect + usher_route::RouteDialect,
     C: usher_types::ClockSource,
 {
     /// Creates a registrar that sends orders to engines and reads the routes in `dialect`, and whose
--- a/crates/usher_control/src/registrar/route_publisher.rs
+++ b/crates/usher_control/src/registrar/route_publisher.rs
@@ -8,16 +8,6 @@
 
 use crate::{fleet, registrar};
 
-/// The encoding in which the author of the routes writes them.
-pub trait RouteDialect: Clone + Send + Sync + 'static {
-    /// Parses and validates a set of routes as its author sent it.
-    ///
-    /// # Errors
-    ///
-    /// Fails with the reason when the document is invalid.
-    fn read_routes(&self, document: &[u8]) -> Result<usher_route::RouteSheet, String>;
-}
-
 /// The published routes with their history; cheap to clone.
 #[derive(Clone, Debug)]
 pub(crate) struct RoutePublisher {
@@ -54,7 +44,7 @@
     /// Publishes a set of routes if it is newer than the published one.
     pub(crate) fn publish<D>(&self, dialect: &D, routes: &registrar::VersionedRoutes)
     where
-        D: RouteDialect,
+        D: usher_route::RouteDialect,
     {
         let started = std::time::Instant::now();
         let bytes = routes.document.len();
@@ -97,7 +87,7 @@
     access: fleet::FleetAccess,
 ) where
     C: usher_types::ClockSource,
-    D: RouteDialect,
+    D: usher_route::RouteDialect,
 {
     let mut applied = access.watch_applied();
     let mut handled = None;
--- a/crates/usher_control/tests/registrar_restart.rs
+++ b/crates/usher_control/tests/registrar_restart.rs
@@ -4,8 +4,8 @@
 
 use prost::Message as _;
 use usher_control::{
-    EngineRequest, OrderDialect, RegistrarNode, RegistrarOptions, RoleOrder, RouteDialect,
-    RunningRegistrar, VersionedRoutes,
+    EngineRequest, OrderDialect, RegistrarNode, RegistrarOptions, RoleOrder, RunningRegistrar,
+    VersionedRoutes,
 };
 use usher_roster::{TargetEntry, TargetPhase};
 use usher_wire::message::{self, envelope};
@@ -55,7 +55,7 @@
 }
 
 /// Documents of this test are the number of their version.
-impl RouteDialect for NoOrders {
+impl usher_route::RouteDialect for NoOrders {
     fn read_routes(&self, document: &[u8]) -> Result<usher_route::RouteSheet, String> {
         let text = std::str::from_utf8(document).map_err(|error| error.to_string())?;
         let version = text.parse::<u64>().map_err(|error| error.to_string())?;
--- a/crates/usher_gateway/src/dialect.rs
+++ b/crates/usher_gateway/src/dialect.rs
@@ -79,7 +79,7 @@
 }
 
 /// Translates between messages on the wire and the metadata that the gateway uses.
-pub trait CallDialect: Clone + Send + Sync + 'static {
+pub trait CallDialect: usher_route::RouteDialect {
     /// Reads the metadata of a call.
     fn read_call(&self, headers: &http::HeaderMap) -> CallMetadata;
 
@@ -98,13 +98,6 @@
     /// Makes the request that frees a handle.
     fn free_handle(&self, handle: &str) -> TargetRequest;
 
-    /// Parses a set of routes as its author sent it.
-    ///
-    /// # Errors
-    ///
-    /// Fails with the reason when the document is invalid.
-    fn read_routes(&self, document: &[u8]) -> Result<usher_route::RouteSheet, String>;
-
     /// Returns the path of the readiness check.
     fn ready_path(&self) -> &'static str;
 }
--- a/crates/usher_gateway/tests/support/mod.rs
+++ b/crates/usher_gateway/tests/support/mod.rs
@@ -241,6 +241,20 @@
 #[derive(Clone, Copy, Debug)]
 struct DigitsDialect;
 
+impl usher_route::RouteDialect for DigitsDialect {
+    fn read_routes(&self, document: &[u8]) -> Result<usher_route::RouteSheet, String> {
+        let text = std::str::from_utf8(document).map_err(|error| error.to_string())?;
+        let version = text.trim().parse::<u64>();
+        let version = version.map_err(|error| error.to_string())?;
+        Ok(usher_route::RouteSheet {
+            version: usher_types::ConfigVersion::new(version),
+            routes: Vec::new(),
+            services: collections::BTreeMap::new(),
+            limits: usher_route::CallerLimits::default(),
+        })
+    }
+}
+
 impl CallDialect for DigitsDialect {
     fn read_call(&self, _headers: &http::HeaderMap) -> CallMetadata {
         CallMetadata::default()
@@ -265,18 +279,6 @@
         }
     }
 
-    fn read_routes(&self, document: &[u8]) -> Result<usher_route::RouteSheet, String> {
-        let text = std::str::from_utf8(document).map_err(|error| error.to_string())?;
-        let version = text.trim().parse::<u64>();
-        let version = version.map_err(|error| error.to_string())?;
-        Ok(usher_route::RouteSheet {
-            version: usher_types::ConfigVersion::new(version),
-            routes: Vec::new(),
-            services: collections::BTreeMap::new(),
-            limits: usher_route::CallerLimits::default(),
-        })
-    }
-
     fn ready_path(&self) -> &'static str {
         "/readyz"
     }
--- a/crates/usher_route/src/lib.rs
+++ b/crates/usher_route/src/lib.rs
@@ -4,6 +4,7 @@
 //! For: gateways and registrars, which share one definition of a set. Not for: the encoding in
 //! which an author sends a set, nor the choice of a target.
 
+mod dialect;
 mod error;
 mod feed;
 mod key;
@@ -13,6 +14,7 @@
 mod table;
 mod transfer;
 
+pub use dialect::RouteDialect;
 pub use error::{RecordError, RouteError, TransferError};
 pub use feed::RouteFeed;
 pub use key::RouteKey;
