Limit what an entry reads of its own requests to engines

Cache events, and the answers to exports, imports and cancels, were read without a limit. An engine that sends without end had 64 MiB read in 0.2 s, where the test stops it; the poll's timeout of 0.8 s was the only bound. The limit is 4 MiB. The new test failed before with 67,108,864 bytes.

--- a/crates/usher_entry/src/client.rs
+++ b/crates/usher_entry/src/client.rs
@@ -15,6 +15,10 @@
 /// Timeout of a cancel request.
 const CANCEL_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 
+/// Largest response that is read for the entry itself, in bytes: a page of cache events or the
+/// answer to an order. An engine that sends without end fills no more.
+const MAX_RESPONSE_BYTES: usize = 4 * 1_024 * 1_024;
+
 type InnerClient =
     legacy::Client<legacy::connect::HttpConnector, http_body_util::Full<bytes::Bytes>>;
 
@@ -130,7 +134,7 @@
         }
     }
 
-    /// Sends a request and reads the complete response.
+    /// Sends a request of the entry itself and reads the complete response.
     pub(crate) async fn exchange(
         &self,
         request: http::Request<http_body_util::Full<bytes::Bytes>>,
@@ -138,7 +142,8 @@
         use http_body_util::BodyExt as _;
         let response = self.send(request).await?;
         let status = response.status();
-        let body = response.into_body().collect().await;
+        let body = http_body_util::Limited::new(response.into_body(), MAX_RESPONSE_BYTES);
+        let body = body.collect().await;
         let body = body.map_err(|error| SendError::Unknown(error.to_string()))?;
         Ok((status, body.to_bytes()))
     }
--- a/crates/usher_entry/tests/entry/hostile.rs
+++ b/crates/usher_entry/tests/entry/hostile.rs
@@ -161,6 +161,40 @@
     assert!(head.contains(&format!("\r\nhost: {address}\r\n")));
 }
 
+/// Guards against an engine that sends without end and so fills the memory of an entry that reads
+/// its cache events.
+#[tokio::test(flavor = "multi_thread")]
+async fn endless_cache_events_are_given_up() {
+    const CHUNK: usize = 64 * 1_024;
+    /// Limit of the entry, and what the buffers of both sockets hold.
+    const MAX_SENT: usize = 16 * 1_024 * 1_024;
+    let options = options().with_suspect_after(time::Duration::from_secs(60));
+    let fleet = Fleet::start(options.with_cache_poll(time::Duration::from_millis(50))).await;
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    announce_engine(&fleet, &listener).await;
+    let sent = async {
+        loop {
+            let (mut socket, _) = listener.accept().await.unwrap();
+            let mut buffer = [0; 4_096];
+            let read = socket.read(&mut buffer).await.unwrap();
+            if !String::from_utf8_lossy(&buffer[..read]).contains("/v1/cache/events") {
+                continue;
+            }
+            let head = b"HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n\r\n";
+            socket.write_all(head).await.unwrap();
+            let mut sent = 0;
+            // The bound ends a failing test before it fills the memory.
+            while sent < 4 * MAX_SENT && socket.write_all(&[b' '; CHUNK]).await.is_ok() {
+                sent += CHUNK;
+            }
+            return sent;
+        }
+    };
+    let sent = tokio::time::timeout(time::Duration::from_secs(20), sent).await;
+    let sent = sent.expect("the entry reads the cache events");
+    assert!(sent <= MAX_SENT, "the entry read {sent} bytes");
+}
+
 fn hostile_engine(seed: u64) {
     let runtime = tokio::runtime::Runtime::new().unwrap();
     runtime.block_on(async {
