--- a/crates/pimentousher/src/daemon/registrar.rs
+++ b/crates/pimentousher/src/daemon/registrar.rs
@@ -41,8 +41,7 @@
 /// Runs a registrar until it receives a stop signal.
 ///
 /// `dialect` is the HTTP protocol in which it queries and orders engines, and the encoding of the
-/// routes; `routes` builds its own
-/// HTTP interface for targets and operators.
+/// routes; `routes` builds its own HTTP interface for targets and operators.
 ///
 /// # Errors
 ///
--- a/crates/pimentousher/src/scale/mod.rs
+++ b/crates/pimentousher/src/scale/mod.rs
@@ -3,7 +3,8 @@
 //!
 //! Each figure is measured at four or more sizes, and a line fitted through them is evaluated at
 //! the target size: an installation with 760 targets, 340 entries, 8 control nodes, 11,000 teams
-//! with a route each, and 4,900 requests per second. The figures depend on the machine and its other load.
+//! with a route each, and 4,900 requests per second. The figures depend on the machine and its
+//! other load.
 
 mod control_cost;
 mod entry_cost;
--- a/crates/usher_route/src/feed.rs
+++ b/crates/usher_route/src/feed.rs
@@ -24,9 +24,9 @@
 
 /// The routes of a registrar in the order of their last change.
 ///
-/// A transfer is a walk along that order: a route that changes meanwhile moves to its end and is
-/// seen again, so that the walk ends with the newest version however many changes arrive on the
-/// way.
+/// A transfer sends the routes in that order. A route that changes meanwhile moves to the end and is
+/// sent again, so that the transfer ends with the newest version however many changes arrive before
+/// its end.
 #[derive(Clone, Debug)]
 pub struct RouteFeed {
     /// Identifies the numbering of the changes.
