Log how answers of targets are framed and how they end

Now `sends` of "call ended" has, for each stream, its end, events, bytes after the last whole event, version of HTTP and framing, and for a plain answer its framing; `caller_http` is the caller's version; `gateway_answers_total` counts by framing and end. No decision changes.

--- a/crates/usher_gateway/src/call.rs
+++ b/crates/usher_gateway/src/call.rs
@@ -55,6 +55,8 @@
     pub(crate) route: String,
     pub(crate) service: String,
     pub(crate) version: u64,
+    /// Version of HTTP that the caller speaks.
+    pub(crate) caller_http: http::Version,
     pub(crate) arrived: tokio_time::Instant,
     pub(crate) first_byte: Option<time::Duration>,
     /// Targets that the call was sent to, with the outcome of each send.
@@ -78,6 +80,7 @@
             route: String::new(),
             service: String::new(),
             version: 0,
+            caller_http: http::Version::default(),
             arrived,
             first_byte: None,
             sends: Vec::new(),
@@ -119,6 +122,7 @@
             route = %self.route,
             service = %self.service,
             version = self.version,
+            caller_http = ?self.caller_http,
             status = self.status,
             first_ms = first.as_millis(),
             total_ms = total.as_millis(),
@@ -147,6 +151,7 @@
 {
     let arrived = tokio_time::Instant::now();
     let mut log = CallLog::new(core.metrics.clone(), arrived);
+    log.caller_http = request.version();
     let routed = route(&core, request, &mut log).await;
     let result = match routed {
         Ok(call) => {
--- a/crates/usher_gateway/src/lib.rs
+++ b/crates/usher_gateway/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod answer;
 mod answer_buffer;
+mod answer_trace;
 mod body;
 mod call;
 mod core;
--- a/crates/usher_gateway/src/metrics.rs
+++ b/crates/usher_gateway/src/metrics.rs
@@ -22,6 +22,7 @@
 pub(crate) struct GatewayMetrics {
     calls: family::Family<Labels, counter::Counter>,
     sends: family::Family<Labels, counter::Counter>,
+    answers: family::Family<Labels, counter::Counter>,
     first_byte: LatencyFamily,
     total: LatencyFamily,
     pub(crate) running: gauge::Gauge,
@@ -43,6 +44,7 @@
         let mut registry = registry::Registry::with_prefix("gateway");
         let calls = family::Family::default();
         let sends = family::Family::default();
+        let answers = family::Family::default();
         let first_byte = LatencyFamily::new_with_constructor(latency);
         let total = LatencyFamily::new_with_constructor(latency);
         let running = gauge::Gauge::default();
@@ -62,6 +64,11 @@
             "sends to targets, by service and outcome",
             sends.clone(),
         );
+        registry.register(
+            "answers",
+            "bodies of answers of targets, by framing and end",
+            answers.clone(),
+        );
         let name = "first_byte_seconds";
         registry.register(
             name,
@@ -94,6 +101,7 @@
         Self {
             calls,
             sends,
+            answers,
             first_byte,
             total,
             running,
@@ -133,6 +141,12 @@
         self.sends.get_or_create(&labels).inc();
     }
 
+    /// Counts the body of an answer by how it was framed and how it ended.
+    pub(crate) fn answer_ended(&self, framing: usher_answer::AnswerFraming, end: &'static str) {
+        let labels = vec![("framing", framing.to_string()), ("end", end.to_owned())];
+        self.answers.get_or_create(&labels).inc();
+    }
+
     /// Records that a registrar offers a version of the routes.
     pub(crate) fn set_offered_version(&self, version: u64) {
         let version = i64::try_from(version).unwrap_or(i64::MAX);
--- a/crates/usher_gateway/src/plain.rs
+++ b/crates/usher_gateway/src/plain.rs
@@ -40,18 +40,23 @@
         let options = send::SendOptions::new(dialect::SendStep::Complete);
         let result = send::send(core, call, &target, options).await;
         let result = match result {
-            send::SendResult::Answer(answer) => answer
-                .read(&core.answers)
-                .await
-                .map_err(send::SendResult::Broken),
+            send::SendResult::Answer(answer) => {
+                let framing = usher_answer::AnswerFraming::of_head(&answer.headers);
+                let read = answer.read(&core.answers).await;
+                let end = if read.is_ok() { "complete" } else { "broken" };
+                core.metrics.answer_ended(framing, end);
+                read.map(|(status, headers, bytes)| (status, headers, bytes, framing))
+                    .map_err(send::SendResult::Broken)
+            }
             other => Err(other),
         };
         drop(guard);
         log.is_running = false;
         let reached = !matches!(result, Err(send::SendResult::NotSent(_)));
         match result {
-            Ok((status, headers, bytes)) => {
-                log.record_send(&target.name, status.as_str());
+            Ok((status, headers, bytes, framing)) => {
+                let outcome = format!("{}, {framing}", status.as_str());
+                log.record_send(&target.name, &outcome);
                 let answer = model::CallResponse::complete(
                     status,
                     headers,
--- a/crates/usher_gateway/src/relay.rs
+++ b/crates/usher_gateway/src/relay.rs
@@ -8,7 +8,7 @@
 use usher_roster::TargetEntry;
 use usher_route::RepeatKind;
 
-use crate::{body, call, core, dialect, events, send};
+use crate::{answer_trace, body, call, core, dialect, events, send};
 
 /// A stream whose head has arrived.
 #[derive(Debug)]
@@ -19,6 +19,7 @@
 }
 
 /// The result of relaying the stream of one engine.
+#[derive(Debug)]
 enum RelayResult {
     /// The engine ended the stream.
     Complete,
@@ -30,6 +31,18 @@
     Broken(String),
 }
 
+impl RelayResult {
+    /// Returns the name of the result in metrics.
+    fn name(&self) -> &'static str {
+        match self {
+            Self::Complete => "complete",
+            Self::CallerLeft => "caller-left",
+            Self::Late => "late",
+            Self::Broken(_) => "broken",
+        }
+    }
+}
+
 /// A stream that is being relayed.
 struct StreamRelay<D, C> {
     core: sync::Arc<core::GatewayCore<D, C>>,
@@ -89,8 +102,14 @@
                 guard,
                 answer,
             } = start;
-            let result = self.relay(answer).await;
+            let framing = usher_answer::AnswerFraming::of_head(&answer.headers);
+            let mut trace = answer_trace::AnswerTrace::new(framing, answer.version);
+            let result = self.relay(answer, &mut trace).await;
             drop(guard);
+            let ended = result.name();
+            self.core.metrics.answer_ended(trace.framing(), ended);
+            self.log
+                .record_send(&target.name, &format!("stream {ended}: {trace}"));
             match result {
                 RelayResult::Complete => return self.log.finish("answered"),
                 RelayResult::CallerLeft => return self.log.finish("the caller left"),
@@ -112,7 +131,11 @@
     }
 
     /// Relays the stream of one engine until it ends.
-    async fn relay(&mut self, answer: send::TargetAnswer) -> RelayResult {
+    async fn relay(
+        &mut self,
+        answer: send::TargetAnswer,
+        trace: &mut answer_trace::AnswerTrace,
+    ) -> RelayResult {
         let send::TargetAnswer {
             mut body,
             connection,
@@ -139,6 +162,7 @@
                     return RelayResult::Complete;
                 }
             };
+            trace.add(&bytes);
             let bytes = match &mut self.splitter {
                 Some(splitter) => match splitter.push(&bytes) {
                     Ok(events) => events.unwrap_or_default(),
--- a/crates/usher_gateway/src/send.rs
+++ b/crates/usher_gateway/src/send.rs
@@ -14,6 +14,7 @@
 #[derive(Debug)]
 pub(crate) struct TargetAnswer {
     pub(crate) status: http::StatusCode,
+    pub(crate) version: http::Version,
     pub(crate) headers: http::HeaderMap,
     pub(crate) body: hyper::body::Incoming,
     pub(crate) connection: pool::ConnectionLease,
@@ -150,6 +151,7 @@
     }
     SendResult::Answer(TargetAnswer {
         status: parts.status,
+        version: parts.version,
         headers: parts.headers,
         body,
         connection,
