Take a stream that ends inside an event for a broken one

The relay took the end of a body for the end of the answer. A body without length and chunks ends with its connection, which an engine that stops also closes, and a route that may not be resumed was not split into events at all; on one that may be, the half event was passed on and the stream was not resumed.

Now one place decides what makes an answer complete: usher_answer follows the framing and the content of a body and reports its end only when nothing was cut off. Connections to targets hand out only this reader, so that streams, plain answers, refusals and answers to prefills are read through it. A stream that ends inside an event is broken in each framing, a stream without length also when it has no event, JSON without length also inside a value. The body for the caller ends properly only when its sender says so; a dropped sender breaks it off. Streams of events go to callers without the engine's length, which a cut stream can fulfil. A target that breaks off the body of any answer counts as lost.

--- /dev/null
+++ b/crates/usher_answer/src/answer_fault.rs
@@ -0,0 +1,36 @@
+//! The reasons for which an answer isn't complete. Not for: what follows from them.
+
+/// The reason for which an answer isn't complete.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum AnswerFault {
+    /// The connection broke, or the framing of the body is damaged.
+    #[error("the connection broke: {0}")]
+    Connection(String),
+    /// The stream ended inside an event.
+    #[error("the stream ended inside an event, after {events} complete events")]
+    InsideEvent {
+        /// Number of complete events.
+        events: u64,
+    },
+    /// Neither a length, nor chunks, nor an event: nothing arrived before the connection ended.
+    #[error("the stream has no event, and neither a length nor chunks")]
+    NoEvent,
+    /// The JSON text ended inside a value, and the answer has neither a length nor chunks.
+    #[error("the JSON text ended inside a value, after {bytes} bytes")]
+    InsideJson {
+        /// Number of bytes that arrived.
+        bytes: u64,
+    },
+    /// The answer, or one of its events, is longer than the limit.
+    #[error("the answer is longer than {limit} bytes")]
+    TooLong {
+        /// Largest accepted size, in bytes.
+        limit: usize,
+    },
+    /// Other long answers leave no room to buffer this one.
+    #[error("long answers take more than {limit} bytes together")]
+    NoRoom {
+        /// Largest size of all long answers together, in bytes.
+        limit: usize,
+    },
+}
--- a/crates/usher_answer/src/lib.rs
+++ b/crates/usher_answer/src/lib.rs
@@ -1,9 +1,21 @@
-//! Describes how the answers of targets are framed and where the events of their streams end.
+//! Decides whether the answers of targets are complete, and passes them on so.
 //!
-//! For: the daemons that read answers. Not for: connections, and the contents of events.
+//! For: every daemon that reads an answer or relays it. Not for: connections, retries, and the
+//! contents of events.
 
+mod answer_check;
+mod answer_fault;
 mod answer_framing;
+mod answer_reader;
 mod event_scanner;
+mod event_splitter;
+mod json_scanner;
+mod stream_body;
 
+pub use answer_check::AnswerCheck;
+pub use answer_fault::AnswerFault;
 pub use answer_framing::AnswerFraming;
+pub use answer_reader::AnswerReader;
 pub use event_scanner::EventScanner;
+pub use event_splitter::EventSplitter;
+pub use stream_body::{StreamBody, StreamSender};
--- a/crates/usher_gateway/src/answer_buffer.rs
+++ b/crates/usher_gateway/src/answer_buffer.rs
@@ -2,7 +2,9 @@
 
 use std::sync;
 
-use http_body_util::BodyExt as _;
+use usher_answer::AnswerFault;
+
+use crate::pool;
 
 /// Largest answer that is buffered, in bytes; plain answers have a few kilobytes.
 const MAX_ANSWER_BYTES: usize = 8 * 1_024 * 1_024;
@@ -34,25 +36,23 @@
     ///
     /// # Errors
     ///
-    /// Fails when the body ends early or is too long, or when other long answers leave no room for
-    /// it.
-    pub(crate) async fn read(&self, body: hyper::body::Incoming) -> Result<bytes::Bytes, String> {
+    /// Fails when the answer was broken off or is too long, or when other long answers leave no room
+    /// for it.
+    pub(crate) async fn read(
+        &self,
+        body: &mut pool::TargetBody,
+    ) -> Result<bytes::Bytes, AnswerFault> {
         let mut held = HeldBytes {
             buffer: self.clone(),
             bytes: 0,
         };
-        let mut body = body;
         let mut content = bytes::BytesMut::new();
-        while let Some(frame) = body.frame().await {
-            let frame = frame.map_err(|error| error.to_string())?;
-            let Ok(data) = frame.into_data() else {
-                continue;
-            };
-            content.extend_from_slice(&data);
+        while let Some(bytes) = body.next().await? {
+            content.extend_from_slice(&bytes);
             if content.len() > MAX_ANSWER_BYTES {
-                return Err(format!(
-                    "the answer is longer than {MAX_ANSWER_BYTES} bytes"
-                ));
+                return Err(AnswerFault::TooLong {
+                    limit: MAX_ANSWER_BYTES,
+                });
             }
             held.grow(content.len().saturating_sub(FREE_BYTES))?;
         }
@@ -61,15 +61,15 @@
 }
 
 impl HeldBytes {
-    fn grow(&mut self, bytes: usize) -> Result<(), String> {
+    fn grow(&mut self, bytes: usize) -> Result<(), AnswerFault> {
         let added = bytes.saturating_sub(self.bytes);
         let relaxed = sync::atomic::Ordering::Relaxed;
         let before = self.buffer.held.fetch_add(added, relaxed);
         self.bytes += added;
         if added > 0 && before + added > MAX_TOTAL_BYTES {
-            return Err(format!(
-                "long answers take more than {MAX_TOTAL_BYTES} bytes together"
-            ));
+            return Err(AnswerFault::NoRoom {
+                limit: MAX_TOTAL_BYTES,
+            });
         }
         Ok(())
     }
@@ -81,14 +81,3 @@
         self.buffer.held.fetch_sub(self.bytes, relaxed);
     }
 }
-
-/// Reads a body that only the gateway itself needs.
-///
-/// # Errors
-///
-/// Fails when the body ends early or is too long.
-pub(crate) async fn read_own(body: hyper::body::Incoming) -> Result<bytes::Bytes, String> {
-    let body = http_body_util::Limited::new(body, MAX_OWN_ANSWER_BYTES).collect();
-    let body = body.await.map_err(|error| error.to_string())?;
-    Ok(body.to_bytes())
-}
--- a/crates/usher_gateway/src/body.rs
+++ b/crates/usher_gateway/src/body.rs
@@ -2,8 +2,6 @@
 
 use std::{io, pin, task};
 
-use tokio::sync::mpsc;
-
 /// Number of chunks of a stream that are queued for a slow caller.
 const STREAM_QUEUE: usize = 16;
 
@@ -12,22 +10,18 @@
 pub(crate) enum AnswerBody {
     /// A complete body; `None` after it was sent.
     Complete(Option<bytes::Bytes>),
-    /// Chunks as they arrive; an error breaks the connection, so that the answer doesn't look
-    /// complete.
-    Stream(mpsc::Receiver<io::Result<bytes::Bytes>>),
+    /// Chunks as they arrive.
+    Stream(usher_answer::StreamBody),
 }
 
-/// The sending side of a stream.
-pub(crate) type ChunkSender = mpsc::Sender<io::Result<bytes::Bytes>>;
-
 impl AnswerBody {
     pub(crate) fn complete(bytes: impl Into<bytes::Bytes>) -> Self {
         Self::Complete(Some(bytes.into()))
     }
 
-    pub(crate) fn stream() -> (ChunkSender, Self) {
-        let (sender, receiver) = mpsc::channel(STREAM_QUEUE);
-        (sender, Self::Stream(receiver))
+    pub(crate) fn stream() -> (usher_answer::StreamSender, Self) {
+        let (sender, body) = usher_answer::StreamBody::new(STREAM_QUEUE);
+        (sender, Self::Stream(body))
     }
 }
 
@@ -44,9 +38,7 @@
                 let bytes = bytes.take().filter(|bytes| !bytes.is_empty());
                 task::Poll::Ready(bytes.map(|bytes| Ok(http_body::Frame::data(bytes))))
             }
-            Self::Stream(receiver) => receiver
-                .poll_recv(context)
-                .map(|chunk| chunk.map(|chunk| chunk.map(http_body::Frame::data))),
+            Self::Stream(body) => pin::Pin::new(body).poll_frame(context),
         }
     }
 
--- a/crates/usher_gateway/src/core.rs
+++ b/crates/usher_gateway/src/core.rs
@@ -290,6 +290,13 @@
         use_policy(&mut policy)
     }
 
+    /// Records that a target couldn't be reached, or broke off its answer.
+    pub(crate) fn record_lost(&self, target: &usher_types::TargetName) {
+        let now = self.clock.now();
+        let lost = usher_place::TargetFailure::Lost;
+        self.loads.record_failure(target, lost, now);
+    }
+
     /// Makes the view from which a target of a service is chosen.
     pub(crate) fn view<'t>(
         &'t self,
--- a/crates/usher_gateway/src/held_prompt.rs
+++ b/crates/usher_gateway/src/held_prompt.rs
@@ -4,7 +4,7 @@
 
 use usher_roster::TargetEntry;
 
-use crate::{answer_buffer, core, dialect, pool};
+use crate::{answer_buffer::MAX_OWN_ANSWER_BYTES, core, dialect, pool};
 
 /// Time for an engine to free a prompt. No call waits for it, and the engine drops the prompt by
 /// itself some seconds later.
@@ -93,7 +93,8 @@
     let exchange = async {
         let sent = core.pool.send(holder, request).await;
         let (answer, connection) = sent.map_err(|error| error.to_string())?;
-        answer_buffer::read_own(answer.into_body()).await?;
+        let read = answer.into_body().read_all(MAX_OWN_ANSWER_BYTES).await;
+        read.map_err(|error| error.to_string())?;
         connection.release();
         Ok::<_, String>(())
     };
--- a/crates/usher_gateway/src/lib.rs
+++ b/crates/usher_gateway/src/lib.rs
@@ -6,12 +6,10 @@
 
 mod answer;
 mod answer_buffer;
-mod answer_trace;
 mod body;
 mod call;
 mod core;
 mod dialect;
-mod events;
 mod health;
 mod held_prompt;
 mod load_exchange;
--- a/crates/usher_gateway/src/model.rs
+++ b/crates/usher_gateway/src/model.rs
@@ -307,7 +307,11 @@
             return Err(failed(true)(text));
         }
     };
-    let (status, body) = answer.read_own().await.map_err(failed(true))?;
+    let read = answer.read_own().await.map_err(|fault| {
+        core.record_lost(&target.name);
+        failed(true)(fault.to_string())
+    });
+    let (status, body) = read?;
     if !status.is_success() {
         let text = format!("prefill failed with status {}", status.as_u16());
         return Err(failed(true)(text));
@@ -324,8 +328,12 @@
 async fn to_response<D, C>(
     core: &core::GatewayCore<D, C>,
     placed: PlacedCall,
-    answer: send::TargetAnswer,
-) -> Result<CallResponse, answer::CallRefusal> {
+    answer: Box<send::TargetAnswer>,
+) -> Result<CallResponse, answer::CallRefusal>
+where
+    D: dialect::CallDialect,
+    C: usher_types::ClockSource,
+{
     if answer.status.is_success() {
         return Ok(CallResponse::Stream(Box::new(relay::StreamStart {
             target: placed.target,
@@ -333,8 +341,11 @@
             answer,
         })));
     }
-    let read = answer.read(&core.answers).await;
-    let (status, headers, bytes) = read.map_err(answer::CallRefusal::Unknown)?;
+    let read = answer.read(&core.answers).await.map_err(|fault| {
+        core.record_lost(&placed.target.name);
+        answer::CallRefusal::Unknown(fault.to_string())
+    });
+    let (status, headers, bytes) = read?;
     Ok(CallResponse::complete(
         status,
         headers,
--- a/crates/usher_gateway/src/plain.rs
+++ b/crates/usher_gateway/src/plain.rs
@@ -40,21 +40,19 @@
         let options = send::SendOptions::new(dialect::SendStep::Complete);
         let result = send::send(core, call, &target, options).await;
         let result = match result {
-            send::SendResult::Answer(answer) => {
-                let framing = usher_answer::AnswerFraming::of_head(&answer.headers);
-                let read = answer.read(&core.answers).await;
-                let end = if read.is_ok() { "complete" } else { "broken" };
-                core.metrics.answer_ended(framing, end);
-                read.map(|(status, headers, bytes)| (status, headers, bytes, framing))
-                    .map_err(send::SendResult::Broken)
-            }
+            send::SendResult::Answer(answer) => read(core, &target, answer).await,
             other => Err(other),
         };
         drop(guard);
         log.is_running = false;
         let reached = !matches!(result, Err(send::SendResult::NotSent(_)));
         match result {
-            Ok((status, headers, bytes, framing)) => {
+            Ok(PlainAnswer {
+                status,
+                headers,
+                bytes,
+                framing,
+            }) => {
                 let outcome = format!("{}, {framing}", status.as_str());
                 log.record_send(&target.name, &outcome);
                 let answer = model::CallResponse::complete(
@@ -111,3 +109,40 @@
         answer::CallRefusal::NotRun(reason)
     })
 }
+
+/// A complete answer.
+struct PlainAnswer {
+    status: http::StatusCode,
+    headers: http::HeaderMap,
+    bytes: bytes::Bytes,
+    framing: usher_answer::AnswerFraming,
+}
+
+/// Reads the complete body of an answer; a target that breaks it off counts as lost.
+async fn read<D, C>(
+    core: &core::GatewayCore<D, C>,
+    target: &usher_roster::TargetEntry,
+    answer: Box<send::TargetAnswer>,
+) -> Result<PlainAnswer, send::SendResult>
+where
+    D: dialect::CallDialect,
+    C: usher_types::ClockSource,
+{
+    let framing = answer.body.check().framing();
+    match answer.read(&core.answers).await {
+        Ok((status, headers, bytes)) => {
+            core.metrics.answer_ended(framing, "complete");
+            Ok(PlainAnswer {
+                status,
+                headers,
+                bytes,
+                framing,
+            })
+        }
+        Err(fault) => {
+            core.metrics.answer_ended(framing, "broken");
+            core.record_lost(&target.name);
+            Err(send::SendResult::Broken(fault.to_string()))
+        }
+    }
+}
--- a/crates/usher_gateway/src/pool.rs
+++ b/crates/usher_gateway/src/pool.rs
@@ -32,6 +32,8 @@
 const MAX_HEAD_BYTES: usize = 64 * 1_024;
 
 type ConnectionSender = http1::SendRequest<RequestBody>;
+/// The body of an answer, whose end is reported only when the answer is complete.
+pub(crate) type TargetBody = usher_answer::AnswerReader<hyper::body::Incoming>;
 pub(crate) type RequestBody = http_body_util::Full<bytes::Bytes>;
 
 /// The reason for which a request has no answer.
@@ -74,7 +76,7 @@
         &self,
         target: &usher_roster::TargetEntry,
         request: http::Request<RequestBody>,
-    ) -> Result<(http::Response<hyper::body::Incoming>, ConnectionLease), ConnectionError> {
+    ) -> Result<(http::Response<TargetBody>, ConnectionLease), ConnectionError> {
         let mut request = request;
         while let Some(sender) = self.take_idle(&target.name) {
             match self.send_on(sender, &target.name, request).await {
@@ -95,7 +97,7 @@
         target: &usher_types::TargetName,
         request: http::Request<RequestBody>,
     ) -> Result<
-        (http::Response<hyper::body::Incoming>, ConnectionLease),
+        (http::Response<TargetBody>, ConnectionLease),
         (ConnectionError, Option<http::Request<RequestBody>>),
     > {
         match sender.try_send_request(request).await {
@@ -106,7 +108,9 @@
                     sender,
                     keep_alive: keep_alive_time(answer.headers()),
                 };
-                Ok((answer, connection))
+                let (parts, body) = answer.into_parts();
+                let body = TargetBody::new(&parts.headers, body);
+                Ok((http::Response::from_parts(parts, body), connection))
             }
             Err(mut error) => {
                 let unsent = error.take_message();
--- a/crates/usher_gateway/src/relay.rs
+++ b/crates/usher_gateway/src/relay.rs
@@ -1,21 +1,24 @@
 //! Relays a stream to its caller, and resumes it on another engine where the route allows that. Not
 //! for: the call before the head of its answer.
 
-use std::{io, sync};
+use std::sync;
 
-use http_body_util::BodyExt as _;
+use usher_answer::AnswerFault;
 use usher_place::CallGuard;
 use usher_roster::TargetEntry;
 use usher_route::RepeatKind;
 
-use crate::{answer_trace, body, call, core, dialect, events, send};
+use crate::{body, call, core, dialect, pool, send};
+
+/// Largest event that is buffered, in bytes; events hold a few tokens.
+const MAX_EVENT_BYTES: usize = 256 * 1_024;
 
 /// A stream whose head has arrived.
 #[derive(Debug)]
 pub(crate) struct StreamStart {
     pub(crate) target: TargetEntry,
     pub(crate) guard: CallGuard,
-    pub(crate) answer: send::TargetAnswer,
+    pub(crate) answer: Box<send::TargetAnswer>,
 }
 
 /// The result of relaying the stream of one engine.
@@ -28,7 +31,7 @@
     /// The deadline of the call passed.
     Late,
     /// The stream broke.
-    Broken(String),
+    Broken(AnswerFault),
 }
 
 impl RelayResult {
@@ -48,9 +51,46 @@
     core: sync::Arc<core::GatewayCore<D, C>>,
     call: sync::Arc<call::RoutedCall>,
     log: call::CallLog,
-    sender: body::ChunkSender,
+    sender: usher_answer::StreamSender,
     /// Set where another engine may resume the stream.
-    splitter: Option<events::EventSplitter>,
+    resume: Option<ResumePoint>,
+}
+
+/// Passes on complete events only, so that another engine can resume after the last one.
+struct ResumePoint {
+    splitter: usher_answer::EventSplitter,
+    has_events: bool,
+    /// Id of the last event that was passed on.
+    last_id: Option<u64>,
+}
+
+impl ResumePoint {
+    fn new() -> Self {
+        Self {
+            splitter: usher_answer::EventSplitter::new(MAX_EVENT_BYTES),
+            has_events: false,
+            last_id: None,
+        }
+    }
+
+    /// Adds bytes of the stream; returns the events that are complete now.
+    fn add(&mut self, bytes: &[u8]) -> Result<bytes::Bytes, AnswerFault> {
+        self.splitter.push(bytes)?;
+        let events = self.splitter.take_events().unwrap_or_default();
+        if !events.is_empty() {
+            self.has_events = true;
+            self.last_id = last_id(&events).or(self.last_id);
+        }
+        Ok(events)
+    }
+}
+
+fn last_id(events: &[u8]) -> Option<u64> {
+    events
+        .split(|byte| matches!(byte, b'\n' | b'\r'))
+        .rev()
+        .filter_map(|line| line.strip_prefix(b"id:"))
+        .find_map(|id| std::str::from_utf8(id).ok()?.trim().parse().ok())
 }
 
 impl StreamStart {
@@ -70,10 +110,12 @@
         *answer.status_mut() = self.answer.status;
         let mut headers = self.answer.headers.clone();
         call::remove_connection_headers(&mut headers);
-        let resumable = call.route.kind == RepeatKind::ResumableStream;
-        if resumable {
+        let has_events = self.answer.body.check().has_events();
+        if has_events {
+            // A stream may end inside an event although it has the length that its engine stated.
             headers.remove(http::header::CONTENT_LENGTH);
         }
+        let may_resume = has_events && call.route.kind == RepeatKind::ResumableStream;
         *answer.headers_mut() = headers;
         log.record_head(answer.status());
         let relay = StreamRelay {
@@ -81,7 +123,7 @@
             call,
             log,
             sender,
-            splitter: resumable.then(events::EventSplitter::default),
+            resume: may_resume.then(ResumePoint::new),
         };
         tokio::spawn(relay.run(self));
         answer
@@ -102,28 +144,39 @@
                 guard,
                 answer,
             } = start;
-            let framing = usher_answer::AnswerFraming::of_head(&answer.headers);
-            let mut trace = answer_trace::AnswerTrace::new(framing, answer.version);
-            let result = self.relay(answer, &mut trace).await;
+            let send::TargetAnswer {
+                version,
+                mut body,
+                connection,
+                ..
+            } = *answer;
+            let result = self.relay(&mut body).await;
             drop(guard);
             let ended = result.name();
-            self.core.metrics.answer_ended(trace.framing(), ended);
-            self.log
-                .record_send(&target.name, &format!("stream {ended}: {trace}"));
+            let check = body.check();
+            self.core.metrics.answer_ended(check.framing(), ended);
+            self.log.record_send(
+                &target.name,
+                &format!("stream {ended}: {check}, {version:?}"),
+            );
             match result {
-                RelayResult::Complete => return self.log.finish("answered"),
+                RelayResult::Complete => {
+                    connection.release();
+                    self.sender.finish();
+                    return self.log.finish("answered");
+                }
                 RelayResult::CallerLeft => return self.log.finish("the caller left"),
-                RelayResult::Late => return self.fail("the deadline of the call passed").await,
-                RelayResult::Broken(text) => {
-                    let lost = usher_place::TargetFailure::Lost;
-                    let now = self.core.clock.now();
-                    self.core.loads.record_failure(&target.name, lost, now);
+                // The sender is dropped, which breaks the answer off.
+                RelayResult::Late => return self.log.finish("the deadline of the call passed"),
+                RelayResult::Broken(fault) => {
+                    self.core.record_lost(&target.name);
+                    let text = fault.to_string();
                     self.log.record_send(&target.name, &text);
                     tried.push(target.name);
                     self.log.runs += 1;
                     next = self.resume(&tried).await;
                     if next.is_none() {
-                        return self.fail(&text).await;
+                        return self.log.finish(&text);
                     }
                 }
             }
@@ -131,62 +184,50 @@
     }
 
     /// Relays the stream of one engine until it ends.
-    async fn relay(
-        &mut self,
-        answer: send::TargetAnswer,
-        trace: &mut answer_trace::AnswerTrace,
-    ) -> RelayResult {
-        let send::TargetAnswer {
-            mut body,
-            connection,
-            ..
-        } = answer;
+    async fn relay(&mut self, body: &mut pool::TargetBody) -> RelayResult {
         let late = tokio::time::sleep_until(self.call.deadline);
         tokio::pin!(late);
         loop {
-            let frame = tokio::select! {
+            let read = tokio::select! {
                 biased;
                 () = self.sender.closed() => return RelayResult::CallerLeft,
                 () = &mut late => return RelayResult::Late,
-                frame = body.frame() => frame,
-            };
-            let bytes = match frame {
-                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
-                Some(Err(error)) => return RelayResult::Broken(error.to_string()),
-                None => {
-                    connection.release();
-                    let rest = self.splitter.as_mut().map(events::EventSplitter::take_rest);
-                    if let Some(rest) = rest.filter(|rest| !rest.is_empty()) {
-                        let _ = self.sender.send(Ok(rest)).await;
-                    }
-                    return RelayResult::Complete;
-                }
+                read = body.next() => read,
             };
-            trace.add(&bytes);
-            let bytes = match &mut self.splitter {
-                Some(splitter) => match splitter.push(&bytes) {
-                    Ok(events) => events.unwrap_or_default(),
-                    Err(error) => return RelayResult::Broken(error.to_string()),
+            let (bytes, is_end) = match (read, &mut self.resume) {
+                (Err(fault), _) => return RelayResult::Broken(fault),
+                (Ok(Some(bytes)), None) => (bytes, false),
+                (Ok(Some(bytes)), Some(resume)) => match resume.add(&bytes) {
+                    Ok(events) => (events, false),
+                    Err(fault) => return RelayResult::Broken(fault),
                 },
-                None => bytes,
+                (Ok(None), None) => return RelayResult::Complete,
+                // Comments may follow the last event.
+                (Ok(None), Some(resume)) => (resume.splitter.take_rest(), true),
             };
-            if bytes.is_empty() {
-                continue;
+            if !bytes.is_empty() {
+                tokio::select! {
+                    is_read = self.sender.send(bytes) => if !is_read {
+                        return RelayResult::CallerLeft;
+                    },
+                    () = &mut late => return RelayResult::Late,
+                }
             }
-            tokio::select! {
-                sent = self.sender.send(Ok(bytes)) => if sent.is_err() {
-                    return RelayResult::CallerLeft;
-                },
-                () = &mut late => return RelayResult::Late,
+            if is_end {
+                return RelayResult::Complete;
             }
         }
     }
 
     /// Resumes the stream on another engine after the last event that was relayed.
     async fn resume(&mut self, tried: &[usher_types::TargetName]) -> Option<StreamStart> {
-        let splitter = self.splitter.as_mut()?;
-        let _ = splitter.take_rest();
-        let after = splitter.last_id().or(self.call.metadata.last_event);
+        let resume = self.resume.as_mut()?;
+        let _ = resume.splitter.take_rest();
+        // Without an id, another engine would repeat the events that the caller has.
+        if resume.has_events && resume.last_id.is_none() {
+            return None;
+        }
+        let after = resume.last_id.or(self.call.metadata.last_event);
         let (core, call) = (self.core.clone(), self.call.clone());
         let policy = usher_place::RetryPolicy {
             sends: u32::try_from(tried.len()).unwrap_or(u32::MAX),
@@ -236,11 +277,4 @@
             }
         }
     }
-
-    /// Aborts the stream with an error, so that it doesn't look complete.
-    async fn fail(mut self, reason: &str) {
-        let error = io::Error::other(reason.to_owned());
-        let _ = self.sender.send(Err(error)).await;
-        self.log.finish(reason);
-    }
 }
--- a/crates/usher_gateway/src/send.rs
+++ b/crates/usher_gateway/src/send.rs
@@ -2,6 +2,7 @@
 
 use std::{net, time};
 
+use usher_answer::AnswerFault;
 use usher_place::TargetFailure;
 use usher_roster::TargetEntry;
 
@@ -16,7 +17,7 @@
     pub(crate) status: http::StatusCode,
     pub(crate) version: http::Version,
     pub(crate) headers: http::HeaderMap,
-    pub(crate) body: hyper::body::Incoming,
+    pub(crate) body: pool::TargetBody,
     pub(crate) connection: pool::ConnectionLease,
 }
 
@@ -24,7 +25,7 @@
 #[derive(Debug)]
 pub(crate) enum SendResult {
     /// The target answers.
-    Answer(TargetAnswer),
+    Answer(Box<TargetAnswer>),
     /// The call did not reach the target.
     NotSent(String),
     /// The target states that it didn't run the call.
@@ -90,13 +91,11 @@
             result
         }
         Err(pool::ConnectionError::NotSent(text)) => {
-            core.loads
-                .record_failure(&target.name, TargetFailure::Lost, core.clock.now());
+            core.record_lost(&target.name);
             SendResult::NotSent(text)
         }
         Err(pool::ConnectionError::Broken(text)) => {
-            core.loads
-                .record_failure(&target.name, TargetFailure::Lost, core.clock.now());
+            core.record_lost(&target.name);
             SendResult::Broken(text)
         }
     };
@@ -115,14 +114,14 @@
     call: &call::RoutedCall,
     target: &TargetEntry,
     runs_call: bool,
-    answer: http::Response<hyper::body::Incoming>,
+    answer: http::Response<pool::TargetBody>,
     connection: pool::ConnectionLease,
 ) -> SendResult
 where
     D: dialect::CallDialect,
     C: usher_types::ClockSource,
 {
-    let (parts, body) = answer.into_parts();
+    let (parts, mut body) = answer.into_parts();
     let metadata = core.dialect.read_answer(parts.status, &parts.headers);
     let now = core.clock.now();
     // A duplicate answer to an earlier call may arrive in place of this one.
@@ -140,7 +139,7 @@
     }
     if metadata.not_run || metadata.wrong_target {
         let reason = format!("refused with {}", parts.status.as_u16());
-        let read = answer_buffer::read_own(body);
+        let read = body.read_all(answer_buffer::MAX_OWN_ANSWER_BYTES);
         if matches!(tokio::time::timeout(REFUSAL_TIMEOUT, read).await, Ok(Ok(_))) {
             connection.release();
         }
@@ -148,14 +147,17 @@
     }
     if parts.status.is_success() {
         core.loads.record_success(&target.name, now);
+        if runs_call && call.route.kind.is_stream() {
+            body = body.with_default_events();
+        }
     }
-    SendResult::Answer(TargetAnswer {
+    SendResult::Answer(Box::new(TargetAnswer {
         status: parts.status,
         version: parts.version,
         headers: parts.headers,
         body,
         connection,
-    })
+    }))
 }
 
 impl TargetAnswer {
@@ -163,12 +165,12 @@
     ///
     /// # Errors
     ///
-    /// Fails when the body ends early or is too long; the answer must not be passed on then.
+    /// Fails when the answer was broken off or is too long; it must not be passed on then.
     pub(crate) async fn read(
-        self,
+        mut self,
         buffer: &answer_buffer::AnswerBuffer,
-    ) -> Result<(http::StatusCode, http::HeaderMap, bytes::Bytes), String> {
-        let body = buffer.read(self.body).await?;
+    ) -> Result<(http::StatusCode, http::HeaderMap, bytes::Bytes), AnswerFault> {
+        let body = buffer.read(&mut self.body).await?;
         self.connection.release();
         Ok((self.status, self.headers, body))
     }
@@ -177,9 +179,12 @@
     ///
     /// # Errors
     ///
-    /// Fails when the body ends early or is too long.
-    pub(crate) async fn read_own(self) -> Result<(http::StatusCode, bytes::Bytes), String> {
-        let body = answer_buffer::read_own(self.body).await?;
+    /// Fails when the answer was broken off or is too long.
+    pub(crate) async fn read_own(
+        mut self,
+    ) -> Result<(http::StatusCode, bytes::Bytes), AnswerFault> {
+        let limit = answer_buffer::MAX_OWN_ANSWER_BYTES;
+        let body = self.body.read_all(limit).await?;
         self.connection.release();
         Ok((self.status, body))
     }
