Reset the connection of a broken answer that has no chunks

A caller of HTTP/1.0 gets answers that end with its connection, so that it took a stream that the gateway broke off for a complete one: the gateway closed the connection in order.

--- a/crates/usher_gateway/src/server.rs
+++ b/crates/usher_gateway/src/server.rs
@@ -1,6 +1,6 @@
 //! Accepts connections and serves them until the gateway stops. Not for: the answers.
 
-use std::{convert, future, sync, time};
+use std::{convert, future, pin, sync, time};
 
 use hyper_util::rt;
 use tokio::net;
@@ -92,7 +92,11 @@
     open.0.send_modify(|count| *count += 1);
     let _ = socket.set_nodelay(true);
     let draining = stop.clone();
-    let service = hyper::service::service_fn(move |request| {
+    let lacks_chunks = sync::Arc::new(sync::atomic::AtomicBool::new(false));
+    let is_old = lacks_chunks.clone();
+    let service = hyper::service::service_fn(move |request: http::Request<_>| {
+        let old = request.version() < http::Version::HTTP_11;
+        is_old.store(old, sync::atomic::Ordering::Relaxed);
         let answer = service(request);
         let draining = draining.clone();
         async move {
@@ -104,22 +108,33 @@
             Ok::<_, convert::Infallible>(answer)
         }
     });
-    let connection = hyper::server::conn::http1::Builder::new()
+    let mut connection = hyper::server::conn::http1::Builder::new()
         .timer(rt::TokioTimer::new())
         .header_read_timeout(idle_timeout)
         .serve_connection(rt::TokioIo::new(socket), service);
-    tokio::pin!(connection);
     let delay_over = wait_drain_delay(stop);
     tokio::pin!(delay_over);
     let ended = tokio::select! {
-        ended = connection.as_mut() => ended,
+        ended = &mut connection => ended,
         () = &mut delay_over => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+            pin::Pin::new(&mut connection).graceful_shutdown();
+            (&mut connection).await
         }
     };
     if let Err(error) = ended {
         tracing::debug!(%error, "caller connection ended with an error");
+        // Without chunks, an orderly close would complete a body that was broken off.
+        if error.is_user() && lacks_chunks.load(sync::atomic::Ordering::Relaxed) {
+            reset(&connection.into_parts().io.into_inner());
+        }
     }
     open.0.send_modify(|count| *count -= 1);
 }
+
+/// Makes the close of a connection a reset.
+fn reset(socket: &net::TcpStream) {
+    let socket = socket2::SockRef::from(socket);
+    if let Err(error) = socket.set_linger(Some(time::Duration::ZERO)) {
+        tracing::warn!(%error, "failed to reset the connection of a broken answer");
+    }
+}
