Record and pass on only complete answers in the entry daemon

A plain answer without length that was cut inside its JSON text reached its caller with 200, was recorded under the key of the call and repeated for as long as the key was kept; the rest of a long one was passed on and ended as complete. Now plain answers, streams, error bodies and the entry's own requests are read by the reader of usher_answer, and the rest of a long answer ends properly only when its sender says so. A cut answer is 502 with x-run: unknown, and its claim ends as unknown. A text without length and without a form that shows its end stays complete.

Streams of engines are split by the same splitter as at the gateway, which also knows lines that end with a carriage return; the entry took such a stream for one without a last event.

--- a/crates/usher_entry/src/client.rs
+++ b/crates/usher_entry/src/client.rs
@@ -22,6 +22,15 @@
 type InnerClient =
     legacy::Client<legacy::connect::HttpConnector, http_body_util::Full<bytes::Bytes>>;
 
+/// The body of an answer, whose end is reported only when the answer is complete.
+pub(crate) type TargetBody = usher_answer::AnswerReader<hyper::body::Incoming>;
+
+/// Returns the reader of an answer's body.
+pub(crate) fn read_answer(response: http::Response<hyper::body::Incoming>) -> TargetBody {
+    let (parts, body) = response.into_parts();
+    TargetBody::new(&parts.headers, body)
+}
+
 /// The reason why a request got no response.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum SendError {
@@ -139,13 +148,11 @@
         &self,
         request: http::Request<http_body_util::Full<bytes::Bytes>>,
     ) -> Result<(http::StatusCode, bytes::Bytes), SendError> {
-        use http_body_util::BodyExt as _;
         let response = self.send(request).await?;
         let status = response.status();
-        let body = http_body_util::Limited::new(response.into_body(), MAX_RESPONSE_BYTES);
-        let body = body.collect().await;
-        let body = body.map_err(|error| SendError::Unknown(error.to_string()))?;
-        Ok((status, body.to_bytes()))
+        let body = read_answer(response).read_all(MAX_RESPONSE_BYTES).await;
+        let body = body.map_err(|fault| SendError::Unknown(fault.to_string()))?;
+        Ok((status, body))
     }
 }
 
--- a/crates/usher_entry/src/model/sse.rs
+++ b/crates/usher_entry/src/model/sse.rs
@@ -2,6 +2,8 @@
 //!
 //! Not for: the meaning of an event.
 
+use usher_answer::AnswerFault;
+
 use crate::stream_pool;
 
 /// Maximum length of an event, in bytes.
@@ -30,48 +32,54 @@
     Stopping,
 }
 
+impl From<AnswerFault> for StreamFault {
+    fn from(fault: AnswerFault) -> Self {
+        match fault {
+            AnswerFault::Connection(text) => Self::Broken(text),
+            AnswerFault::TooLong { .. } | AnswerFault::NoRoom { .. } => {
+                Self::Malformed("event exceeds the maximum length")
+            }
+            AnswerFault::InsideEvent { .. }
+            | AnswerFault::NoEvent
+            | AnswerFault::InsideJson { .. } => Self::Truncated,
+        }
+    }
+}
+
 /// Reads SSE events from a response body; reads another frame only while no complete event is
 /// buffered.
 #[derive(Debug)]
 pub(crate) struct SseReader {
     connection: stream_pool::EngineConnection,
     body: hyper::body::Incoming,
-    buffer: bytes::BytesMut,
-    // Length of the buffer already searched for the end of an event.
-    searched: usize,
+    check: usher_answer::AnswerCheck,
+    splitter: usher_answer::EventSplitter,
 }
 
 impl SseReader {
     pub(crate) fn new(
         connection: stream_pool::EngineConnection,
-        body: hyper::body::Incoming,
+        response: http::Response<hyper::body::Incoming>,
     ) -> Self {
+        let (parts, body) = response.into_parts();
         Self {
             connection,
             body,
-            buffer: bytes::BytesMut::new(),
-            searched: 0,
+            check: usher_answer::AnswerCheck::new(&parts.headers).with_default_events(),
+            splitter: usher_answer::EventSplitter::new(MAX_EVENT_BYTES),
         }
     }
 
     /// Returns the next event with its terminating empty line, or `None` at the end of the body.
     pub(crate) async fn next(&mut self) -> Result<Option<bytes::Bytes>, StreamFault> {
         loop {
-            if let Some(event) = self.split() {
+            if let Some(event) = self.splitter.next_event() {
                 return Ok(Some(event));
             }
-            if self.buffer.len() > MAX_EVENT_BYTES {
-                return Err(StreamFault::Malformed("event exceeds the maximum length"));
-            }
-            match self.connection.frame(&mut self.body).await {
-                Some(Ok(frame)) => {
-                    if let Ok(data) = frame.into_data() {
-                        self.buffer.extend_from_slice(&data);
-                    }
-                }
-                Some(Err(error)) => return Err(StreamFault::Broken(error.to_string())),
-                None if self.buffer.iter().all(u8::is_ascii_whitespace) => return Ok(None),
-                None => return Err(StreamFault::Truncated),
+            let frame = self.connection.frame(&mut self.body).await;
+            match self.check.read_frame(frame)? {
+                Some(bytes) => self.splitter.push(&bytes)?,
+                None => return Ok(None),
             }
         }
     }
@@ -80,43 +88,13 @@
     pub(crate) fn into_parts(self) -> (stream_pool::EngineConnection, hyper::body::Incoming) {
         (self.connection, self.body)
     }
-
-    fn split(&mut self) -> Option<bytes::Bytes> {
-        // The line feed and the empty line that end an event may arrive in different frames.
-        let start = self.searched.saturating_sub(3);
-        let found = find_event_end(self.buffer.get(start..)?);
-        match found {
-            Some(length) => {
-                self.searched = 0;
-                Some(self.buffer.split_to(start + length).freeze())
-            }
-            None => {
-                self.searched = self.buffer.len();
-                None
-            }
-        }
-    }
-}
-
-/// Returns the length up to and including the first empty line.
-fn find_event_end(bytes: &[u8]) -> Option<usize> {
-    let mut from = 0;
-    while let Some(at) = bytes.get(from..)?.iter().position(|byte| *byte == b'\n') {
-        let next = from + at + 1;
-        match bytes.get(next..)? {
-            [b'\n', ..] => return Some(next + 1),
-            [b'\r', b'\n', ..] => return Some(next + 2),
-            _ => from = next,
-        }
-    }
-    None
 }
 
 /// Returns the data of an event, or `None` if it has none, such as a comment.
 pub(crate) fn event_data(event: &[u8]) -> Result<Option<&str>, StreamFault> {
     let text = std::str::from_utf8(event).map_err(|_| StreamFault::Malformed("not UTF-8"))?;
     let mut data = None;
-    for line in text.lines() {
+    for line in text.split(['\n', '\r']) {
         if let Some(value) = line.strip_prefix("data:") {
             if data.replace(value.trim_start()).is_some() {
                 return Err(StreamFault::Malformed("event has more than one data line"));
--- a/crates/usher_entry/src/model/stream.rs
+++ b/crates/usher_entry/src/model/stream.rs
@@ -176,7 +176,7 @@
                 read_error(&mut connection, response).await,
             ));
         }
-        let mut reader = sse::SseReader::new(connection, response.into_body());
+        let mut reader = sse::SseReader::new(connection, response);
         let mut buffered = std::collections::VecDeque::new();
         let checked = !core.options.disabled.checks;
         while buffered.len() < MAX_BUFFERED_EVENTS {
@@ -316,11 +316,16 @@
     connection: &mut stream_pool::EngineConnection,
     response: http::Response<hyper::body::Incoming>,
 ) -> String {
-    let mut body = response.into_body();
+    let (parts, mut body) = response.into_parts();
+    let mut check = usher_answer::AnswerCheck::new(&parts.headers);
     let mut bytes = Vec::new();
-    while let Some(frame) = connection.frame(&mut body).await {
-        let data = frame.ok().and_then(|frame| frame.into_data().ok());
-        bytes.extend_from_slice(&data.unwrap_or_default());
+    loop {
+        let frame = connection.frame(&mut body).await;
+        match check.read_frame(frame) {
+            Ok(Some(data)) => bytes.extend_from_slice(&data),
+            Ok(None) => break,
+            Err(fault) => return format!("the error body is incomplete: {fault}"),
+        }
         if bytes.len() > MAX_ERROR_BYTES {
             return format!("error body is longer than {MAX_ERROR_BYTES} bytes");
         }
--- a/crates/usher_entry/src/plain/answer.rs
+++ b/crates/usher_entry/src/plain/answer.rs
@@ -3,12 +3,11 @@
 //! Not for: choosing the target.
 
 use axum::response::{self, IntoResponse as _};
-use http_body_util::BodyExt as _;
 use usher_types::RunState;
 use usher_wire::message;
 
 use crate::{
-    client::SendError,
+    client::{self, SendError, TargetBody},
     error::CallError,
     plain::{call, claim},
 };
@@ -19,7 +18,7 @@
     headers: http::HeaderMap,
     prefix: bytes::Bytes,
     // The unread rest, set for an answer that is longer than what control records.
-    rest: Option<hyper::body::Incoming>,
+    rest: Option<TargetBody>,
 }
 
 impl PlainAnswer {
@@ -27,22 +26,22 @@
     pub(crate) async fn read(
         response: http::Response<hyper::body::Incoming>,
     ) -> Result<Self, SendError> {
-        let (parts, mut body) = response.into_parts();
+        let status = response.status();
+        let headers = call::answer_headers(response.headers());
+        let mut body = client::read_answer(response);
         let mut prefix = bytes::BytesMut::new();
         let mut rest = None;
-        while let Some(frame) = body.frame().await {
-            let frame = frame.map_err(|error| SendError::Unknown(error.to_string()))?;
-            if let Ok(data) = frame.into_data() {
-                prefix.extend_from_slice(&data);
-            }
+        let unknown = |fault: usher_answer::AnswerFault| SendError::Unknown(fault.to_string());
+        while let Some(bytes) = body.next().await.map_err(unknown)? {
+            prefix.extend_from_slice(&bytes);
             if prefix.len() > claim::MAX_RECORDED_ANSWER_BYTES {
                 rest = Some(body);
                 break;
             }
         }
         Ok(Self {
-            status: parts.status,
-            headers: call::answer_headers(&parts.headers),
+            status,
+            headers,
             prefix: prefix.freeze(),
             rest,
         })
@@ -68,7 +67,7 @@
     }
 
     /// Takes the unread rest of the body.
-    pub(crate) fn take_rest(&mut self) -> Option<hyper::body::Incoming> {
+    pub(crate) fn take_rest(&mut self) -> Option<TargetBody> {
         self.rest.take()
     }
 
--- a/crates/usher_entry/src/plain/runner.rs
+++ b/crates/usher_entry/src/plain/runner.rs
@@ -5,13 +5,12 @@
 use std::{sync, time};
 
 use axum::response;
-use http_body_util::BodyExt as _;
 use usher_policy::{CallRequest, FailureKind, RetryDecision, RouteDecision};
 use usher_types::RunState;
 
 use crate::{
     attempt::AttemptGuard,
-    client::SendError,
+    client::{SendError, TargetBody},
     core,
     error::CallError,
     identity,
@@ -290,25 +289,32 @@
             self.complete();
             return Ok(answer.into_response(None));
         };
-        let (sender, receiver) = tokio::sync::mpsc::channel(REST_QUEUE_LEN);
+        let (sender, body) = usher_answer::StreamBody::new(REST_QUEUE_LEN);
         let timeout = self.core.options.plain_timeout;
         tokio::spawn(async move {
-            let complete = forward(rest, sender, timeout).await;
-            match (complete, claim) {
-                (true, Some(claim)) => claim.record_answer(record).await,
-                (false, Some(claim)) => claim.mark_unknown(),
+            let forwarded = forward(rest, &sender, timeout).await;
+            match (&forwarded, claim) {
+                (Ok(()), Some(claim)) => claim.record_answer(record).await,
+                (Err(_), Some(claim)) => claim.mark_unknown(),
                 (_, None) => {}
             }
-            if complete {
-                guard.finish();
-                self.complete();
-            } else {
-                guard.fail(FailureKind::Broken);
-                self.record_outcome(OutcomeCause::Failed);
+            match forwarded {
+                Ok(()) => {
+                    sender.finish();
+                    guard.finish();
+                    self.complete();
+                }
+                Err(reason) => {
+                    tracing::info!(
+                        request = %self.identity.id, target = %guard.name, reason,
+                        "answer broke"
+                    );
+                    guard.fail(FailureKind::Broken);
+                    self.record_outcome(OutcomeCause::Failed);
+                }
             }
         });
-        let rest = tokio_stream::wrappers::ReceiverStream::new(receiver);
-        Ok(answer.into_response(Some(axum::body::Body::from_stream(rest))))
+        Ok(answer.into_response(Some(axum::body::Body::new(body))))
     }
 
     fn complete(&mut self) {
@@ -376,34 +382,31 @@
     status == http::StatusCode::SERVICE_UNAVAILABLE
 }
 
-/// Forwards the rest of an answer to the caller; returns whether all of it was read from the
-/// target.
+/// Forwards the rest of an answer to the caller.
 ///
 /// `timeout` limits the wait for each frame. Without it, a target that stays connected but sends
 /// nothing would hold the call and its claim forever.
+///
+/// # Errors
+///
+/// Fails with the reason when the answer isn't complete.
 async fn forward(
-    mut rest: hyper::body::Incoming,
-    sender: tokio::sync::mpsc::Sender<Result<bytes::Bytes, String>>,
+    mut rest: TargetBody,
+    sender: &usher_answer::StreamSender,
     timeout: time::Duration,
-) -> bool {
+) -> Result<(), String> {
     loop {
-        let frame = match tokio::time::timeout(timeout, rest.frame()).await {
-            Ok(None) => return true,
-            Ok(Some(frame)) => frame.map_err(|error| error.to_string()),
-            Err(_) => Err(format!(
-                "target sent no more of its answer within {timeout:?}"
-            )),
-        };
-        match frame {
-            Ok(frame) => {
-                if let Ok(data) = frame.into_data() {
-                    // The answer is read to its end even if the caller has disconnected.
-                    let _ = sender.send(Ok(data)).await;
-                }
+        match tokio::time::timeout(timeout, rest.next()).await {
+            Ok(Ok(None)) => return Ok(()),
+            Ok(Ok(Some(bytes))) => {
+                // The answer is read to its end even if the caller has disconnected.
+                let _ = sender.send(bytes).await;
             }
-            Err(error) => {
-                let _ = sender.send(Err(error)).await;
-                return false;
+            Ok(Err(fault)) => return Err(fault.to_string()),
+            Err(_) => {
+                return Err(format!(
+                    "target sent no more of its answer within {timeout:?}"
+                ));
             }
         }
     }
--- a/crates/usher_entry/tests/entry/hostile.rs
+++ b/crates/usher_entry/tests/entry/hostile.rs
@@ -10,10 +10,10 @@
 
 use crate::support::{chat_body, options, steady, wait_for, Fleet};
 
-const TOKENS: u64 = 12;
+pub(crate) const TOKENS: u64 = 12;
 
 /// Returns the events of the answer to a request.
-fn events(seed: &str) -> Vec<Vec<u8>> {
+pub(crate) fn events(seed: &str) -> Vec<Vec<u8>> {
     let chunk = |choice: serde_json::Value, index: Option<u64>| {
         let mut chunk = serde_json::json!({
             "id": format!("chatcmpl-{seed}"), "object": "chat.completion.chunk", "created": 7,
@@ -85,7 +85,7 @@
 }
 
 /// Answers each request with the bytes that `write` returns for its id.
-async fn serve_engine<W>(listener: tokio::net::TcpListener, mut write: W)
+pub(crate) async fn serve_engine<W>(listener: tokio::net::TcpListener, mut write: W)
 where
     W: FnMut(&str) -> Vec<u8>,
 {
@@ -100,7 +100,7 @@
 }
 
 /// Announces an engine at the address of `listener` and waits until the entry has registered it.
-async fn announce_engine(fleet: &Fleet, listener: &tokio::net::TcpListener) {
+pub(crate) async fn announce_engine(fleet: &Fleet, listener: &tokio::net::TcpListener) {
     let announcement = serde_json::json!({
         "name": "hostile-1", "incarnation": 1, "address": listener.local_addr().unwrap(),
         "kind": "engine", "service": "assist", "model": "assist-1", "region": "south-a",
--- a/crates/usher_entry/tests/entry/main.rs
+++ b/crates/usher_entry/tests/entry/main.rs
@@ -7,6 +7,7 @@
 mod announce;
 mod basics;
 mod callers;
+mod cut_answers;
 mod failover;
 mod handover;
 mod hostile;
