Reset the connection of a broken answer without chunks in the entry daemon

As at the gateway: a caller of HTTP/1.0 took an answer that its target broke off for a complete one, as the entry closed the connection in order. broken_answer_is_broken_off_for_old_callers failed before: the caller read 200,090 bytes and an orderly end.

--- a/crates/usher_entry/src/server.rs
+++ b/crates/usher_entry/src/server.rs
@@ -5,6 +5,7 @@
 use std::{future, io, pin, sync, task, time};
 
 use tokio::{io as tokio_io, net as tokio_net};
+use tower::ServiceExt as _;
 
 /// Timeout for receiving the head of a request.
 const HEAD_TIMEOUT: time::Duration = time::Duration::from_secs(30);
@@ -26,6 +27,8 @@
     inner: tokio_net::TcpStream,
     write_timeout: Option<time::Duration>,
     write_timer: Option<pin::Pin<Box<tokio::time::Sleep>>>,
+    /// Set when the close of the connection must be a reset.
+    resets: sync::Arc<sync::atomic::AtomicBool>,
 }
 
 impl TimedSocket {
@@ -52,6 +55,18 @@
     }
 }
 
+impl Drop for TimedSocket {
+    fn drop(&mut self) {
+        if !self.resets.load(sync::atomic::Ordering::Relaxed) {
+            return;
+        }
+        let socket = socket2::SockRef::from(&self.inner);
+        if let Err(error) = socket.set_linger(Some(time::Duration::ZERO)) {
+            tracing::warn!(%error, "failed to reset the connection of a broken answer");
+        }
+    }
+}
+
 impl tokio_io::AsyncRead for TimedSocket {
     fn poll_read(
         mut self: pin::Pin<&mut Self>,
@@ -136,11 +151,20 @@
     watcher: &hyper_util::server::graceful::GracefulShutdown,
 ) {
     let _ = socket.set_nodelay(true);
+    let resets = sync::Arc::new(sync::atomic::AtomicBool::new(false));
     let socket = TimedSocket {
         inner: socket,
         write_timeout: limits.write_timeout,
         write_timer: None,
+        resets: resets.clone(),
     };
+    let lacks_chunks = sync::Arc::new(sync::atomic::AtomicBool::new(false));
+    let is_old = lacks_chunks.clone();
+    let router = router.map_request(move |request: http::Request<hyper::body::Incoming>| {
+        let old = request.version() < http::Version::HTTP_11;
+        is_old.store(old, sync::atomic::Ordering::Relaxed);
+        request
+    });
     let service = hyper_util::service::TowerToHyperService::new(router);
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(hyper_util::rt::TokioTimer::new())
@@ -149,8 +173,13 @@
         .serve_connection(hyper_util::rt::TokioIo::new(socket), service);
     let connection = watcher.watch(connection);
     tokio::spawn(async move {
-        if let Err(error) = connection.await {
+        tokio::pin!(connection);
+        if let Err(error) = connection.as_mut().await {
             tracing::debug!(%error, "caller connection failed");
+            // Without chunks, an orderly close would complete a body that was broken off.
+            let resets_connection =
+                error.is_user() && lacks_chunks.load(sync::atomic::Ordering::Relaxed);
+            resets.store(resets_connection, sync::atomic::Ordering::Relaxed);
         }
     });
 }
--- a/crates/usher_entry/tests/entry/cut_answers.rs
+++ b/crates/usher_entry/tests/entry/cut_answers.rs
@@ -95,6 +95,24 @@
     wait_for_claim(&fleet, ClaimState::Unknown).await;
 }
 
+/// Guards against a broken answer that looks complete to a caller of HTTP/1.0, whose answers end
+/// with their connection.
+#[tokio::test]
+async fn broken_answer_is_broken_off_for_old_callers() {
+    let filler = "x".repeat(LONG_BYTES);
+    let long = LONG_BYTES * 2;
+    let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {long}\r\n\r\n");
+    let fleet = start(format!("{head}{filler}")).await;
+    let mut socket = raw_socket(fleet.node.address()).await;
+    let request = format!("GET {PATH} HTTP/1.0\r\nhost: a\r\n\r\n");
+    socket.write_all(request.as_bytes()).await.unwrap();
+    let mut bytes = Vec::new();
+    socket
+        .read_to_end(&mut bytes)
+        .await
+        .expect_err("the answer was broken off");
+}
+
 /// Guards against a long answer without length that isn't delivered whole to each kind of caller.
 #[tokio::test]
 async fn long_whole_answer_without_length_is_complete() {
