Read the answers of engines and daemons in control and the command line as complete ones

The command line took half a JSON answer without length for a text and reported it as the result of a change; now the request is sent again under its id (request_is_resent_after_a_cut_response failed before: no version instead of 4). Control and registrars read engines through the same reader: a half report of an engine could not be parsed before either, but a broken body was turned into an empty one without a reason; now the reason is in the line of the order. An order's answer still counts by its status, which the engine gives before its body.

--- a/crates/pimentousher/src/client.rs
+++ b/crates/pimentousher/src/client.rs
@@ -2,7 +2,6 @@
 
 use std::{net, time};
 
-use http_body_util::BodyExt as _;
 use hyper_util::{client::legacy, rt};
 
 /// Limit on the size of a response body, large enough for a 1 MiB sheet inside JSON and for a
@@ -109,12 +108,11 @@
             }
         })?;
         let (parts, body) = response.into_parts();
-        let limited = http_body_util::Limited::new(body, MAX_RESPONSE_BYTES);
-        let bytes = limited
-            .collect()
+        let mut body = usher_answer::AnswerReader::new(&parts.headers, body);
+        let bytes = body
+            .read_all(MAX_RESPONSE_BYTES)
             .await
-            .map_err(|error| RequestError::OutcomeUnknown(format!("{address}: {error}")))?
-            .to_bytes();
+            .map_err(|fault| RequestError::OutcomeUnknown(format!("{address}: {fault}")))?;
         let body = serde_json::from_slice(&bytes)
             .unwrap_or_else(|_| String::from_utf8_lossy(&bytes).trim().into());
         Ok(JsonResponse {
--- a/crates/pimentousher/tests/leader.rs
+++ b/crates/pimentousher/tests/leader.rs
@@ -14,6 +14,8 @@
 enum Reply {
     /// Closes the connection after it has read the request.
     Lose,
+    /// Answers with half a JSON body that has no length.
+    Cut,
     /// Redirects the request to itself.
     RedirectToSelf,
     /// Responds with a status line, extra headers and a body.
@@ -41,6 +43,11 @@
                     Reply::RedirectToSelf => redirect_to(address),
                     other => other,
                 };
+                if matches!(reply, Reply::Cut) {
+                    let head = "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n\r\n";
+                    let text = format!("{head}{{\"version\": 4, \"sheet\": \"service,reg");
+                    socket.write_all(text.as_bytes()).await.unwrap();
+                }
                 if let Reply::Answer(status, headers, body) = reply {
                     let text = format!(
                         "HTTP/1.1 {status}\r\n{headers}content-length: {}\r\n\r\n{body}",
@@ -118,6 +125,15 @@
     assert_eq!(bodies[0], bodies[1]);
 }
 
+/// Guards against a command that takes half an answer for the whole one.
+#[tokio::test]
+async fn request_is_resent_after_a_cut_response() {
+    let node = MockNode::start(vec![Reply::Cut, ok("{\"version\":4}")]).await;
+    let answer = post(&[&node]).await.unwrap();
+    assert_eq!(answer.body["version"], 4);
+    assert_eq!(node.bodies().len(), 2);
+}
+
 /// Guards against a command that gives up during a leader election.
 #[tokio::test]
 async fn nodes_without_leader_are_tried_in_turn() {
--- a/crates/usher_control/src/order/engine_client.rs
+++ b/crates/usher_control/src/order/engine_client.rs
@@ -2,7 +2,6 @@
 
 use std::{future, net, time};
 
-use http_body_util::BodyExt as _;
 use usher_state::OrderRecord;
 
 use crate::{error, order::engine_body, plan};
@@ -118,13 +117,13 @@
         let exchange = async {
             let answer = sender.send_request(request).await;
             let answer = answer.map_err(|error| unknown(error.to_string()))?;
-            let status = answer.status();
-            let body = http_body_util::Limited::new(answer.into_body(), MAX_ANSWER_BYTES);
+            let (parts, body) = answer.into_parts();
+            let mut body = usher_answer::AnswerReader::new(&parts.headers, body);
             let body = body
-                .collect()
+                .read_all(MAX_ANSWER_BYTES)
                 .await
-                .map_err(|error| unknown(error.to_string()))?;
-            Ok((status, body.to_bytes()))
+                .map_err(|fault| unknown(fault.to_string()))?;
+            Ok((parts.status, body))
         };
         tokio::time::timeout(self.timeout, exchange)
             .await
--- a/crates/usher_control/src/registrar/role_orders.rs
+++ b/crates/usher_control/src/registrar/role_orders.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, future, net, time};
 
-use http_body_util::BodyExt as _;
+use usher_answer::AnswerFault;
 
 use crate::{fleet, plan, registrar};
 
@@ -148,6 +148,7 @@
     )
     .await;
     let (_, body) = answer?;
+    let body = body.map_err(|fault| format!("failed to read the engine's report: {fault}"))?;
     let revision = dialect.parse_revision(&body);
     let revision = revision.ok_or_else(|| {
         "the engine is carrying out an order, or its report is invalid".to_owned()
@@ -159,17 +160,21 @@
         fence: usher_types::FenceNumber::new(term.get()),
         revision,
     };
+    // The status alone says whether the engine has accepted the order.
     let (status, _) =
         send_request(engine.address, dialect.order_request(&order), &may_send).await?;
     Ok(status)
 }
 
+/// Status of an answer, and its body if that is complete.
+type EngineAnswer = (http::StatusCode, Result<bytes::Bytes, AnswerFault>);
+
 /// Sends a request over a new connection, unless the lease has expired while connecting.
 async fn send_request(
     address: net::SocketAddr,
     wanted: EngineRequest,
     may_send: &impl Fn() -> bool,
-) -> Result<(http::StatusCode, bytes::Bytes), String> {
+) -> Result<EngineAnswer, String> {
     let exchange = async {
         let socket = tokio::net::TcpStream::connect(address).await;
         let socket = socket.map_err(|error| error.to_string())?;
@@ -194,13 +199,10 @@
         }
         let answered = async {
             let answer = sender.send_request(request).await?;
-            let status = answer.status();
-            let body = http_body_util::Limited::new(answer.into_body(), MAX_ANSWER_BYTES);
-            let body = body
-                .collect()
-                .await
-                .map(http_body_util::Collected::to_bytes);
-            Ok::<_, hyper::Error>((status, body.unwrap_or_default()))
+            let (parts, body) = answer.into_parts();
+            let mut body = usher_answer::AnswerReader::new(&parts.headers, body);
+            let body = body.read_all(MAX_ANSWER_BYTES).await;
+            Ok::<_, hyper::Error>((parts.status, body))
         };
         poll_until_answered(connection, answered).await
     };
