Ask further engines to resume a broken stream

A stream that may be resumed was given up when the first engine asked to go on with it refused or could not be reached, as happens when several engines crash at once; its caller got a broken answer although the route and the retry budget allowed another send. The relay now goes on like a call before its head: it asks engines that were not tried while the retry policy allows it, and stops when the caller has left.

stream_is_resumed_after_a_refusal failed before: the answer was broken off after its second event.

--- a/crates/usher_answer/src/stream_body.rs
+++ b/crates/usher_answer/src/stream_body.rs
@@ -44,6 +44,11 @@
         self.chunks.send(chunk).await.is_ok()
     }
 
+    /// Returns whether the caller has stopped to read.
+    pub fn is_closed(&self) -> bool {
+        self.chunks.is_closed()
+    }
+
     /// Waits until the caller stops to read.
     pub async fn closed(&self) {
         self.chunks.closed().await;
--- a/crates/usher_gateway/src/relay.rs
+++ b/crates/usher_gateway/src/relay.rs
@@ -174,7 +174,7 @@
                     self.log.record_send(&target.name, &text);
                     tried.push(target.name);
                     self.log.runs += 1;
-                    next = self.resume(&tried).await;
+                    next = self.resume(&mut tried).await;
                     if next.is_none() {
                         return self.log.finish(&text);
                     }
@@ -219,8 +219,9 @@
         }
     }
 
-    /// Resumes the stream on another engine after the last event that was relayed.
-    async fn resume(&mut self, tried: &[usher_types::TargetName]) -> Option<StreamStart> {
+    /// Resumes the stream on another engine after the last event that was relayed; asks further ones
+    /// while they don't run the call and the route and the budget allow it.
+    async fn resume(&mut self, tried: &mut Vec<usher_types::TargetName>) -> Option<StreamStart> {
         let resume = self.resume.as_mut()?;
         let _ = resume.splitter.take_rest();
         // Without an id, another engine would repeat the events that the caller has.
@@ -228,53 +229,83 @@
             return None;
         }
         let after = resume.last_id.or(self.call.metadata.last_event);
-        let (core, call) = (self.core.clone(), self.call.clone());
-        let policy = usher_place::RetryPolicy {
-            sends: u32::try_from(tried.len()).unwrap_or(u32::MAX),
-            reached: true,
-            runs: self.log.runs,
-            time_left: call.time_left(),
-        };
-        let decision = core.with_budget(&call.service, |budget| policy.decide(&call.route, budget));
-        if decision != usher_place::RetryDecision::Retry {
-            return None;
+        let mut sends = u32::try_from(tried.len()).unwrap_or(u32::MAX);
+        let mut reached = true;
+        loop {
+            let policy = usher_place::RetryPolicy {
+                sends,
+                reached,
+                runs: self.log.runs,
+                time_left: self.call.time_left(),
+            };
+            let (service, route) = (&self.call.service, &self.call.route);
+            let decide = |budget: &mut _| policy.decide(route, budget);
+            let decision = self.core.with_budget(service, decide);
+            if self.sender.is_closed() || decision != usher_place::RetryDecision::Retry {
+                return None;
+            }
+            let (target, guard) = self.place_resume(tried)?;
+            let result = self.send_resume(&target, after).await?;
+            reached = !matches!(result, send::SendResult::NotSent(_));
+            sends += u32::from(reached);
+            match result {
+                send::SendResult::Answer(answer) if answer.status.is_success() => {
+                    self.log.record_send(&target.name, "continued the stream");
+                    return Some(StreamStart {
+                        target,
+                        guard,
+                        answer,
+                    });
+                }
+                send::SendResult::Answer(answer) => {
+                    self.log.record_send(&target.name, answer.status.as_str());
+                    self.log.runs += 1;
+                }
+                send::SendResult::NotSent(text) | send::SendResult::NotRun(text) => {
+                    self.log.record_send(&target.name, &text);
+                }
+                send::SendResult::Broken(text) => {
+                    self.log.record_send(&target.name, &text);
+                    self.log.runs += 1;
+                }
+            }
+            tried.push(target.name);
         }
-        let work = call.metadata.work.as_ref()?;
-        let targets = core.targets(&call.service);
-        let target = {
-            let view = core.view(&targets, tried, &core.options.domain);
-            core.with_engine_policy(|policy| policy.choose_decode(work, &view).cloned())?
-        };
-        let urgency = usher_place::SendUrgency::of_rank(call.route.priority);
-        let guard = core
+    }
+
+    /// Chooses the engine that resumes the stream.
+    fn place_resume(&self, tried: &[usher_types::TargetName]) -> Option<(TargetEntry, CallGuard)> {
+        let work = self.call.metadata.work.as_ref()?;
+        let targets = self.core.targets(&self.call.service);
+        let view = self.core.view(&targets, tried, &self.core.options.domain);
+        let choose =
+            |policy: &mut usher_place::EnginePolicy| policy.choose_decode(work, &view).cloned();
+        let target = self.core.with_engine_policy(choose)?;
+        let guard = self
+            .core
             .loads
-            .track_call(&target.name, work.prompt_tokens, urgency);
+            .track_call(&target.name, work.prompt_tokens, self.urgency());
+        Some((target, guard))
+    }
+
+    /// Sends the call to an engine that is to go on after an event; returns `None` at the deadline.
+    async fn send_resume(
+        &self,
+        target: &TargetEntry,
+        after: Option<u64>,
+    ) -> Option<send::SendResult> {
         let options = send::SendOptions {
             resume_after: after,
-            urgency: Some(urgency),
+            urgency: Some(self.urgency()),
             ..send::SendOptions::new(dialect::SendStep::Complete)
         };
-        let result = send::send(&core, &call, &target, options);
-        let result = tokio::time::timeout_at(call.deadline, result).await.ok()?;
-        match result {
-            send::SendResult::Answer(answer) if answer.status.is_success() => {
-                self.log.record_send(&target.name, "continued the stream");
-                Some(StreamStart {
-                    target,
-                    guard,
-                    answer,
-                })
-            }
-            send::SendResult::Answer(answer) => {
-                self.log.record_send(&target.name, answer.status.as_str());
-                None
-            }
-            send::SendResult::NotSent(text)
-            | send::SendResult::NotRun(text)
-            | send::SendResult::Broken(text) => {
-                self.log.record_send(&target.name, &text);
-                None
-            }
-        }
+        let result = send::send(&self.core, &self.call, target, options);
+        tokio::time::timeout_at(self.call.deadline, result)
+            .await
+            .ok()
+    }
+
+    fn urgency(&self) -> usher_place::SendUrgency {
+        usher_place::SendUrgency::of_rank(self.call.route.priority)
     }
 }
