Report no usage where an engine broke off before it told

An answer as JSON whose engine broke off behind its last token reported prompt_tokens as 0, which looks like a count. The text is whole, as its finish reason has arrived, so the answer stays complete; usage is null now.

--- a/crates/usher_entry/src/model/collector.rs
+++ b/crates/usher_entry/src/model/collector.rs
@@ -13,7 +13,8 @@
     text: String,
     tool_calls: Vec<Value>,
     finish: Option<String>,
-    usage: chunk::UsageView,
+    /// Missing when the engine broke off behind the last token.
+    usage: Option<chunk::UsageView>,
     tokens: u64,
 }
 
@@ -34,9 +35,7 @@
         if let Some(finish) = &info.finish {
             self.finish = Some(finish.clone());
         }
-        if let Some(usage) = info.usage {
-            self.usage = usage;
-        }
+        self.usage = info.usage.or(self.usage);
     }
 
     /// Concatenates the parts of tool calls, which arrive split like text.
@@ -76,18 +75,21 @@
             let choice = json!({ "index": 0, "text": self.text, "finish_reason": finish });
             ("text_completion", choice)
         };
-        let completion_tokens = self.usage.completion_tokens.max(self.tokens);
+        let usage = self.usage.map(|usage| {
+            let completion_tokens = usage.completion_tokens.max(self.tokens);
+            json!({
+                "prompt_tokens": usage.prompt_tokens,
+                "completion_tokens": completion_tokens,
+                "total_tokens": usage.prompt_tokens + completion_tokens,
+            })
+        });
         json!({
             "id": first_chunk["id"],
             "object": object,
             "created": first_chunk["created"],
             "model": first_chunk.get("model").and_then(Value::as_str).unwrap_or(model),
             "choices": [choice],
-            "usage": {
-                "prompt_tokens": self.usage.prompt_tokens,
-                "completion_tokens": completion_tokens,
-                "total_tokens": self.usage.prompt_tokens + completion_tokens,
-            },
+            "usage": usage,
         })
     }
 }
--- a/crates/usher_entry/tests/entry/cut_answers.rs
+++ b/crates/usher_entry/tests/entry/cut_answers.rs
@@ -145,3 +145,20 @@
     let text = reply.text.replace('\r', "\n");
     Reply { text, ..reply }.assert_complete(crate::hostile::TOKENS);
 }
+
+/// Guards against token counts of zero for a prompt whose engine broke off behind the last token.
+#[tokio::test]
+async fn unknown_usage_is_not_reported() {
+    let fleet = Fleet::start(options().with_suspect_after(time::Duration::from_secs(60))).await;
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    crate::hostile::announce_engine(&fleet, &listener).await;
+    tokio::spawn(crate::hostile::serve_engine(listener, |id| {
+        let mut events = crate::hostile::events(id);
+        events.pop();
+        events.concat()
+    }));
+    let body = crate::support::chat_body(crate::hostile::TOKENS, false);
+    let answer = fleet.chat(&body).await.json();
+    assert_eq!(answer["choices"][0]["finish_reason"], "length");
+    assert!(answer["usage"].is_null(), "{answer}");
+}
