--- a/crates/usher_entry/tests/entry/cut_answers.rs
+++ b/crates/usher_entry/tests/entry/cut_answers.rs
@@ -35,13 +35,7 @@
         "kind": "plain", "service": "rounds", "region": "south-a", "domain": "domain-1",
     });
     tokio::spawn(serve_bytes(listener, answer));
-    let request = fleet.request("POST", "/v1/targets/announce");
-    let reply = fleet.send(request, announcement.to_string()).await;
-    assert_eq!(reply.status, 200, "{}", reply.text);
-    wait_for("the service is registered", || {
-        fleet.node.status().targets == 1
-    })
-    .await;
+    fleet.announce(&announcement).await;
     fleet
 }
 
--- a/crates/usher_entry/tests/entry/hostile.rs
+++ b/crates/usher_entry/tests/entry/hostile.rs
@@ -106,13 +106,7 @@
         "kind": "engine", "service": "assist", "model": "assist-1", "region": "south-a",
         "domain": "domain-1", "kv_pieces": 512,
     });
-    let request = fleet.request("POST", "/v1/targets/announce");
-    let reply = fleet.send(request, announcement.to_string()).await;
-    assert_eq!(reply.status, 200, "{}", reply.text);
-    wait_for("the engine is registered", || {
-        fleet.node.status().targets == 1
-    })
-    .await;
+    fleet.announce(&announcement).await;
 }
 
 /// Guards against a second finish chunk, which client libraries count as another choice.
--- a/crates/usher_entry/tests/entry/plain.rs
+++ b/crates/usher_entry/tests/entry/plain.rs
@@ -404,13 +404,7 @@
         "kind": "plain", "service": "rounds", "region": "south-a", "domain": "domain-1",
     });
     tokio::spawn(serve_stuck(listener));
-    let request = fleet.request("POST", "/v1/targets/announce");
-    let reply = fleet.send(request, announcement.to_string()).await;
-    assert_eq!(reply.status, 200, "{}", reply.text);
-    wait_for("the service is registered", || {
-        fleet.node.status().targets == 1
-    })
-    .await;
+    fleet.announce(&announcement).await;
     let reply = tokio::time::timeout(time::Duration::from_secs(5), call(&fleet, Some("key-1")));
     let reply = reply.await.expect("the call did not end");
     assert_eq!((reply.status, reply.complete), (200, false));
--- a/crates/usher_entry/tests/entry/support.rs
+++ b/crates/usher_entry/tests/entry/support.rs
@@ -131,6 +131,17 @@
         service
     }
 
+    /// Announces the only target and waits until the entry has registered it.
+    pub(crate) async fn announce(&self, announcement: &serde_json::Value) {
+        let request = self.request("POST", "/v1/targets/announce");
+        let reply = self.send(request, announcement.to_string()).await;
+        assert_eq!(reply.status, 200, "{}", reply.text);
+        wait_for("the target is registered", || {
+            self.node.status().targets == 1
+        })
+        .await;
+    }
+
     pub(crate) fn request(&self, method: &str, path: &str) -> http::request::Builder {
         let uri = format!("http://{}{path}", self.node.address());
         http::Request::builder().method(method).uri(uri)
