--- a/crates/usher_entry/tests/entry/hostile.rs
+++ b/crates/usher_entry/tests/entry/hostile.rs
@@ -8,7 +8,7 @@
 use usher_types::{IncarnationId, NodeName};
 use usher_wire::{message, CallHandler, WireIdentity};
 
-use crate::support::{chat_body, options, steady, wait_for, Fleet};
+use crate::support::{chat_body, options, steady, Fleet};
 
 pub(crate) const TOKENS: u64 = 12;
 
