Leave a broken engine before another one goes on with its stream

The connection to an engine whose event had no end stayed open until the next engine had answered, so that two engines worked on one stream. engine_that_is_given_up_is_left_at_once failed without the drop. The reason of a broken stream stands in one entry of the call's line with its trace.

--- a/crates/usher_gateway/src/relay.rs
+++ b/crates/usher_gateway/src/relay.rs
@@ -155,10 +155,11 @@
             let ended = result.name();
             let check = body.check();
             self.core.metrics.answer_ended(check.framing(), ended);
-            self.log.record_send(
-                &target.name,
-                &format!("stream {ended}: {check}, {version:?}"),
-            );
+            let mut outcome = format!("stream {ended}: {check}, {version:?}");
+            if let RelayResult::Broken(fault) = &result {
+                outcome = format!("{outcome}; {fault}");
+            }
+            self.log.record_send(&target.name, &outcome);
             match result {
                 RelayResult::Complete => {
                     connection.release();
@@ -169,14 +170,14 @@
                 // The sender is dropped, which breaks the answer off.
                 RelayResult::Late => return self.log.finish("the deadline of the call passed"),
                 RelayResult::Broken(fault) => {
+                    // The engine must not go on while another one does.
+                    drop((body, connection));
                     self.core.record_lost(&target.name);
-                    let text = fault.to_string();
-                    self.log.record_send(&target.name, &text);
                     tried.push(target.name);
                     self.log.runs += 1;
                     next = self.resume(&mut tried).await;
                     if next.is_none() {
-                        return self.log.finish(&text);
+                        return self.log.finish(&fault.to_string());
                     }
                 }
             }
