Stop resuming a stream whose caller has left

While an engine was asked to go on with a stream, nothing noticed that the caller had left, so that the engine worked until its first byte or the deadline. caller_leaves_while_a_stream_is_resumed failed before (the engine was left after 4 s, at the deadline; bound 0.5 s).

--- a/crates/usher_gateway/src/relay.rs
+++ b/crates/usher_gateway/src/relay.rs
@@ -289,7 +289,8 @@
         Some((target, guard))
     }
 
-    /// Sends the call to an engine that is to go on after an event; returns `None` at the deadline.
+    /// Sends the call to an engine that is to go on after an event; returns `None` at the deadline,
+    /// or when the caller leaves.
     async fn send_resume(
         &self,
         target: &TargetEntry,
@@ -301,9 +302,11 @@
             ..send::SendOptions::new(dialect::SendStep::Complete)
         };
         let result = send::send(&self.core, &self.call, target, options);
-        tokio::time::timeout_at(self.call.deadline, result)
-            .await
-            .ok()
+        tokio::select! {
+            biased;
+            () = self.sender.closed() => None,
+            result = tokio::time::timeout_at(self.call.deadline, result) => result.ok(),
+        }
     }
 
     fn urgency(&self) -> usher_place::SendUrgency {
