Resume a stream that had only comments before it broke

A stream whose events have no ids can't be resumed without repeating them. A caller who has left no longer draws on the retry budget either.

--- a/crates/usher_answer/src/event_splitter.rs
+++ b/crates/usher_answer/src/event_splitter.rs
@@ -49,6 +49,12 @@
         Ok(())
     }
 
+    /// Returns the number of complete events since the last [`Self::take_rest`]; comments don't
+    /// count.
+    pub fn events(&self) -> u64 {
+        self.scanner.events()
+    }
+
     /// Returns the next complete event with its empty line.
     pub fn next_event(&mut self) -> Option<bytes::Bytes> {
         let length = self.scan(0)?;
--- a/crates/usher_gateway/src/relay.rs
+++ b/crates/usher_gateway/src/relay.rs
@@ -77,10 +77,8 @@
     fn add(&mut self, bytes: &[u8]) -> Result<bytes::Bytes, AnswerFault> {
         self.splitter.push(bytes)?;
         let events = self.splitter.take_events().unwrap_or_default();
-        if !events.is_empty() {
-            self.has_events = true;
-            self.last_id = last_id(&events).or(self.last_id);
-        }
+        self.has_events |= self.splitter.events() > 0;
+        self.last_id = last_id(&events).or(self.last_id);
         Ok(events)
     }
 }
@@ -241,8 +239,10 @@
             };
             let (service, route) = (&self.call.service, &self.call.route);
             let decide = |budget: &mut _| policy.decide(route, budget);
-            let decision = self.core.with_budget(service, decide);
-            if self.sender.is_closed() || decision != usher_place::RetryDecision::Retry {
+            // A caller who has left draws nothing from the budget.
+            if self.sender.is_closed()
+                || self.core.with_budget(service, decide) != usher_place::RetryDecision::Retry
+            {
                 return None;
             }
             let (target, guard) = self.place_resume(tried)?;
