--- a/crates/usher_answer/src/answer_check.rs
+++ b/crates/usher_answer/src/answer_check.rs
@@ -4,7 +4,7 @@
 
 use crate::{json_scanner, AnswerFault, AnswerFraming, EventScanner};
 
-/// What is followed of a body to find out whether it was cut off.
+/// Scanner of the content of a body, for content that shows its own end.
 #[derive(Clone, Debug)]
 enum ContentScanner {
     Events(EventScanner),
@@ -14,11 +14,11 @@
 
 /// Decides whether an answer is complete, from its head, its bytes and the end of its body.
 ///
-/// A stated length and chunks show where a body ends, the end of its connection doesn't: the
-/// target may have stopped in the middle. Content that shows its own end is therefore checked as
-/// well. Events are checked in each framing, as a relay in front of the engine may have framed what
-/// is left of a stream. A stream without a length that ends between two events, and other content
-/// without a length, counts as complete (RFC 9112, section 8).
+/// A stated length or chunks show where a body ends. The end of its connection doesn't, because the
+/// connections of a target that crashes are closed too, so content that shows its own end is checked
+/// as well: JSON then, and events in each framing, as a proxy may have framed what it got of a
+/// stream. A stream without a length that ends between two events, and other content without a
+/// length, counts as complete (RFC 9112, section 8).
 ///
 /// ```
 /// use usher_answer::AnswerCheck;
--- a/crates/usher_answer/src/event_splitter.rs
+++ b/crates/usher_answer/src/event_splitter.rs
@@ -18,7 +18,7 @@
 pub struct EventSplitter {
     scanner: EventScanner,
     buffer: bytes::BytesMut,
-    /// Number of buffered bytes in which no event ends.
+    /// Number of buffered bytes that were scanned and contain no end of an event.
     scanned: usize,
     max_event: usize,
 }
--- a/crates/usher_answer/src/json_scanner.rs
+++ b/crates/usher_answer/src/json_scanner.rs
@@ -1,4 +1,4 @@
-//! Finds out whether JSON text that arrives in parts is whole. Not for: its validity.
+//! Detects the end of JSON text that arrives in parts. Not for: its validity.
 
 /// Follows the nesting of JSON text.
 #[derive(Clone, Debug, Default)]
--- a/crates/usher_answer/src/lib.rs
+++ b/crates/usher_answer/src/lib.rs
@@ -1,4 +1,4 @@
-//! Decides whether the answers of targets are complete, and passes them on so.
+//! Decides whether the answers of targets are complete.
 //!
 //! For: every daemon that reads an answer or relays it. Not for: connections, retries, and the
 //! contents of events.
--- a/crates/usher_answer/src/stream_body.rs
+++ b/crates/usher_answer/src/stream_body.rs
@@ -44,12 +44,12 @@
         self.chunks.send(chunk).await.is_ok()
     }
 
-    /// Returns whether the caller has stopped to read.
+    /// Returns whether the caller has stopped reading.
     pub fn is_closed(&self) -> bool {
         self.chunks.is_closed()
     }
 
-    /// Waits until the caller stops to read.
+    /// Waits until the caller stops reading.
     pub async fn closed(&self) {
         self.chunks.closed().await;
     }
