Log why the connection of a broken answer ended

The reason of a broken answer was "error reading a body from connection", whatever had happened. Now it has the sources of the error, which tell a reset from a missing last chunk or length.

--- a/crates/usher_answer/src/answer_check.rs
+++ b/crates/usher_answer/src/answer_check.rs
@@ -1,6 +1,6 @@
 //! Decides whether the answer of a target is complete. Not for: reading it.
 
-use std::fmt;
+use std::{error, fmt};
 
 use crate::{json_scanner, AnswerFault, AnswerFraming, EventScanner};
 
@@ -135,7 +135,7 @@
         frame: Option<Result<http_body::Frame<bytes::Bytes>, E>>,
     ) -> Result<Option<bytes::Bytes>, AnswerFault>
     where
-        E: fmt::Display,
+        E: error::Error,
     {
         match frame {
             Some(Ok(frame)) => {
@@ -143,7 +143,7 @@
                 self.add(&bytes);
                 Ok(Some(bytes))
             }
-            Some(Err(error)) => Err(AnswerFault::Connection(error.to_string())),
+            Some(Err(error)) => Err(AnswerFault::Connection(with_sources(&error))),
             None => self.at_end().map(|()| None),
         }
     }
@@ -157,3 +157,17 @@
         write!(f, "{} bytes, {}", self.bytes, self.framing)
     }
 }
+
+/// Returns the text of an error with those of its sources, which tell a reset from a missing end.
+fn with_sources<E>(error: &E) -> String
+where
+    E: error::Error,
+{
+    let mut text = error.to_string();
+    let mut source = error.source();
+    while let Some(cause) = source {
+        text = format!("{text}: {cause}");
+        source = cause.source();
+    }
+    text
+}
--- a/crates/usher_answer/src/answer_reader.rs
+++ b/crates/usher_answer/src/answer_reader.rs
@@ -1,6 +1,6 @@
 //! Reads the body of an answer up to its end. Not for: connections.
 
-use std::fmt;
+use std::error;
 
 use http_body_util::BodyExt as _;
 
@@ -16,7 +16,7 @@
 impl<B> AnswerReader<B>
 where
     B: http_body::Body<Data = bytes::Bytes> + Unpin,
-    B::Error: fmt::Display,
+    B::Error: error::Error,
 {
     /// Makes the reader of an answer with a head and a body.
     pub fn new(headers: &http::HeaderMap, body: B) -> Self {
