Heed what targets say of themselves in their answers, at gateways

Cause: a gateway learned that a target leaves from heartbeats only, and took a 503 with Retry-After for any other refusal. After an answer with Server-Leaving calls went on reaching the target, and the only target of a service got every call during the pause that it had asked for.

Change: what a head says of its target is recorded for each answer, to calls of all kinds and to requests that free prompts, but for the answer of another target at the address. A target that says that it leaves is marked in the roster (TargetRoster::mark_leaving) until a later start of it is known, and the gateway names it in each of its reports until it has ended, so that registrars tell all gateways, also one that restored the target from its file. A pause (usher_answer::PauseRequest: fractions, at most 300 s, per start of the target) removes the target from the candidates of every choice, in contrast to a failure, after which it is only avoided. When all targets that could run a call want a pause, callers get 503 at once, with the rest of the first pause as Retry-After.

A registrar that orders roles sends an engine at most two requests in 15 s and needs no change.

--- a/crates/usher_answer/src/lib.rs
+++ b/crates/usher_answer/src/lib.rs
@@ -1,4 +1,4 @@
-//! Decides whether the answers of targets are complete.
+//! Decides what the answers of targets are: complete or not, and what their heads ask for.
 //!
 //! For: every daemon that reads an answer or relays it. Not for: connections, retries, and the
 //! contents of events.
@@ -10,6 +10,7 @@
 mod event_scanner;
 mod event_splitter;
 mod json_scanner;
+mod pause_request;
 mod stream_body;
 
 pub use answer_check::AnswerCheck;
@@ -18,4 +19,5 @@
 pub use answer_reader::AnswerReader;
 pub use event_scanner::EventScanner;
 pub use event_splitter::EventSplitter;
+pub use pause_request::PauseRequest;
 pub use stream_body::{StreamBody, StreamSender};
--- a/crates/usher_control/src/registrar/handler.rs
+++ b/crates/usher_control/src/registrar/handler.rs
@@ -37,6 +37,9 @@
             )),
             envelope::Body::UseReport(report) => {
                 let is_registrar = report.gateways > 0;
+                for target in &report.leaving {
+                    self.targets.record_leaving(&peer.node, target);
+                }
                 let totals = self.gateway_loads.record(&peer.node, report);
                 // Reports of other registrars are one-way.
                 (!is_registrar).then_some(envelope::Body::UseTotals(totals))
--- a/crates/usher_control/src/registrar/load_aggregator.rs
+++ b/crates/usher_control/src/registrar/load_aggregator.rs
@@ -164,6 +164,8 @@
                 uses: uses.clone(),
                 gateways,
                 reads: reads.clone(),
+                // Registrars learn of leaving targets by watching each other.
+                leaving: Vec::new(),
             };
             clients
                 .find(address)
--- a/crates/usher_control/src/registrar/target_registry.rs
+++ b/crates/usher_control/src/registrar/target_registry.rs
@@ -78,6 +78,25 @@
         }
     }
 
+    /// Records that a target has said in an answer to a gateway that it is leaving.
+    pub(crate) fn record_leaving(
+        &self,
+        gateway: &usher_types::NodeName,
+        target: &message::LeavingTarget,
+    ) {
+        let Ok(name) = target.name.parse() else {
+            tracing::warn!(%gateway, target_name = target.name, "leaving target with an invalid name");
+            return;
+        };
+        let now = self.clock.now();
+        if self.change(|feed| feed.record_leaving(&name, target.born_ms, now)) {
+            tracing::info!(
+                target_name = %name, born_ms = target.born_ms, %gateway,
+                "target is leaving, as a gateway has heard"
+            );
+        }
+    }
+
     /// Merges a record that another registrar has received.
     pub(crate) fn merge(&self, entry: usher_roster::TargetEntry) {
         let now = self.clock.now();
--- a/crates/usher_gateway/src/answer.rs
+++ b/crates/usher_gateway/src/answer.rs
@@ -39,6 +39,14 @@
         /// The service.
         service: usher_types::ServiceName,
     },
+    /// All targets of the service that could run the call asked for a pause.
+    #[error("all targets of service {service} want a pause, the first for {} ms", left.as_millis())]
+    Paused {
+        /// The service.
+        service: usher_types::ServiceName,
+        /// Time until the first pause ends.
+        left: time::Duration,
+    },
     /// Targets refused the call without running it.
     #[error("no target could run the call: {0}")]
     NotRun(String),
@@ -66,9 +74,11 @@
     /// Returns the status. 503, 408 and 429 guarantee that the call has not run and never will.
     pub(crate) fn status(&self) -> http::StatusCode {
         match self {
-            Self::NoRoutes | Self::NoTarget { .. } | Self::NotRun(_) | Self::LateNotRun => {
-                http::StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NoRoutes
+            | Self::NoTarget { .. }
+            | Self::Paused { .. }
+            | Self::NotRun(_)
+            | Self::LateNotRun => http::StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => http::StatusCode::NOT_FOUND,
             Self::NoId => http::StatusCode::BAD_REQUEST,
             Self::HeadTooLong { .. } => http::StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
@@ -90,9 +100,11 @@
         if status == http::StatusCode::SERVICE_UNAVAILABLE {
             let after = match self {
                 Self::NoRoutes | Self::NoTarget { .. } => STARTUP_RETRY_AFTER,
+                Self::Paused { left, .. } => left,
                 _ => RETRY_AFTER,
             };
-            let seconds = format!("{:.1}", after.as_secs_f64());
+            // Rounded up, so that no caller returns too early.
+            let seconds = format!("{:.1}", (after.as_secs_f64() * 10.0).ceil() / 10.0);
             if let Ok(value) = http::HeaderValue::try_from(seconds) {
                 headers.insert(http::header::RETRY_AFTER, value);
             }
--- a/crates/usher_gateway/src/core.rs
+++ b/crates/usher_gateway/src/core.rs
@@ -5,7 +5,7 @@
 use usher_place::{EnginePolicy, LoadTracker, PlainPolicy, RetryBudget};
 use usher_roster::{TargetEntry, TargetRoster};
 
-use crate::{answer_buffer, dialect, metrics, options, pool};
+use crate::{answer, answer_buffer, dialect, metrics, options, pool};
 
 type ServiceIndex = collections::HashMap<usher_types::ServiceName, sync::Arc<Vec<TargetEntry>>>;
 
@@ -34,6 +34,9 @@
     /// Engines that take no new calls because their role is changing, by the registrar that reports
     /// them.
     role_changes: sync::Mutex<RoleChanges>,
+    /// Targets that have told this gateway in an answer that they are leaving, with the start of the
+    /// process that did.
+    leaving: sync::Mutex<collections::BTreeMap<usher_types::TargetName, u64>>,
     services: sync::RwLock<sync::Arc<ServiceIndex>>,
 }
 
@@ -59,6 +62,7 @@
             nearest_registrar: sync::Mutex::default(),
             roster: sync::Mutex::default(),
             role_changes: sync::Mutex::default(),
+            leaving: sync::Mutex::default(),
             services: sync::RwLock::default(),
         }
     }
@@ -290,6 +294,105 @@
         use_policy(&mut policy)
     }
 
+    /// Records what the head of an answer of a target, to a call or to a request of the gateway,
+    /// says of the target itself: that it is leaving, or that it wants a pause.
+    pub(crate) fn record_head(
+        &self,
+        target: &TargetEntry,
+        status: http::StatusCode,
+        headers: &http::HeaderMap,
+        metadata: &dialect::AnswerMetadata,
+    ) {
+        // The answer is that of another target at this address.
+        if metadata.wrong_target {
+            return;
+        }
+        if metadata.leaving {
+            self.mark_leaving(target);
+        }
+        if let Some(pause) = usher_answer::PauseRequest::of_head(status, headers) {
+            let length = pause.length();
+            self.loads.request_pause(target, length, self.clock.now());
+            self.metrics.target_notified("pause");
+            tracing::info!(
+                target_name = %target.name,
+                born_ms = target.born_ms,
+                pause_ms = length.as_millis(),
+                "target asked for a pause"
+            );
+        }
+    }
+
+    /// Stops sending new work to a target until a later start of it is known.
+    fn mark_leaving(&self, target: &TargetEntry) {
+        let mut roster = self
+            .roster
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner);
+        if !roster.mark_leaving(&target.name, target.born_ms, self.clock.now()) {
+            return;
+        }
+        self.index_targets(&roster);
+        drop(roster);
+        self.metrics.target_notified("leaving");
+        tracing::info!(
+            target_name = %target.name,
+            born_ms = target.born_ms,
+            "target said in an answer that it is leaving"
+        );
+        self.lock_leaving()
+            .insert(target.name.clone(), target.born_ms);
+    }
+
+    /// Returns the targets that have told this gateway that they are leaving, until they have ended
+    /// or started again. Registrars are told of them again and again, because one that restarts may
+    /// restore a target from a file as one that takes work.
+    pub(crate) fn leaving_targets(&self) -> Vec<(usher_types::TargetName, u64)> {
+        let roster = self
+            .roster
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner);
+        let mut leaving = self.lock_leaving();
+        leaving.retain(|name, born_ms| {
+            let entry = roster.get(name);
+            entry.is_some_and(|entry| {
+                entry.phase == usher_roster::TargetPhase::Leaving && entry.is_process(*born_ms)
+            })
+        });
+        let targets = leaving.iter();
+        targets
+            .map(|(name, born_ms)| (name.clone(), *born_ms))
+            .collect()
+    }
+
+    fn lock_leaving(
+        &self,
+    ) -> sync::MutexGuard<'_, collections::BTreeMap<usher_types::TargetName, u64>> {
+        self.leaving
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    /// Returns the refusal of a call that no target has run and none can run now; `reason` is that
+    /// of the last target that refused it.
+    pub(crate) fn not_run(
+        &self,
+        service: &usher_types::ServiceName,
+        reason: Option<String>,
+    ) -> answer::CallRefusal {
+        let targets = self.targets(service);
+        let view = self.view(&targets, &[], &self.options.domain);
+        let service = service.clone();
+        match (view.service_pause_end(), reason) {
+            (Some(end), _) => answer::CallRefusal::Paused {
+                service,
+                left: end.saturating_duration_since(view.now),
+            },
+            (None, Some(reason)) => answer::CallRefusal::NotRun(reason),
+            (None, None) => answer::CallRefusal::NoTarget { service },
+        }
+    }
+
     /// Records that a target couldn't be reached, or broke off its answer.
     pub(crate) fn record_lost(&self, target: &usher_types::TargetName) {
         let now = self.clock.now();
--- a/crates/usher_gateway/src/dialect.rs
+++ b/crates/usher_gateway/src/dialect.rs
@@ -67,6 +67,8 @@
     pub id: Option<usher_types::RequestId>,
     /// Load of the target.
     pub load: Option<LoadReport>,
+    /// The target states that it is leaving.
+    pub leaving: bool,
 }
 
 /// A request of the gateway itself to a target.
--- a/crates/usher_gateway/src/held_prompt.rs
+++ b/crates/usher_gateway/src/held_prompt.rs
@@ -82,6 +82,11 @@
     D: dialect::CallDialect,
     C: usher_types::ClockSource,
 {
+    // The engine drops the prompt by itself some seconds later.
+    if core.loads.pause_end(holder, core.clock.now()).is_some() {
+        tracing::debug!(target_name = %holder.name, "held prompt not freed: the engine wants a pause");
+        return;
+    }
     let target_request = core.dialect.free_handle(handle);
     let mut request = http::Request::new(pool::RequestBody::default());
     *request.method_mut() = target_request.method;
@@ -93,6 +98,8 @@
     let exchange = async {
         let sent = core.pool.send(holder, request).await;
         let (answer, connection) = sent.map_err(|error| error.to_string())?;
+        let metadata = core.dialect.read_answer(answer.status(), answer.headers());
+        core.record_head(holder, answer.status(), answer.headers(), &metadata);
         let read = answer.into_body().read_all(MAX_OWN_ANSWER_BYTES).await;
         read.map_err(|error| error.to_string())?;
         connection.release();
--- a/crates/usher_gateway/src/load_exchange.rs
+++ b/crates/usher_gateway/src/load_exchange.rs
@@ -36,6 +36,7 @@
             uses: own_loads(&core),
             gateways: 0,
             reads,
+            leaving: leaving_targets(&core),
         };
         let body = envelope::Body::UseReport(report);
         match client.call(body, REPLY_TIMEOUT).await {
@@ -90,6 +91,19 @@
     reads.collect()
 }
 
+fn leaving_targets<D, C>(core: &core::GatewayCore<D, C>) -> Vec<message::LeavingTarget>
+where
+    D: dialect::CallDialect,
+    C: usher_types::ClockSource,
+{
+    let targets = core.leaving_targets().into_iter();
+    let targets = targets.map(|(name, born_ms)| message::LeavingTarget {
+        name: name.to_string(),
+        born_ms,
+    });
+    targets.collect()
+}
+
 fn own_loads<D, C>(core: &core::GatewayCore<D, C>) -> Vec<message::TargetUse>
 where
     D: dialect::CallDialect,
--- a/crates/usher_gateway/src/metrics.rs
+++ b/crates/usher_gateway/src/metrics.rs
@@ -23,6 +23,7 @@
     calls: family::Family<Labels, counter::Counter>,
     sends: family::Family<Labels, counter::Counter>,
     answers: family::Family<Labels, counter::Counter>,
+    notices: family::Family<Labels, counter::Counter>,
     first_byte: LatencyFamily,
     total: LatencyFamily,
     pub(crate) running: gauge::Gauge,
@@ -45,6 +46,7 @@
         let calls = family::Family::default();
         let sends = family::Family::default();
         let answers = family::Family::default();
+        let notices = family::Family::default();
         let first_byte = LatencyFamily::new_with_constructor(latency);
         let total = LatencyFamily::new_with_constructor(latency);
         let running = gauge::Gauge::default();
@@ -69,6 +71,8 @@
             "bodies of answers of targets, by framing and end",
             answers.clone(),
         );
+        let help = "answers in which a target said that it is leaving or wants a pause, by kind";
+        registry.register("target_notices", help, notices.clone());
         let name = "first_byte_seconds";
         registry.register(
             name,
@@ -102,6 +106,7 @@
             calls,
             sends,
             answers,
+            notices,
             first_byte,
             total,
             running,
@@ -147,6 +152,13 @@
         self.answers.get_or_create(&labels).inc();
     }
 
+    /// Counts what a target said of itself in an answer: `leaving`, once for each process, or
+    /// `pause`.
+    pub(crate) fn target_notified(&self, kind: &'static str) {
+        let labels = vec![("kind", kind.to_owned())];
+        self.notices.get_or_create(&labels).inc();
+    }
+
     /// Records that a registrar offers a version of the routes.
     pub(crate) fn set_offered_version(&self, version: u64) {
         let version = i64::try_from(version).unwrap_or(i64::MAX);
--- a/crates/usher_gateway/src/model.rs
+++ b/crates/usher_gateway/src/model.rs
@@ -157,12 +157,9 @@
     }
     Err(if log.runs > 0 {
         answer::CallRefusal::Unknown(reason)
-    } else if tried.is_empty() {
-        answer::CallRefusal::NoTarget {
-            service: call.service.clone(),
-        }
     } else {
-        answer::CallRefusal::NotRun(reason)
+        let reason = (!tried.is_empty()).then_some(reason);
+        core.not_run(&call.service, reason)
     })
 }
 
--- a/crates/usher_gateway/src/send.rs
+++ b/crates/usher_gateway/src/send.rs
@@ -123,6 +123,7 @@
 {
     let (parts, mut body) = answer.into_parts();
     let metadata = core.dialect.read_answer(parts.status, &parts.headers);
+    core.record_head(target, parts.status, &parts.headers, &metadata);
     let now = core.clock.now();
     // A duplicate answer to an earlier call may arrive in place of this one.
     let is_other = metadata.id.as_ref().is_some_and(|id| *id != call.id);
--- a/crates/usher_place/src/engine.rs
+++ b/crates/usher_place/src/engine.rs
@@ -160,7 +160,7 @@
                     + failure_penalty(load, view.now)
             };
             let decode_engines: Vec<&TargetEntry> = view
-                .candidates()
+                .candidates(loads)
                 .filter(|target| target.role != Some(EngineRole::Prefill))
                 .collect();
             let is_usable = |target: &TargetEntry| view.is_usable(loads, target);
--- a/crates/usher_place/src/load.rs
+++ b/crates/usher_place/src/load.rs
@@ -54,6 +54,16 @@
     }
 }
 
+usher_types::value_type! {
+    /// A pause that a target asked for.
+    #[derive(Copy)]
+    struct TargetPause {
+        until: time::Instant,
+        /// Start of the process that asked, in ms since 1970; 0 when not stated.
+        born_ms: u64,
+    }
+}
+
 /// Prompt tokens by urgency class.
 pub type ClassTokens = [u64; urgency::URGENCY_CLASSES];
 
@@ -76,6 +86,7 @@
     /// Whether the last failure was a lost connection.
     is_lost: bool,
     avoid_until: Option<time::Instant>,
+    pause: Option<TargetPause>,
 }
 
 impl TargetLoad {
@@ -138,6 +149,26 @@
         self.is_lost = failure == TargetFailure::Lost;
     }
 
+    /// Records that the process of the target that began at `born_ms` wants no request of this
+    /// gateway for a time. A later request of the same process never shortens the pause.
+    pub fn request_pause(&mut self, length: time::Duration, born_ms: u64, now: time::Instant) {
+        let until = now + length;
+        let known = self.pause.filter(|pause| pause.born_ms == born_ms);
+        let until = known.map_or(until, |pause| pause.until.max(until));
+        self.pause = Some(TargetPause { until, born_ms });
+    }
+
+    /// Returns the end of the pause that a target wants at present. In contrast to a target that is
+    /// avoided after a failure, one that wants a pause gets nothing even if all others fail.
+    pub fn pause_end(
+        &self,
+        target: &usher_roster::TargetEntry,
+        now: time::Instant,
+    ) -> Option<time::Instant> {
+        let pause = self.pause?;
+        (now < pause.until && target.is_process(pause.born_ms)).then_some(pause.until)
+    }
+
     /// Returns whether the target is in backoff after a failure at this gateway.
     fn is_in_backoff(&self, now: time::Instant) -> bool {
         self.avoid_until.is_some_and(|until| now < until)
--- a/crates/usher_place/src/load_tracker.rs
+++ b/crates/usher_place/src/load_tracker.rs
@@ -129,6 +129,27 @@
         self.update(target, |load| load.record_failure(now, failure));
     }
 
+    /// Records that a target wants no request of this gateway for a time.
+    pub fn request_pause(
+        &self,
+        target: &usher_roster::TargetEntry,
+        length: time::Duration,
+        now: time::Instant,
+    ) {
+        self.update(&target.name, |load| {
+            load.request_pause(length, target.born_ms, now);
+        });
+    }
+
+    /// Returns the end of the pause that a target wants at present.
+    pub fn pause_end(
+        &self,
+        target: &usher_roster::TargetEntry,
+        now: time::Instant,
+    ) -> Option<time::Instant> {
+        self.lock().get(&target.name)?.pause_end(target, now)
+    }
+
     fn lock(&self) -> sync::MutexGuard<'_, LoadTable> {
         self.loads
             .lock()
--- a/crates/usher_place/src/placement.rs
+++ b/crates/usher_place/src/placement.rs
@@ -115,10 +115,34 @@
     }
 
     /// Returns the targets that may run the call.
-    pub(crate) fn candidates(&self) -> impl Iterator<Item = &'t usher_roster::TargetEntry> {
-        let tried = self.tried;
-        self.targets
-            .iter()
-            .filter(move |target| target.takes_work() && !tried.contains(&target.name))
+    pub(crate) fn candidates<'l>(
+        &self,
+        loads: &'l load_tracker::LoadTable,
+    ) -> impl Iterator<Item = &'t usher_roster::TargetEntry> + use<'t, 'l> {
+        let (tried, now) = (self.tried, self.now);
+        let wants_pause = move |target: &usher_roster::TargetEntry| {
+            let load = loads.get(&target.name);
+            load.is_some_and(|load| load.pause_end(target, now).is_some())
+        };
+        self.targets.iter().filter(move |target| {
+            target.takes_work() && !tried.contains(&target.name) && !wants_pause(target)
+        })
+    }
+
+    /// Returns when the service can run calls again, if all its targets that could do so want a
+    /// pause. An engine that only reads prompts can't run a call by itself.
+    pub fn service_pause_end(&self) -> Option<time::Instant> {
+        self.loads.with_loads(|loads| {
+            let mut first = None;
+            let runs_calls = |target: &&usher_roster::TargetEntry| {
+                target.takes_work() && target.role != Some(usher_types::EngineRole::Prefill)
+            };
+            for target in self.targets.iter().filter(runs_calls) {
+                let load = loads.get(&target.name);
+                let end = load.and_then(|load| load.pause_end(target, self.now))?;
+                first = Some(first.map_or(end, |first: time::Instant| first.min(end)));
+            }
+            first
+        })
     }
 }
--- a/crates/usher_place/src/plain.rs
+++ b/crates/usher_place/src/plain.rs
@@ -54,7 +54,7 @@
                     + self.call_time * slowness * rounds
                     + penalty.as_secs_f64()
             };
-            view.candidates()
+            view.candidates(loads)
                 .min_by(|one, other| cost(one).total_cmp(&cost(other)))
         })
     }
--- a/crates/usher_place/src/prefill_choice.rs
+++ b/crates/usher_place/src/prefill_choice.rs
@@ -41,9 +41,10 @@
         view: &'c placement::PlacementView<'t>,
         holders: &'c [u64],
     ) -> Option<Self> {
-        let (prefill_engines, decode_engines): (Vec<_>, Vec<_>) = view
-            .candidates()
-            .partition(|target| target.role == Some(EngineRole::Prefill));
+        let (prefill_engines, decode_engines): (Vec<_>, Vec<_>) = view.loads.with_loads(|loads| {
+            view.candidates(loads)
+                .partition(|target| target.role == Some(EngineRole::Prefill))
+        });
         if decode_engines.is_empty() {
             return None;
         }
--- a/crates/usher_roster/src/entry.rs
+++ b/crates/usher_roster/src/entry.rs
@@ -83,7 +83,7 @@
     /// A later process start always is. For the same process the phase never goes back, then the
     /// heartbeat number decides, and silence is newer than the heartbeat that it follows.
     pub fn supersedes(&self, other: &Self) -> bool {
-        if self.is_other_process(other) {
+        if !self.is_process(other.born_ms) {
             return self.born_ms > other.born_ms;
         }
         if self.phase != other.phase {
@@ -95,10 +95,18 @@
         self.silent && !other.silent
     }
 
-    /// Returns whether both starts are stated and differ; an unstated start counts as the known
-    /// process.
-    fn is_other_process(&self, other: &Self) -> bool {
-        self.born_ms != 0 && other.born_ms != 0 && self.born_ms != other.born_ms
+    /// Returns whether this is the entry of the process that began at `born_ms`. A start that isn't
+    /// stated (0) counts as that of the known process.
+    pub fn is_process(&self, born_ms: u64) -> bool {
+        self.born_ms == 0 || born_ms == 0 || self.born_ms == born_ms
+    }
+
+    /// Returns the entry after the process has said that it is leaving.
+    pub(crate) fn into_leaving(self) -> Self {
+        Self {
+            phase: TargetPhase::Leaving,
+            ..self
+        }
     }
 
     /// Returns whether any difference affects the decisions of a gateway.
--- a/crates/usher_roster/src/feed.rs
+++ b/crates/usher_roster/src/feed.rs
@@ -92,6 +92,25 @@
         self.record_heartbeat(entry, now)
     }
 
+    /// Records that a target has said to a gateway, in an answer, that it is leaving; returns whether
+    /// watchers must be notified.
+    pub fn record_leaving(
+        &mut self,
+        name: &usher_types::TargetName,
+        born_ms: u64,
+        now: time::Instant,
+    ) -> bool {
+        if !self.roster.mark_leaving(name, born_ms, now) {
+            return false;
+        }
+        self.restored.remove(name);
+        self.mark_changed(name.clone());
+        if self.role_changes.end(name) {
+            self.mark_role_changes();
+        }
+        true
+    }
+
     /// Merges an entry that another registrar sent.
     pub fn merge(&mut self, entry: entry::TargetEntry, now: time::Instant) {
         let name = entry.name.clone();
--- a/crates/usher_roster/src/roster.rs
+++ b/crates/usher_roster/src/roster.rs
@@ -42,6 +42,23 @@
         changed
     }
 
+    /// Records that the process of a target that began at `born_ms` has said in an answer that it is
+    /// leaving; returns whether it counted as taking work so far.
+    ///
+    /// The mark stays until a later start of the target is known, whatever its heartbeats say.
+    pub fn mark_leaving(
+        &mut self,
+        name: &usher_types::TargetName,
+        born_ms: u64,
+        now: time::Instant,
+    ) -> bool {
+        let Some(known) = self.get(name).filter(|known| known.is_process(born_ms)) else {
+            return false;
+        };
+        let entry = known.clone().into_leaving();
+        self.merge(entry, now)
+    }
+
     /// Removes targets that ended before the retention period.
     pub fn forget(&mut self, now: time::Instant) {
         self.entries.retain(|_, record| {
--- a/crates/usher_roster/tests/roster.rs
+++ b/crates/usher_roster/tests/roster.rs
@@ -186,3 +186,48 @@
         .unwrap()
         .takes_work());
 }
+
+/// Plays the mark of an answer and further entries; checks whether the target takes work then.
+fn check_mark(marked_ms: u64, entries: Vec<TargetEntry>, takes_work: bool) {
+    let now = time::Instant::now();
+    let mut roster = TargetRoster::new();
+    let mut feed = RosterFeed::new(HEARTBEAT_INTERVAL);
+    roster.merge(heartbeat(5, 3, Ready), now);
+    feed.record_heartbeat(heartbeat(5, 3, Ready), now);
+    let name = TargetName::new("t");
+    roster.mark_leaving(&name, marked_ms, now);
+    feed.record_leaving(&name, marked_ms, now);
+    for entry in entries {
+        roster.merge(entry.clone(), now);
+        feed.record_heartbeat(entry, now);
+    }
+    assert_eq!(roster.get(&name).unwrap().takes_work(), takes_work);
+    assert_eq!(feed.roster().get(&name).unwrap().takes_work(), takes_work);
+}
+
+usher_types::cases! { check_mark:
+    /// Guards against a target that said in an answer that it leaves and still gets work.
+    mark_of_the_known_process(5, vec![], false);
+    /// Guards against heartbeats of the same process that undo the mark.
+    ready_after_the_mark(5, vec![heartbeat(5, 4, Ready), heartbeat(0, 9, Ready)], false);
+    /// Guards against a mark that outlasts its process.
+    start_after_the_mark(5, vec![heartbeat(6, 1, Ready)], true);
+    /// Guards against a late answer of an earlier process that takes its successor out of use.
+    mark_of_an_earlier_process(4, vec![], true);
+    /// Guards against a mark without a stated start that is lost.
+    mark_of_an_unstated_process(0, vec![], false);
+}
+
+/// Guards against marks that don't reach the watchers of a registrar, or reach them again and again.
+#[test]
+fn mark_is_told_once() {
+    let now = time::Instant::now();
+    let mut feed = RosterFeed::new(HEARTBEAT_INTERVAL);
+    let name = TargetName::new("t");
+    assert!(!feed.record_leaving(&name, 5, now), "the target is unknown");
+    feed.record_heartbeat(heartbeat(5, 3, Ready), now);
+    let cursor = feed.last_change();
+    assert!(feed.record_leaving(&name, 5, now));
+    assert_eq!(feed.changes_since(cursor, true).count(), 1);
+    assert!(!feed.record_leaving(&name, 5, now));
+}
