Heed what targets say of themselves in their answers, at the entry daemon

An entry learned from announcements only that a target leaves, and had no notion of a pause.

The entry records both for calls, streams, handovers and polls of the cache. A leaving mark goes to control with the heartbeats until control has it, whatever the target announces. A target that wants a pause is no candidate and gets no polls, probes or handovers; the refusal of a call for which no other target is left says no earlier time than the end of the first pause. The stand-ins mark their answers when they leave, also by order or SIGTERM, so that the scenario scripts and the demo meet the mark; pause_ms and says_leaving inject both without an announcement.

--- a/crates/usher_entry/src/attempt.rs
+++ b/crates/usher_entry/src/attempt.rs
@@ -18,6 +18,7 @@
     pub(crate) name: usher_types::TargetName,
     pub(crate) region: usher_types::RegionName,
     pub(crate) address: net::SocketAddr,
+    pub(crate) incarnation: usher_types::IncarnationId,
     // Request id on the engine; `None` for plain targets.
     engine_id: Option<usher_types::RequestId>,
     open: bool,
@@ -36,7 +37,8 @@
     ) -> Option<Self> {
         let now = core.now();
         let mut routing = core.routing();
-        let (name, address) = routing.target(slot)?;
+        let (name, target) = routing.target(slot)?;
+        let (address, incarnation) = (target.address, target.incarnation);
         let region = routing.policy.target(slot)?.region.clone();
         let id = routing.policy.on_sent(request, slot, now);
         drop(routing);
@@ -46,11 +48,17 @@
             name,
             region,
             address,
+            incarnation,
             engine_id,
             open: true,
         })
     }
 
+    /// Records what the head of an answer says of the target.
+    pub(crate) fn record_head<B>(&self, answer: &http::Response<B>) {
+        self.core.record_head(&self.name, self.incarnation, answer);
+    }
+
     pub(crate) fn first_token(&self) {
         let now = self.core.now();
         self.core.routing().policy.on_first_token(self.id, now);
--- a/crates/usher_entry/src/cache_events.rs
+++ b/crates/usher_entry/src/cache_events.rs
@@ -59,6 +59,9 @@
 ) where
     P: types::EntryTypes,
 {
+    let Some(incarnation) = core.open_incarnation(name) else {
+        return;
+    };
     let since = core.routing().policy.next_cache_event(name);
     let uri = format!("http://{address}/v1/cache/events?since={since}");
     let request = http::Request::get(uri).body(http_body_util::Full::default());
@@ -66,10 +69,14 @@
         return;
     };
     let read = tokio::time::timeout(READ_TIMEOUT, core.client.exchange(request)).await;
-    let Ok(Ok((http::StatusCode::OK, body))) = read else {
+    let Ok(Ok(answer)) = read else {
         return;
     };
-    let Ok(page) = serde_json::from_slice::<EventPage>(&body) else {
+    core.record_head(name, incarnation, &answer);
+    if answer.status() != http::StatusCode::OK {
+        return;
+    }
+    let Ok(page) = serde_json::from_slice::<EventPage>(answer.body()) else {
         tracing::debug!(target = %name, "failed to parse cache events");
         return;
     };
--- a/crates/usher_entry/src/client.rs
+++ b/crates/usher_entry/src/client.rs
@@ -147,12 +147,12 @@
     pub(crate) async fn exchange(
         &self,
         request: http::Request<http_body_util::Full<bytes::Bytes>>,
-    ) -> Result<(http::StatusCode, bytes::Bytes), SendError> {
-        let response = self.send(request).await?;
-        let status = response.status();
-        let body = read_answer(response).read_all(MAX_RESPONSE_BYTES).await;
+    ) -> Result<http::Response<bytes::Bytes>, SendError> {
+        let (parts, body) = self.send(request).await?.into_parts();
+        let mut body = TargetBody::new(&parts.headers, body);
+        let body = body.read_all(MAX_RESPONSE_BYTES).await;
         let body = body.map_err(|fault| SendError::Unknown(fault.to_string()))?;
-        Ok((status, body))
+        Ok(http::Response::from_parts(parts, body))
     }
 }
 
--- a/crates/usher_entry/src/lib.rs
+++ b/crates/usher_entry/src/lib.rs
@@ -24,6 +24,7 @@
 mod metrics;
 mod model;
 mod node;
+mod notice;
 mod options;
 mod outcome;
 mod plain;
--- a/crates/usher_entry/src/model/handover.rs
+++ b/crates/usher_entry/src/model/handover.rs
@@ -20,6 +20,8 @@
 
 /// Parameters of one handover.
 pub(super) struct HandoverPlan {
+    /// Engine that holds the KV cache.
+    source: usher_types::TargetName,
     from: net::SocketAddr,
     request: stream::EngineRequest,
     stall: time::Duration,
@@ -53,9 +55,10 @@
         let Some(slot) = self.decode_target.take() else {
             return;
         };
-        let Some(from) = self.live.as_ref().map(stream::LiveStream::address) else {
+        let Some(live) = self.live.as_ref() else {
             return;
         };
+        let (source, from) = (live.target().0.clone(), live.address());
         let incarnation = {
             let routing = self.core.routing();
             routing.policy.target(slot).map(|info| info.incarnation)
@@ -64,6 +67,7 @@
             return;
         };
         let plan = HandoverPlan {
+            source,
             from,
             request: stream::EngineRequest {
                 resume_from: self.delivered,
@@ -162,18 +166,26 @@
     P: types::EntryTypes,
 {
     let export_body = serde_json::json!({ "request": plan.request.id });
-    let exported = post(core, plan.from, "/v1/kv/export", &export_body).await?;
+    let exported = post(core, &plan.source, plan.from, "/v1/kv/export", &export_body).await?;
     let mut description: serde_json::Value =
         serde_json::from_slice(&exported).map_err(|error| error.to_string())?;
     if let Some(fields) = description.as_object_mut() {
         fields.insert("from".to_owned(), plan.from.to_string().into());
     }
-    post(core, guard.address, "/v1/kv/import", &description).await?;
+    post(
+        core,
+        &guard.name,
+        guard.address,
+        "/v1/kv/import",
+        &description,
+    )
+    .await?;
     Ok(())
 }
 
 async fn post<P>(
     core: &core::EntryCore<P>,
+    engine: &usher_types::TargetName,
     address: net::SocketAddr,
     path: &str,
     body: &serde_json::Value,
@@ -181,13 +193,17 @@
 where
     P: types::EntryTypes,
 {
+    let incarnation = core.open_incarnation(engine);
+    let incarnation = incarnation.ok_or_else(|| format!("{engine} wants a pause or has left"))?;
     let request = http::Request::post(format!("http://{address}{path}"))
         .header(http::header::CONTENT_TYPE, "application/json")
         .body(http_body_util::Full::from(body.to_string()))
         .map_err(|error| error.to_string())?;
-    match core.client.exchange(request).await {
-        Ok((http::StatusCode::OK, body)) => Ok(body),
-        Ok((status, _)) => Err(format!("engine answered {path} with status {status}")),
-        Err(error) => Err(error.to_string()),
+    let answer = core.client.exchange(request).await;
+    let answer = answer.map_err(|error| error.to_string())?;
+    core.record_head(engine, incarnation, &answer);
+    match answer.status() {
+        http::StatusCode::OK => Ok(answer.into_body()),
+        status => Err(format!("engine answered {path} with status {status}")),
     }
 }
--- a/crates/usher_entry/src/model/stream.rs
+++ b/crates/usher_entry/src/model/stream.rs
@@ -169,6 +169,7 @@
         let may_write = || core.has_right();
         let sent = core.streams.send(guard.address, request, may_write);
         let (mut connection, response) = sent.await?;
+        guard.record_head(&response);
         let status = response.status();
         if status != http::StatusCode::OK {
             return Err(OpenError::Status(
--- a/crates/usher_entry/src/plain/runner.rs
+++ b/crates/usher_entry/src/plain/runner.rs
@@ -187,6 +187,7 @@
                 let may_write = || self.core.has_right();
                 client.send_once(guard.address, request, may_write).await?
             };
+            guard.record_head(&response);
             PlainAnswer::read(response).await
         };
         let result = tokio::time::timeout(self.time_left(), exchange).await;
--- a/crates/usher_entry/src/policy.rs
+++ b/crates/usher_entry/src/policy.rs
@@ -55,6 +55,15 @@
     fn next_cache_event(&self, name: &usher_types::TargetName) -> u64;
     /// Applies a registry change.
     fn on_registry(&mut self, change: RegistryChange);
+    /// Records that a target wants no request of this entry for a time.
+    fn on_pause(
+        &mut self,
+        name: &usher_types::TargetName,
+        length: time::Duration,
+        now: time::Instant,
+    );
+    /// Returns whether a target wants no request at present.
+    fn wants_pause(&self, name: &usher_types::TargetName, now: time::Instant) -> bool;
     /// Applies a grant of a capacity share.
     fn on_grant(&mut self, grant: ShareGrant, now: time::Instant);
     /// Returns the registry information of a target.
@@ -147,6 +156,19 @@
         EntryPolicy::on_registry(self, change);
     }
 
+    fn on_pause(
+        &mut self,
+        name: &usher_types::TargetName,
+        length: time::Duration,
+        now: time::Instant,
+    ) {
+        EntryPolicy::on_pause(self, name, length, now);
+    }
+
+    fn wants_pause(&self, name: &usher_types::TargetName, now: time::Instant) -> bool {
+        self.table().wants_pause(name, now)
+    }
+
     fn on_grant(&mut self, grant: ShareGrant, now: time::Instant) {
         EntryPolicy::on_grant(self, grant, now);
     }
--- a/crates/usher_entry/src/routing/mod.rs
+++ b/crates/usher_entry/src/routing/mod.rs
@@ -125,9 +125,15 @@
                 self.set_liveness(&name, Liveness::Suspect);
             }
         }
+        // What the target said in an answer holds, whatever it announces.
+        let has_said_leaving = self.announced.get(&name).is_some_and(|(pending, _)| {
+            pending.incarnation == record.incarnation && pending.leaving
+        });
         if is_new {
+            let leaving = record.leaving || has_said_leaving;
+            let record = message::TargetRecord { leaving, ..record };
             self.announced.insert(name, (record, now));
-        } else {
+        } else if !has_said_leaving {
             // A pending record of this incarnation is outdated; one of another incarnation may
             // be newer.
             self.announced.retain(|other, (pending, _)| {
@@ -136,6 +142,59 @@
         }
     }
 
+    /// Records that an incarnation of a target has said in an answer that it is leaving, and sends
+    /// the mark to control; returns whether it counted as taking work so far.
+    pub(crate) fn mark_leaving(
+        &mut self,
+        name: &TargetName,
+        incarnation: IncarnationId,
+        now: time::Instant,
+    ) -> bool {
+        let target = self.targets.get(name);
+        let Some(target) = target.filter(|target| target.incarnation == incarnation) else {
+            return false;
+        };
+        let is_pending = |(pending, _): &(message::TargetRecord, _)| {
+            pending.leaving && pending.incarnation == incarnation.get()
+        };
+        if target.record.leaving || self.announced.get(name).is_some_and(is_pending) {
+            return false;
+        }
+        if self.honor_leaving {
+            self.policy
+                .on_registry(RegistryChange::Leaving(name.clone()));
+        }
+        let record = message::TargetRecord {
+            leaving: true,
+            ..target.record.clone()
+        };
+        self.announced.insert(name.clone(), (record, now));
+        true
+    }
+
+    /// Records that an incarnation of a target wants no request of this entry for a time.
+    pub(crate) fn request_pause(
+        &mut self,
+        name: &TargetName,
+        incarnation: IncarnationId,
+        length: time::Duration,
+        now: time::Instant,
+    ) {
+        if self.incarnation(name) == Some(incarnation) {
+            self.policy.on_pause(name, length, now);
+        }
+    }
+
+    /// Returns whether a target wants no request at present.
+    pub(crate) fn wants_pause(&self, name: &TargetName, now: time::Instant) -> bool {
+        self.policy.wants_pause(name, now)
+    }
+
+    /// Returns the registered incarnation of a target.
+    pub(crate) fn incarnation(&self, name: &TargetName) -> Option<IncarnationId> {
+        self.targets.get(name).map(|target| target.incarnation)
+    }
+
     /// Applies the registry of a heartbeat reply: a full snapshot, or a delta to the current
     /// version.
     pub(crate) fn apply_registry(&mut self, update: RegistryUpdate, now: time::Instant) {
@@ -287,11 +346,11 @@
         self.policy.on_registry(change);
     }
 
-    /// Returns the name and address of a chosen target.
-    pub(crate) fn target(&self, slot: TargetSlot) -> Option<(TargetName, net::SocketAddr)> {
+    /// Returns the name and the registered data of a chosen target.
+    pub(crate) fn target(&self, slot: TargetSlot) -> Option<(TargetName, &RegisteredTarget)> {
         let info = self.policy.target(slot)?;
         let target = self.targets.get(&info.name)?;
-        Some((info.name.clone(), target.address))
+        Some((info.name.clone(), target))
     }
 
     /// Returns the live engines of a region, for polling their cache events.
--- a/crates/usher_entry/tests/entry/main.rs
+++ b/crates/usher_entry/tests/entry/main.rs
@@ -12,6 +12,7 @@
 mod handover;
 mod hostile;
 mod lifecycle;
+mod notices;
 mod plain;
 mod run_state;
 mod streams;
--- a/crates/usher_fake/src/engine.rs
+++ b/crates/usher_fake/src/engine.rs
@@ -21,6 +21,8 @@
     pub(crate) handle: server::ServerHandle,
     pub(crate) work: tokio_sync::Notify,
     pub(crate) requests: sync::Mutex<Vec<String>>,
+    /// Number of HTTP requests of any kind.
+    pub(crate) http_requests: sync::atomic::AtomicU64,
     leaving: sync::atomic::AtomicBool,
     loads: sync::Mutex<collections::VecDeque<(time::Instant, announce::LoadSnapshot)>>,
 }
@@ -120,6 +122,7 @@
             handle: server::ServerHandle::new(),
             work: tokio_sync::Notify::new(),
             requests: sync::Mutex::default(),
+            http_requests: sync::atomic::AtomicU64::new(0),
             leaving: sync::atomic::AtomicBool::new(false),
             loads: sync::Mutex::default(),
             options,
@@ -148,6 +151,12 @@
         &self.core.faults
     }
 
+    /// Returns the number of HTTP requests that it has answered, of any kind.
+    pub fn http_requests(&self) -> u64 {
+        let count = &self.core.http_requests;
+        count.load(sync::atomic::Ordering::SeqCst)
+    }
+
     /// Simulates a crash: resets all connections and stops listening.
     pub fn crash(&self) {
         self.core.handle.crash();
--- a/crates/usher_fake/src/engine_http.rs
+++ b/crates/usher_fake/src/engine_http.rs
@@ -2,11 +2,11 @@
 
 use std::sync;
 
-use axum::{extract, response, response::IntoResponse as _, routing, Json};
+use axum::{extract, middleware, response, response::IntoResponse as _, routing, Json};
 use futures_util::StreamExt as _;
 use tokio::sync as tokio_sync;
 
-use crate::{batch, cache, engine, faults, order, prompt, sse, tokens};
+use crate::{batch, cache, engine, faults, notice, order, prompt, sse, tokens};
 
 /// Largest accepted request body, in bytes; larger than the limit of an entry.
 const MAX_BODY_BYTES: usize = 16 << 20;
@@ -32,9 +32,21 @@
         .route("/v1/faults", routing::post(set_faults).get(read_faults))
         .route("/v1/requests", routing::get(read_requests))
         .layer(extract::DefaultBodyLimit::max(MAX_BODY_BYTES))
+        .layer(middleware::map_response_with_state(
+            core.clone(),
+            mark_answer,
+        ))
         .with_state(core)
 }
 
+async fn mark_answer(state: CoreState, answer: response::Response) -> response::Response {
+    let core = &state.0;
+    core.http_requests
+        .fetch_add(1, sync::atomic::Ordering::SeqCst);
+    let says_leaving = core.faults.current().says_leaving == Some(true);
+    notice::mark_answer(answer, says_leaving || core.is_leaving())
+}
+
 fn error_response(status: http::StatusCode, message: &str) -> response::Response {
     let body = serde_json::json!({
         "error": { "message": message, "type": "engine_error", "code": null, "param": null }
@@ -63,7 +75,11 @@
     body: &bytes::Bytes,
     chat: bool,
 ) -> response::Response {
-    if core.faults.current().failing == Some(true) {
+    let faults = core.faults.current();
+    if let Some(pause_ms) = faults.pause_ms.filter(|pause_ms| *pause_ms > 0) {
+        return notice::refuse_with_pause(pause_ms);
+    }
+    if faults.failing == Some(true) {
         return error_response(http::StatusCode::INTERNAL_SERVER_ERROR, "injected failure");
     }
     if engine::lock(&core.orders).is_changing() {
--- a/crates/usher_fake/src/faults.rs
+++ b/crates/usher_fake/src/faults.rs
@@ -22,6 +22,10 @@
     pub cut_after: Option<u64>,
     /// New requests fail with status 500.
     pub failing: Option<bool>,
+    /// New requests are turned away, with a pause of so many ms that is asked for; 0 for none.
+    pub pause_ms: Option<u64>,
+    /// All answers say that the engine is leaving, although its announcements don't.
+    pub says_leaving: Option<bool>,
     /// The process crashes while it carries out the next order.
     pub crash_in_order: Option<bool>,
     /// Removes all faults before the other fields are set.
@@ -61,6 +65,10 @@
         cut_after(cut_after: u64);
         /// Makes new requests fail with status 500.
         fail(failing: bool);
+        /// Turns new requests away and asks for a pause of so many ms; 0 for none.
+        ask_for_pause(pause_ms: u64);
+        /// Says in all answers that the engine is leaving, although its announcements don't.
+        say_leaving(says_leaving: bool);
         /// Crashes the process while it carries out the next order.
         crash_in_order(crash_in_order: bool);
     }
@@ -85,6 +93,8 @@
             garbage_after: request.garbage_after.or(old.garbage_after),
             cut_after: request.cut_after.or(old.cut_after),
             failing: request.failing.or(old.failing),
+            pause_ms: request.pause_ms.or(old.pause_ms),
+            says_leaving: request.says_leaving.or(old.says_leaving),
             crash_in_order: request.crash_in_order.or(old.crash_in_order),
             clear: false,
         };
--- a/crates/usher_fake/src/lib.rs
+++ b/crates/usher_fake/src/lib.rs
@@ -12,6 +12,7 @@
 mod engine_options;
 mod faults;
 mod macros;
+mod notice;
 mod order;
 mod prompt;
 mod run;
--- a/crates/usher_fake/src/service.rs
+++ b/crates/usher_fake/src/service.rs
@@ -2,9 +2,9 @@
 
 use std::{collections, io, net, sync, time};
 
-use axum::{extract, response, response::IntoResponse as _, routing, Json};
+use axum::{extract, middleware, response, response::IntoResponse as _, routing, Json};
 
-use crate::{announce, engine, server, service_options};
+use crate::{announce, engine, notice, server, service_options};
 
 /// Largest accepted request body, in bytes; larger than the limit of an entry.
 const MAX_BODY_BYTES: usize = 16 << 20;
@@ -139,9 +139,22 @@
         .route("/fake/behaviour", routing::post(set_behaviour))
         .fallback(handle_call)
         .layer(extract::DefaultBodyLimit::max(MAX_BODY_BYTES))
+        .layer(middleware::map_response_with_state(
+            core.clone(),
+            mark_answer,
+        ))
         .with_state(core)
 }
 
+async fn mark_answer(
+    extract::State(core): CoreState,
+    answer: response::Response,
+) -> response::Response {
+    let leaving = core.leaving.load(sync::atomic::Ordering::SeqCst);
+    let says_leaving = engine::lock(&core.behaviour).says_leaving;
+    notice::mark_answer(answer, leaving || says_leaving)
+}
+
 type CoreState = extract::State<sync::Arc<ServiceCore>>;
 
 async fn read_calls(extract::State(core): CoreState) -> Json<CallCounts> {
@@ -204,6 +217,9 @@
     if core.handle.is_ended() {
         return std::future::pending().await;
     }
+    if behaviour.pause_ms > 0 {
+        return notice::refuse_with_pause(behaviour.pause_ms);
+    }
     if behaviour.failing {
         let message = "injected failure";
         return (http::StatusCode::INTERNAL_SERVER_ERROR, message).into_response();
--- a/crates/usher_fake/src/service_options.rs
+++ b/crates/usher_fake/src/service_options.rs
@@ -18,6 +18,10 @@
     pub die_after: bool,
     /// Responds with status 500, without an effect.
     pub failing: bool,
+    /// Turns calls away without an effect and asks for a pause of so many ms; 0 for none.
+    pub pause_ms: u64,
+    /// Says in all answers that it is leaving, although its announcements don't.
+    pub says_leaving: bool,
     /// Number of padding bytes in each response.
     pub padding: usize,
 }
--- a/crates/usher_policy/src/admission.rs
+++ b/crates/usher_policy/src/admission.rs
@@ -125,7 +125,13 @@
         now: time::Instant,
     ) -> AdmissionDecision {
         if decision.target.is_err() {
-            return self.refuse(RefusalReason::NoTarget, RETRY_AFTER_MIN);
+            let refusal = self.refuse(RefusalReason::NoTarget, RETRY_AFTER_MIN);
+            // Nobody may be told to return before the first pause ends.
+            let pause = decision.pause.unwrap_or_default();
+            return AdmissionDecision {
+                retry_after: pause + refusal.retry_after,
+                ..refusal
+            };
         }
         let first = decision.first_token.as_secs_f64();
         let output = decision.finish.as_secs_f64() - first;
--- a/crates/usher_policy/src/entry.rs
+++ b/crates/usher_policy/src/entry.rs
@@ -169,6 +169,16 @@
         self.table.on_registry(change);
     }
 
+    /// Records that a target wants no request of this entry for a time.
+    pub fn on_pause(
+        &mut self,
+        name: &usher_types::TargetName,
+        length: time::Duration,
+        now: time::Instant,
+    ) {
+        self.table.on_pause(name, length, now);
+    }
+
     /// Applies a capacity share granted by the control node.
     pub fn on_grant(&mut self, grant: lease::ShareGrant, now: time::Instant) {
         self.admission.lease_mut().on_grant(grant, now);
--- a/crates/usher_policy/src/route.rs
+++ b/crates/usher_policy/src/route.rs
@@ -103,6 +103,9 @@
     pub candidates: Vec<CandidateScore>,
     /// Number of candidates that were scored.
     pub scored: usize,
+    /// Time until the first of the targets that want a pause takes calls again, when there is no
+    /// other one.
+    pub pause: Option<time::Duration>,
 }
 
 impl RouteDecision {
@@ -116,6 +119,7 @@
             finish: time::Duration::MAX,
             candidates: Vec::new(),
             scored: 0,
+            pause: None,
         }
     }
 }
@@ -158,12 +162,18 @@
             return RouteDecision::refused(NoRoute::UnknownService);
         }
         let mut refusal = NoRoute::NoneFits;
+        let mut pause = None;
         let mut mixed = Vec::with_capacity(slots.len());
         let mut prefill = Vec::new();
         let mut decode = Vec::new();
         for &slot in &slots {
             match eligibility(request, table, slot, now) {
                 Eligibility::Unsuitable => continue,
+                Eligibility::Pausing(left) => {
+                    refusal = NoRoute::NoneAvailable;
+                    pause = Some(pause.map_or(left, |pause: time::Duration| pause.min(left)));
+                    continue;
+                }
                 Eligibility::Unavailable => {
                     refusal = NoRoute::NoneAvailable;
                     continue;
@@ -180,7 +190,10 @@
         let scored = mixed.len() + prefill.len() + decode.len();
         let mut decision = self.pick(request, table, mixed, prefill, decode);
         if decision.target.is_err() {
-            return RouteDecision::refused(refusal);
+            return RouteDecision {
+                pause,
+                ..RouteDecision::refused(refusal)
+            };
         }
         decision.scored = scored;
         if request.class == WorkClass::Short && request.idempotent {
@@ -332,6 +345,8 @@
 enum Eligibility {
     Unsuitable,
     Unavailable,
+    /// It wants no request for so long.
+    Pausing(time::Duration),
     Available,
 }
 
@@ -355,7 +370,10 @@
     if !state.accepts_work() || failing {
         return Eligibility::Unavailable;
     }
-    Eligibility::Available
+    match state.pause_left(now) {
+        Some(left) => Eligibility::Pausing(left),
+        None => Eligibility::Available,
+    }
 }
 
 fn role_of(table: &table::TargetTable, slot: slot::TargetSlot) -> EngineRole {
--- a/crates/usher_policy/src/service_refresh.rs
+++ b/crates/usher_policy/src/service_refresh.rs
@@ -133,7 +133,8 @@
         let slots = self.detector.slow_slots();
         let due = slots.into_iter().find(|slot| {
             let state = &self.states[slot.index()];
-            state.accepts_work() && state.info.service == *service
+            let accepts_work = state.accepts_work() && state.pause_left(now).is_none();
+            accepts_work && state.info.service == *service
         })?;
         self.detector.start_due_probe(due, now).then_some(due)
     }
--- a/crates/usher_policy/src/state.rs
+++ b/crates/usher_policy/src/state.rs
@@ -90,6 +90,8 @@
     /// Consecutive failures.
     pub(crate) failures: u32,
     pub(crate) failed_at: Option<time::Instant>,
+    /// End of the pause that the target asked for.
+    pause_until: Option<time::Instant>,
     /// Share of the recent attempts that failed, as of `failed_at`.
     failure_share: f64,
     /// Weight from the detector of slow targets.
@@ -121,6 +123,7 @@
             stragglers: 0,
             failures: 0,
             failed_at: None,
+            pause_until: None,
             failure_share: 0.0,
             weight: 1.0,
             others_per_own_call: 0.0,
@@ -134,6 +137,19 @@
         self.status == TargetStatus::Live && !self.info.leaving
     }
 
+    /// Records that the target wants no request for a time; never shortens its pause.
+    pub(crate) fn request_pause(&mut self, length: time::Duration, now: time::Instant) {
+        let until = now + length;
+        let known = self.pause_until.unwrap_or(until);
+        self.pause_until = Some(known.max(until));
+    }
+
+    /// Returns how long the target wants no request from now on.
+    pub(crate) fn pause_left(&self, now: time::Instant) -> Option<time::Duration> {
+        let left = self.pause_until?.saturating_duration_since(now);
+        (!left.is_zero()).then_some(left)
+    }
+
     /// Returns the current own load plus the load of other daemons as last reported.
     pub(crate) fn load(&self) -> TargetLoad {
         let mut load = self.own;
--- a/crates/usher_policy/src/table.rs
+++ b/crates/usher_policy/src/table.rs
@@ -315,6 +315,21 @@
         }
     }
 
+    /// Records that a target wants no request of this entry for a time. A new incarnation of the
+    /// target wants none.
+    pub fn on_pause(&mut self, name: &TargetName, length: time::Duration, now: time::Instant) {
+        if let Some(state) = self.state_mut(name) {
+            state.request_pause(length, now);
+        }
+    }
+
+    /// Returns whether a target wants no request at present.
+    pub fn wants_pause(&self, name: &TargetName, now: time::Instant) -> bool {
+        let slot = self.slots.get(name);
+        let state = slot.and_then(|slot| self.state(*slot));
+        state.is_some_and(|state| state.pause_left(now).is_some())
+    }
+
     /// Applies prefix-cache events; returns false when events are missing. The entry then fetches
     /// a complete listing and passes it to [`TargetTable::on_cache_listing`].
     pub fn on_cache_events(
