Believe an answer of a target only when it belongs to the call

Cause: a gateway believed each 503 that says "not run", and each 421, whoever it was written for, unless it bore the id of another call. A faulty target that writes an earlier refusal once more before the next answer on a kept connection made it tell callers that calls had not run which ran, or run them again at another target. The earlier refusal of the same call bears the right id: a call whose prompt could not be fetched is sent again to an engine that has refused it.

Change: usher_answer::AnswerOwner decides whose an answer is, from the id that it states and from what its connection has carried. Without an id only the first answer of a connection belongs to the call; otherwise the send counts as one that may have run. No call is sent twice on one connection. This holds for refusals, failures and the answers to prefills; successes had to bear an id before.

Ruled out: believing no answer without an id at all. Another target at a used address may answer 421 without one, on a new connection.

--- a/crates/usher_gateway/src/call.rs
+++ b/crates/usher_gateway/src/call.rs
@@ -38,9 +38,24 @@
     pub(crate) arrived: tokio_time::Instant,
     /// The time at which the call is given up.
     pub(crate) deadline: tokio_time::Instant,
+    /// Targets that the call has been sent to.
+    sent_to: sync::Mutex<Vec<usher_types::TargetName>>,
 }
 
 impl RoutedCall {
+    /// Records that the call is sent to a target; returns whether this is the first time.
+    pub(crate) fn begin_send(&self, target: &usher_types::TargetName) -> bool {
+        let mut sent_to = self
+            .sent_to
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner);
+        let is_first = !sent_to.contains(target);
+        if is_first {
+            sent_to.push(target.clone());
+        }
+        is_first
+    }
+
     /// Returns the time left until the deadline.
     pub(crate) fn time_left(&self) -> time::Duration {
         let now = tokio_time::Instant::now();
@@ -254,6 +269,7 @@
         body,
         arrived: log.arrived,
         deadline,
+        sent_to: sync::Mutex::default(),
     })
 }
 
--- a/crates/usher_gateway/src/held_prompt.rs
+++ b/crates/usher_gateway/src/held_prompt.rs
@@ -96,7 +96,7 @@
     *request.uri_mut() = uri;
     insert_host(request.headers_mut(), holder.address);
     let exchange = async {
-        let sent = core.pool.send(holder, request).await;
+        let sent = core.pool.send(holder, request, true).await;
         let (answer, connection) = sent.map_err(|error| error.to_string())?;
         let metadata = core.dialect.read_answer(answer.status(), answer.headers());
         core.record_head(holder, answer.status(), answer.headers(), &metadata);
--- a/crates/usher_gateway/src/pool.rs
+++ b/crates/usher_gateway/src/pool.rs
@@ -3,6 +3,7 @@
 use std::{collections, sync, time};
 
 use hyper::client::conn::http1;
+use usher_answer::ConnectionUse;
 
 /// Maximum time to connect to a target: five round trips between regions. Another target is then
 /// tried at no cost, while the kernel would resend a lost SYN packet only after a second.
@@ -67,19 +68,26 @@
     pool: TargetPool,
     target: usher_types::TargetName,
     sender: ConnectionSender,
+    /// Whether the connection had carried other requests before.
+    pub(crate) connection_use: ConnectionUse,
     keep_alive: time::Duration,
 }
 
 impl TargetPool {
     /// Sends a request and waits for the head of the answer.
+    ///
+    /// `is_new` says that the request was not sent to the target before; otherwise it gets a
+    /// connection of its own, so that no connection carries it twice.
     pub(crate) async fn send(
         &self,
         target: &usher_roster::TargetEntry,
         request: http::Request<RequestBody>,
+        is_new: bool,
     ) -> Result<(http::Response<TargetBody>, ConnectionLease), ConnectionError> {
         let mut request = request;
-        while let Some(sender) = self.take_idle(&target.name) {
-            match self.send_on(sender, &target.name, request).await {
+        while let Some(sender) = is_new.then(|| self.take_idle(&target.name)).flatten() {
+            let used = ConnectionUse::Repeated;
+            match self.send_on(sender, used, &target.name, request).await {
                 Ok(answer) => return Ok(answer),
                 // The connection was closed while it was idle, and nothing was written.
                 Err((_, Some(unsent))) => request = unsent,
@@ -87,13 +95,15 @@
             }
         }
         let sender = connect(target.address).await?;
-        let sent = self.send_on(sender, &target.name, request).await;
+        let used = ConnectionUse::First;
+        let sent = self.send_on(sender, used, &target.name, request).await;
         sent.map_err(|(error, _)| error)
     }
 
     async fn send_on(
         &self,
         mut sender: ConnectionSender,
+        connection_use: ConnectionUse,
         target: &usher_types::TargetName,
         request: http::Request<RequestBody>,
     ) -> Result<
@@ -106,6 +116,7 @@
                     pool: self.clone(),
                     target: target.clone(),
                     sender,
+                    connection_use,
                     keep_alive: keep_alive_time(answer.headers()),
                 };
                 let (parts, body) = answer.into_parts();
@@ -161,6 +172,7 @@
             target,
             mut sender,
             keep_alive,
+            ..
         } = self;
         if keep_alive.is_zero() {
             return;
--- a/crates/usher_gateway/src/send.rs
+++ b/crates/usher_gateway/src/send.rs
@@ -2,7 +2,7 @@
 
 use std::{net, time};
 
-use usher_answer::AnswerFault;
+use usher_answer::{AnswerFault, AnswerOwner};
 use usher_place::TargetFailure;
 use usher_roster::TargetEntry;
 
@@ -80,7 +80,8 @@
     };
     core.dialect.write_send(request.headers_mut(), &metadata);
     let runs_call = metadata.step != dialect::SendStep::Prefill;
-    let result = match core.pool.send(target, request).await {
+    let is_new = call.begin_send(&target.name);
+    let result = match core.pool.send(target, request, is_new).await {
         Ok((answer, connection)) => {
             let result = check_answer(core, call, target, runs_call, answer, connection).await;
             if matches!(result, SendResult::NotRun(_)) {
@@ -125,10 +126,18 @@
     let metadata = core.dialect.read_answer(parts.status, &parts.headers);
     core.record_head(target, parts.status, &parts.headers, &metadata);
     let now = core.clock.now();
-    // A duplicate answer to an earlier call may arrive in place of this one.
-    let is_other = metadata.id.as_ref().is_some_and(|id| *id != call.id);
-    if is_other {
-        return SendResult::Broken("the answer belongs to another call".to_owned());
+    match AnswerOwner::of(&call.id, metadata.id.as_ref(), connection.connection_use) {
+        AnswerOwner::ThisRequest => {}
+        AnswerOwner::OtherRequest => {
+            return SendResult::Broken("the answer belongs to another call".to_owned());
+        }
+        AnswerOwner::Unknown => {
+            let status = parts.status.as_u16();
+            return SendResult::Broken(format!(
+                "an answer with status {status} and without a request id, on a used connection, may \
+                 belong to an earlier call"
+            ));
+        }
     }
     let is_verified = metadata.signed && metadata.id.is_some();
     if runs_call && parts.status.is_success() && !is_verified {
