Give no caller of an entry the earlier answer of a connection

It used the connections of streams and of idempotent plain calls again and didn't look whose an answer is. A target that writes an earlier answer once more gave it to the next caller as a complete success; ids in the chunks of a stream weren't compared either.

The pool of connections decides by usher_answer::AnswerOwner, uses a connection again only after an answer that stated its id, and never for an id that it has carried. Plain calls use the same pool, which replaces the library's one; calls that may run once go on using a connection of their own. The stand-ins repeat ids.

Before: the 4 new tests (late_answers.rs) failed: "two callers got one answer", and "call-0" in place of "call-1". After: passed, with the 208 tests of usher_entry, usher_fake and usher_answer.

The control daemon and registrars use a connection for one request; nothing to change there.

--- a/crates/usher_answer/src/answer_reader.rs
+++ b/crates/usher_answer/src/answer_reader.rs
@@ -42,6 +42,11 @@
         &self.check
     }
 
+    /// Returns the body, of which the part that was read is gone.
+    pub fn into_body(self) -> B {
+        self.body
+    }
+
     /// Reads the next bytes; returns `None` at the end of a complete answer.
     ///
     /// # Errors
--- a/crates/usher_entry/src/client.rs
+++ b/crates/usher_entry/src/client.rs
@@ -1,6 +1,6 @@
-//! The HTTP client for requests to targets.
+//! The HTTP client for the entry's own requests to targets.
 //!
-//! Not for: choosing a target.
+//! Not for: calls, which are sent through the pool of driven connections.
 
 use std::{net, time};
 
@@ -23,13 +23,7 @@
     legacy::Client<legacy::connect::HttpConnector, http_body_util::Full<bytes::Bytes>>;
 
 /// The body of an answer, whose end is reported only when the answer is complete.
-pub(crate) type TargetBody = usher_answer::AnswerReader<hyper::body::Incoming>;
-
-/// Returns the reader of an answer's body.
-pub(crate) fn read_answer(response: http::Response<hyper::body::Incoming>) -> TargetBody {
-    let (parts, body) = response.into_parts();
-    TargetBody::new(&parts.headers, body)
-}
+type TargetBody = usher_answer::AnswerReader<hyper::body::Incoming>;
 
 /// The reason why a request got no response.
 #[derive(Debug, thiserror::Error)]
@@ -46,7 +40,6 @@
 #[derive(Clone, Debug)]
 pub(crate) struct TargetClient {
     inner: InnerClient,
-    connect_timeout: time::Duration,
 }
 
 impl TargetClient {
@@ -59,64 +52,11 @@
             .pool_idle_timeout(IDLE_TIMEOUT)
             .pool_timer(hyper_util::rt::TokioTimer::new())
             .build(connector);
-        Self {
-            inner,
-            connect_timeout,
-        }
-    }
-
-    /// Sends a request over a new connection.
-    ///
-    /// `may_write` is checked immediately before the first byte, as connecting may outlast the
-    /// routing right. A pooled connection isn't used because the target could be closing it, and
-    /// then it would be unknown whether the request was executed.
-    pub(crate) async fn send_once(
-        &self,
-        address: net::SocketAddr,
-        request: http::Request<http_body_util::Full<bytes::Bytes>>,
-        may_write: impl FnOnce() -> bool,
-    ) -> Result<http::Response<hyper::body::Incoming>, SendError> {
-        let connect = tokio::net::TcpStream::connect(address);
-        let socket = tokio::time::timeout(self.connect_timeout, connect)
-            .await
-            .map_err(|_| {
-                SendError::NotSent(format!(
-                    "connect timed out after {:?}",
-                    self.connect_timeout
-                ))
-            })?
-            .map_err(not_sent)?;
-        socket.set_nodelay(true).map_err(not_sent)?;
-        socket2::SockRef::from(&socket)
-            .set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))
-            .map_err(not_sent)?;
-        let io = hyper_util::rt::TokioIo::new(socket);
-        let (mut sender, connection) = hyper::client::conn::http1::handshake(io)
-            .await
-            .map_err(not_sent)?;
-        // The connection ends after its only response.
-        tokio::spawn(async move {
-            let _ = connection.await;
-        });
-        let request = origin_form(address, request).map_err(not_sent)?;
-        if !may_write() {
-            return Err(not_sent(
-                "routing right expired before the request was written",
-            ));
-        }
-        sender.try_send_request(request).await.map_err(|mut error| {
-            let unsent = error.take_message().is_some();
-            let message = error.into_error().to_string();
-            if unsent {
-                SendError::NotSent(message)
-            } else {
-                SendError::Unknown(message)
-            }
-        })
+        Self { inner }
     }
 
     /// Sends a request and returns the response once its head has arrived.
-    pub(crate) async fn send(
+    async fn send(
         &self,
         request: http::Request<http_body_util::Full<bytes::Bytes>>,
     ) -> Result<http::Response<hyper::body::Incoming>, SendError> {
@@ -156,23 +96,6 @@
     }
 }
 
-fn not_sent(error: impl std::fmt::Display) -> SendError {
-    SendError::NotSent(error.to_string())
-}
-
-/// Converts a request to origin form with a Host header, as a bare HTTP/1.1 connection expects it.
-fn origin_form(
-    address: net::SocketAddr,
-    request: http::Request<http_body_util::Full<bytes::Bytes>>,
-) -> Result<http::Request<http_body_util::Full<bytes::Bytes>>, http::Error> {
-    let (mut parts, body) = request.into_parts();
-    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
-    parts.uri = http::Uri::try_from(path)?;
-    let host = http::HeaderValue::try_from(address.to_string())?;
-    parts.headers.insert(http::header::HOST, host);
-    Ok(http::Request::from_parts(parts, body))
-}
-
 fn describe_error(error: &legacy::Error) -> String {
     use std::error::Error as _;
     match error.source() {
--- a/crates/usher_entry/src/model/stream.rs
+++ b/crates/usher_entry/src/model/stream.rs
@@ -167,7 +167,10 @@
             .to_http(guard.address)
             .map_err(|error| SendError::NotSent(error.to_string()))?;
         let may_write = || core.has_right();
-        let sent = core.streams.send(guard.address, request, may_write);
+        let allowed_use = usher_answer::ConnectionUse::Repeated;
+        let sent = core
+            .streams
+            .send(guard.address, request, allowed_use, may_write);
         let (mut connection, response) = sent.await?;
         guard.record_head(&response);
         let status = response.status();
--- a/crates/usher_entry/src/plain/answer.rs
+++ b/crates/usher_entry/src/plain/answer.rs
@@ -7,9 +7,10 @@
 use usher_wire::message;
 
 use crate::{
-    client::{self, SendError, TargetBody},
+    client::SendError,
     error::CallError,
     plain::{call, claim},
+    stream_pool,
 };
 
 /// An answer whose beginning has been read.
@@ -18,32 +19,39 @@
     headers: http::HeaderMap,
     prefix: bytes::Bytes,
     // The unread rest, set for an answer that is longer than what control records.
-    rest: Option<TargetBody>,
+    rest: Option<stream_pool::DrivenAnswer>,
 }
 
 impl PlainAnswer {
-    /// Reads an answer up to the length that control records.
+    /// Reads an answer up to the length that control records. The connection of one that ends before
+    /// returns to the pool.
     pub(crate) async fn read(
+        pool: &stream_pool::StreamPool,
+        connection: stream_pool::EngineConnection,
         response: http::Response<hyper::body::Incoming>,
     ) -> Result<Self, SendError> {
         let status = response.status();
         let headers = call::answer_headers(response.headers());
-        let mut body = client::read_answer(response);
+        let mut body = stream_pool::DrivenBody::read_answer(connection, response);
         let mut prefix = bytes::BytesMut::new();
-        let mut rest = None;
         let unknown = |fault: usher_answer::AnswerFault| SendError::Unknown(fault.to_string());
         while let Some(bytes) = body.next().await.map_err(unknown)? {
             prefix.extend_from_slice(&bytes);
             if prefix.len() > claim::MAX_RECORDED_ANSWER_BYTES {
-                rest = Some(body);
-                break;
+                return Ok(Self {
+                    status,
+                    headers,
+                    prefix: prefix.freeze(),
+                    rest: Some(body),
+                });
             }
         }
+        body.into_body().release(pool);
         Ok(Self {
             status,
             headers,
             prefix: prefix.freeze(),
-            rest,
+            rest: None,
         })
     }
 
@@ -67,7 +75,7 @@
     }
 
     /// Takes the unread rest of the body.
-    pub(crate) fn take_rest(&mut self) -> Option<TargetBody> {
+    pub(crate) fn take_rest(&mut self) -> Option<stream_pool::DrivenAnswer> {
         self.rest.take()
     }
 
--- a/crates/usher_entry/src/plain/call.rs
+++ b/crates/usher_entry/src/plain/call.rs
@@ -83,7 +83,8 @@
     ) -> Result<http::Request<http_body_util::Full<bytes::Bytes>>, http::Error> {
         let mut request = http::Request::builder()
             .method(self.method.clone())
-            .uri(format!("http://{address}{}", self.path))
+            .uri(self.path.as_str())
+            .header(http::header::HOST, address.to_string())
             .header("x-request-id", id.as_str());
         if let Some(key) = &self.key {
             request = request.header("idempotency-key", key);
--- a/crates/usher_entry/src/plain/runner.rs
+++ b/crates/usher_entry/src/plain/runner.rs
@@ -5,19 +5,20 @@
 use std::{sync, time};
 
 use axum::response;
+use usher_answer::ConnectionUse;
 use usher_policy::{CallRequest, FailureKind, RetryDecision, RouteDecision};
 use usher_types::RunState;
 
 use crate::{
     attempt::AttemptGuard,
-    client::{SendError, TargetBody},
+    client::SendError,
     core,
     error::CallError,
     identity,
     outcome::{self, OutcomeCause},
     plain::{answer::PlainAnswer, call::PlainCall, claim::HeldClaim},
     policy::DecisionPolicy as _,
-    refusal, types,
+    refusal, stream_pool, types,
 };
 
 /// Maximum number of body chunks of a long answer queued for the caller.
@@ -180,15 +181,20 @@
             Err(error) => return Err(not_sent(guard.name.clone(), &error.to_string())),
         };
         let exchange = async {
-            let client = &self.core.client;
-            let response = if self.call.idempotent {
-                client.send(request).await?
+            // The target may be closing an idle connection, and then it would be unknown whether the
+            // call was executed.
+            let allowed_use = if self.call.idempotent {
+                ConnectionUse::Repeated
             } else {
-                let may_write = || self.core.has_right();
-                client.send_once(guard.address, request, may_write).await?
+                ConnectionUse::First
             };
+            let pool = &self.core.streams;
+            let may_write = || self.core.has_right();
+            let (connection, response) = pool
+                .send(guard.address, request, allowed_use, may_write)
+                .await?;
             guard.record_head(&response);
-            PlainAnswer::read(response).await
+            PlainAnswer::read(pool, connection, response).await
         };
         let result = tokio::time::timeout(self.time_left(), exchange).await;
         let result = result.unwrap_or_else(|_| {
@@ -392,7 +398,7 @@
 ///
 /// Fails with the reason when the answer isn't complete.
 async fn forward(
-    mut rest: TargetBody,
+    mut rest: stream_pool::DrivenAnswer,
     sender: &usher_answer::StreamSender,
     timeout: time::Duration,
 ) -> Result<(), String> {
--- a/crates/usher_entry/src/stream_pool.rs
+++ b/crates/usher_entry/src/stream_pool.rs
@@ -1,11 +1,13 @@
-//! A pool of connections to engines that are driven by the reader of their stream.
+//! A pool of connections to targets that are driven by the reader of their answer.
 //!
-//! Not for: plain services.
+//! Not for: choosing a target.
 
 use std::{collections, future, future::Future as _, net, pin, sync, task, time};
 
 use hyper::{body::Body as _, client::conn::http1};
 use tokio::net as tokio_net;
+use usher_answer::{AnswerOwner, ConnectionUse};
+use usher_types::RequestId;
 
 use crate::client::SendError;
 
@@ -21,6 +23,9 @@
 /// Time to wait for the end of the body after the last event; then the connection is closed.
 const END_TIMEOUT: time::Duration = time::Duration::from_millis(200);
 
+/// Number of requests after which a connection isn't used again, because the id of each is kept.
+const MAX_REQUESTS: usize = 256;
+
 type RequestBody = http_body_util::Full<bytes::Bytes>;
 type FrameResult = Option<Result<hyper::body::Frame<bytes::Bytes>, hyper::Error>>;
 
@@ -33,6 +38,11 @@
     ended: bool,
     address: net::SocketAddr,
     used_at: time::Instant,
+    /// Ids of the requests that it has carried.
+    carried: Vec<RequestId>,
+    /// Whether the last answer stated the id of its request. Without ids, an earlier answer that
+    /// comes once more can't be told from the next one.
+    states_ids: bool,
 }
 
 impl std::fmt::Debug for EngineConnection {
@@ -62,6 +72,8 @@
             ended: false,
             address,
             used_at: time::Instant::now(),
+            carried: Vec::new(),
+            states_ids: false,
         })
     }
 
@@ -72,13 +84,43 @@
         }
     }
 
-    /// Sends a request; on an error, returns the request too if none of it was written.
+    /// Sends a request; on an error, returns the request too if none of it was written. An answer
+    /// that doesn't belong to the request is an error.
     async fn send(
         &mut self,
         request: http::Request<RequestBody>,
     ) -> Result<
         http::Response<hyper::body::Incoming>,
         (SendError, Option<http::Request<RequestBody>>),
+    > {
+        let sent = request_id(request.headers()).unwrap_or_default();
+        let connection_use = if self.carried.is_empty() {
+            ConnectionUse::First
+        } else {
+            ConnectionUse::Repeated
+        };
+        self.carried.push(sent.clone());
+        let response = self.send_unchecked(request).await?;
+        let stated = request_id(response.headers());
+        match AnswerOwner::of(&sent, stated.as_ref(), connection_use) {
+            AnswerOwner::ThisRequest => {
+                self.states_ids = stated.is_some();
+                Ok(response)
+            }
+            AnswerOwner::OtherRequest | AnswerOwner::Unknown => {
+                let status = response.status();
+                let message = format!("the answer ({status}) may belong to another request");
+                Err((SendError::Unknown(message), None))
+            }
+        }
+    }
+
+    async fn send_unchecked(
+        &mut self,
+        request: http::Request<RequestBody>,
+    ) -> Result<
+        http::Response<hyper::body::Incoming>,
+        (SendError, Option<http::Request<RequestBody>>),
     > {
         let response = self.sender.try_send_request(request);
         tokio::pin!(response);
@@ -117,6 +159,12 @@
     }
 }
 
+/// Reads the id of a request from its head, or from that of its answer.
+fn request_id(headers: &http::HeaderMap) -> Option<RequestId> {
+    let text = headers.get("x-request-id")?.to_str().ok()?;
+    Some(RequestId::new(text))
+}
+
 fn not_sent(error: impl std::fmt::Display) -> SendError {
     SendError::NotSent(error.to_string())
 }
@@ -161,7 +209,8 @@
         }
     }
 
-    /// Sends a request over an idle or a new connection.
+    /// Sends a request over an idle or a new connection; with `ConnectionUse::First`, over a new
+    /// one.
     ///
     /// `may_write` is checked immediately before each write, as connecting may outlast the routing
     /// right.
@@ -169,13 +218,19 @@
         &self,
         address: net::SocketAddr,
         mut request: http::Request<RequestBody>,
+        allowed_use: ConnectionUse,
         may_write: impl Fn() -> bool,
     ) -> Result<(EngineConnection, http::Response<hyper::body::Incoming>), SendError> {
         let check = || {
             let refusal = || not_sent("routing right expired before the request was written");
             may_write().then_some(()).ok_or_else(refusal)
         };
-        while let Some(mut connection) = self.take(address) {
+        let id = request_id(request.headers()).unwrap_or_default();
+        let take = || match allowed_use {
+            ConnectionUse::First => None,
+            ConnectionUse::Repeated => self.take(address, &id),
+        };
+        while let Some(mut connection) = take() {
             check()?;
             match connection.send(request).await {
                 Ok(response) => return Ok((connection, response)),
@@ -216,7 +271,8 @@
     }
 
     fn store(&self, mut connection: EngineConnection) {
-        if !connection.is_usable() {
+        let is_full = connection.carried.len() >= MAX_REQUESTS;
+        if !connection.states_ids || is_full || !connection.is_usable() {
             return;
         }
         let now = time::Instant::now();
@@ -229,11 +285,15 @@
         }
     }
 
-    fn take(&self, address: net::SocketAddr) -> Option<EngineConnection> {
+    /// Takes an idle connection that hasn't carried a request with this id: its earlier answer would
+    /// look like the next one.
+    fn take(&self, address: net::SocketAddr, id: &RequestId) -> Option<EngineConnection> {
         let mut idle = self.lock();
         let connections = idle.connections.get_mut(&address)?;
         while let Some(mut connection) = connections.pop() {
-            if connection.used_at.elapsed() < IDLE_TIMEOUT && connection.is_usable() {
+            let is_new_here = !connection.carried.contains(id);
+            let is_fresh = connection.used_at.elapsed() < IDLE_TIMEOUT;
+            if is_new_here && is_fresh && connection.is_usable() {
                 return Some(connection);
             }
         }
@@ -247,3 +307,53 @@
             .unwrap_or_else(sync::PoisonError::into_inner)
     }
 }
+
+/// The body of an answer together with its connection, which makes progress while the body is read.
+#[derive(Debug)]
+pub(crate) struct DrivenBody {
+    connection: EngineConnection,
+    body: hyper::body::Incoming,
+}
+
+/// The body of an answer, whose end is reported only when the answer is complete.
+pub(crate) type DrivenAnswer = usher_answer::AnswerReader<DrivenBody>;
+
+impl DrivenBody {
+    /// Returns the reader of an answer.
+    pub(crate) fn read_answer(
+        connection: EngineConnection,
+        response: http::Response<hyper::body::Incoming>,
+    ) -> DrivenAnswer {
+        let (parts, body) = response.into_parts();
+        DrivenAnswer::new(&parts.headers, Self { connection, body })
+    }
+
+    /// Returns the connection to its pool, when the answer has been read.
+    pub(crate) fn release(self, pool: &StreamPool) {
+        pool.release(self.connection, self.body);
+    }
+}
+
+impl hyper::body::Body for DrivenBody {
+    type Data = bytes::Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+    ) -> task::Poll<FrameResult> {
+        if let task::Poll::Ready(frame) = pin::Pin::new(&mut self.body).poll_frame(context) {
+            return task::Poll::Ready(frame);
+        }
+        self.connection.drive(context);
+        pin::Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> hyper::body::SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/crates/usher_entry/tests/entry/main.rs
+++ b/crates/usher_entry/tests/entry/main.rs
@@ -11,6 +11,7 @@
 mod failover;
 mod handover;
 mod hostile;
+mod late_answers;
 mod lifecycle;
 mod notices;
 mod plain;
--- a/crates/usher_fake/src/engine_http.rs
+++ b/crates/usher_fake/src/engine_http.rs
@@ -36,6 +36,7 @@
             core.clone(),
             mark_answer,
         ))
+        .layer(middleware::from_fn(notice::state_id))
         .with_state(core)
 }
 
--- a/crates/usher_fake/src/service.rs
+++ b/crates/usher_fake/src/service.rs
@@ -143,6 +143,7 @@
             core.clone(),
             mark_answer,
         ))
+        .layer(middleware::from_fn(notice::state_id))
         .with_state(core)
 }
 
