Refuse entries of targets that no process can have sent

Cause: the highest start, and of one start the highest number, win. A heartbeat or an end with 2^64-1 in either, written by another writer under the name of a live target, hid the real one for good: its later heartbeats were older. Port 0 and 0.0.0.0 were taken as addresses. Loads of targets and token counts of callers were summed up without a limit, which ends a debug build's call and wraps in a release build.

Change: TargetEntry::check refuses starts above 2^53-1 or more than 10 minutes in the future, more heartbeats than milliseconds since the start, and addresses that can't be called. It is applied to heartbeats, ends, records of other registrars, records that gateways get, and the file of what was known. Each source is logged once for a reason. Token counts are limited to 2^32, loads are added with saturation.

--- a/crates/usher_control/src/registrar/mod.rs
+++ b/crates/usher_control/src/registrar/mod.rs
@@ -10,6 +10,7 @@
 mod node;
 mod options;
 mod peer_watch;
+mod refused_sources;
 mod role_orders;
 mod route_publisher;
 mod route_store;
--- a/crates/usher_control/src/registrar/peer_watch.rs
+++ b/crates/usher_control/src/registrar/peer_watch.rs
@@ -31,12 +31,7 @@
         let (index, members) = access.member_addresses(0);
         group.set_members(index, &members);
         for beat in update.reply.iter().flat_map(|reply| &reply.targets) {
-            match usher_roster::TargetEntry::from_message(beat) {
-                Ok(entry) => targets.merge(entry),
-                Err(error) => {
-                    tracing::warn!(%error, from = %update.address, "invalid target record refused")
-                }
-            }
+            targets.merge(update.address, beat);
         }
     }
 }
--- a/crates/usher_control/src/registrar/target_registry.rs
+++ b/crates/usher_control/src/registrar/target_registry.rs
@@ -1,12 +1,12 @@
 //! Registers targets by their heartbeats and answers the watch requests of gateways.
 //! Not for: the routes.
 
-use std::{sync, time};
+use std::{net, sync, time};
 
 use tokio::sync::watch;
 use usher_wire::message;
 
-use crate::{fleet, plan};
+use crate::{fleet, plan, registrar::refused_sources};
 
 /// Upper limit of the time that a watch request may wait for a change.
 const MAX_WAIT: time::Duration = time::Duration::from_secs(5);
@@ -23,6 +23,7 @@
     domain: usher_types::DomainName,
     /// Version of the routes that gateways can fetch here.
     published_routes: watch::Receiver<u64>,
+    refused: sync::Arc<sync::Mutex<refused_sources::RefusedSources>>,
     clock: C,
 }
 
@@ -39,8 +40,9 @@
         published_routes: watch::Receiver<u64>,
     ) -> Self {
         let mut feed = usher_roster::RosterFeed::new(heartbeat);
+        let wall = clock.wall();
         for beat in &last_known.targets {
-            match usher_roster::TargetEntry::from_message(beat) {
+            match usher_roster::TargetEntry::from_message(beat, wall) {
                 Ok(entry) => feed.restore(entry, clock.now()),
                 Err(error) => {
                     tracing::warn!(%error, "invalid target record in the last-known file")
@@ -54,12 +56,21 @@
             epoch: usher_types::IncarnationSource::random().get(),
             domain,
             published_routes,
+            refused: sync::Arc::default(),
             clock,
         }
     }
 
     /// Applies a heartbeat of a target.
-    pub fn record_heartbeat(&self, entry: usher_roster::TargetEntry) {
+    ///
+    /// # Errors
+    ///
+    /// Fails when no sound process can have sent the heartbeat; what was known holds then.
+    pub fn record_heartbeat(
+        &self,
+        entry: usher_roster::TargetEntry,
+    ) -> Result<(), usher_roster::TargetEntryError> {
+        entry.check(self.clock.wall())?;
         let now = self.clock.now();
         let reported = (entry.name.clone(), entry.phase, entry.address);
         let sequence = entry.sequence;
@@ -67,15 +78,40 @@
             let (target, phase, address) = reported;
             tracing::info!(%target, ?phase, %address, sequence, "target changed");
         }
+        Ok(())
     }
 
     /// Records that a target has ended; `born_ms` is the start time of the ended process, or 0 if
     /// unknown.
-    pub fn record_end(&self, target: &usher_types::TargetName, born_ms: u64) {
+    ///
+    /// # Errors
+    ///
+    /// Fails when no process can have that start.
+    pub fn record_end(
+        &self,
+        target: &usher_types::TargetName,
+        born_ms: u64,
+    ) -> Result<(), usher_roster::TargetEntryError> {
+        let ended = usher_roster::TargetEntry::ended(target.clone(), born_ms);
+        ended.check(self.clock.wall())?;
         let now = self.clock.now();
         if self.change(|feed| feed.record_end(target, born_ms, now)) {
             tracing::info!(%target, born_ms, "target ended");
         }
+        Ok(())
+    }
+
+    /// Logs that a record of a target was refused, once for each source and reason.
+    pub fn log_refusal<E>(&self, source: &str, error: &E)
+    where
+        E: std::fmt::Display,
+    {
+        let reason = error.to_string();
+        let refused = self.refused.lock();
+        let mut refused = refused.unwrap_or_else(sync::PoisonError::into_inner);
+        if refused.record(source, &reason) {
+            tracing::warn!(source, reason, "target record refused");
+        }
     }
 
     /// Records that a target has said in an answer to a gateway that it is leaving.
@@ -97,8 +133,12 @@
         }
     }
 
-    /// Merges a record that another registrar has received.
-    pub(crate) fn merge(&self, entry: usher_roster::TargetEntry) {
+    /// Merges a record that the registrar at an address has received.
+    pub(crate) fn merge(&self, from: net::SocketAddr, beat: &message::TargetBeat) {
+        let entry = match usher_roster::TargetEntry::from_message(beat, self.clock.wall()) {
+            Ok(entry) => entry,
+            Err(error) => return self.log_refusal(&format!("{from} {}", beat.name), &error),
+        };
         let now = self.clock.now();
         self.change(|feed| {
             let before = feed.last_change();
--- a/crates/usher_control/tests/registrar_restart.rs
+++ b/crates/usher_control/tests/registrar_restart.rs
@@ -106,7 +106,7 @@
     while registrar.routes().put(routes.clone()).await.is_err() {
         tokio::time::sleep(time::Duration::from_millis(50)).await;
     }
-    registrar.targets().record_heartbeat(TargetEntry {
+    let entry = TargetEntry {
         name: usher_types::TargetName::new("t"),
         service: usher_types::ServiceName::new("s"),
         address,
@@ -118,7 +118,8 @@
         born_ms: 1,
         sequence: 1,
         warm_up: time::Duration::ZERO,
-    });
+    };
+    registrar.targets().record_heartbeat(entry).unwrap();
     // The file is written 500 ms after a change.
     let file = folder.join("last-known");
     let is_written = || {
--- a/crates/usher_gateway/src/call.rs
+++ b/crates/usher_gateway/src/call.rs
@@ -216,7 +216,8 @@
     C: usher_types::ClockSource,
 {
     let (parts, body) = request.into_parts();
-    let metadata = core.dialect.read_call(&parts.headers);
+    let mut metadata = core.dialect.read_call(&parts.headers);
+    metadata.work = metadata.work.map(usher_place::PromptWork::limited);
     if let Some(id) = &metadata.id {
         log.id = id.to_string();
     }
--- a/crates/usher_gateway/src/registrar_watch.rs
+++ b/crates/usher_gateway/src/registrar_watch.rs
@@ -75,8 +75,9 @@
     group.set_members(reply.members_index, &reply.members);
     core.retain_role_changes(|registrar| group.addresses().any(|known| known == registrar));
     let mut entries = Vec::with_capacity(reply.targets.len());
+    let wall = core.clock.wall();
     for beat in &reply.targets {
-        match usher_roster::TargetEntry::from_message(beat) {
+        match usher_roster::TargetEntry::from_message(beat, wall) {
             Ok(entry) => entries.push(entry),
             Err(error) => tracing::warn!(%error, from = %update.address, "target record refused"),
         }
--- a/crates/usher_place/src/load.rs
+++ b/crates/usher_place/src/load.rs
@@ -104,8 +104,10 @@
     /// Returns the expected number of calls that are queued or running at the target, those of this
     /// gateway included.
     pub fn expected_calls(&self, now: time::Instant) -> u32 {
-        let reported = self.report(now).map_or(0, |r| r.running + r.waiting);
-        reported.max(self.running + self.others_running)
+        // The numbers come from targets and from other processes.
+        let report = self.report(now);
+        let reported = report.map_or(0, |report| report.running.saturating_add(report.waiting));
+        reported.max(self.running.saturating_add(self.others_running))
     }
 
     /// Returns the prompt tokens that the target is expected to read before those of a new call:
--- a/crates/usher_place/src/work.rs
+++ b/crates/usher_place/src/work.rs
@@ -24,7 +24,22 @@
     }
 }
 
+/// Largest number of tokens that counts; more than any engine's memory holds. Callers state the
+/// numbers, and sums over all calls of an engine must not overflow.
+const MAX_TOKENS: u64 = 1 << 32;
+
 impl PromptWork {
+    /// Limits all numbers to a size that can be summed up.
+    #[must_use]
+    pub fn limited(mut self) -> Self {
+        self.prompt_tokens = self.prompt_tokens.min(MAX_TOKENS);
+        self.output_tokens = self.output_tokens.min(MAX_TOKENS);
+        for part in &mut self.parts {
+            part.tokens = part.tokens.min(MAX_TOKENS);
+        }
+        self
+    }
+
     /// Returns the length of the shared prefix: all parts but the last one.
     pub fn shared_tokens(&self) -> u64 {
         let shared = self.parts.len().saturating_sub(1);
--- a/crates/usher_roster/src/entry.rs
+++ b/crates/usher_roster/src/entry.rs
@@ -13,8 +13,34 @@
     /// The address isn't IP:PORT.
     #[error("invalid target address {0:?}: expected IP:PORT")]
     Address(String),
+    /// No connection can be made to the address.
+    #[error("no connection can be made to target address {0}")]
+    Unreachable(net::SocketAddr),
+    /// The start is a number that isn't exact in JSON, or lies in the future.
+    #[error("start {born_ms} ms since 1970 lies too far in the future")]
+    Start {
+        /// The stated start.
+        born_ms: u64,
+    },
+    /// The number of the heartbeat is too large for the time since the start.
+    #[error("no process has sent {sequence} heartbeats since {born_ms} ms since 1970")]
+    Sequence {
+        /// The stated number.
+        sequence: u64,
+        /// Start of the process.
+        born_ms: u64,
+    },
 }
 
+/// Largest number that each reader of JSON takes exactly (RFC 8259, section 6); targets write theirs
+/// as JSON.
+const MAX_EXACT_NUMBER: u64 = (1 << 53) - 1;
+
+/// Largest difference between the wall clocks of a target and of a process of the system. Clocks of
+/// VMs differ by milliseconds and jump by seconds at times; one that is wrong by more than this needs
+/// an operator.
+const MAX_CLOCK_DIFFERENCE: time::Duration = time::Duration::from_secs(600);
+
 usher_types::value_type! {
     /// The phase in the lifetime of a target's process; it never goes back.
     pub enum TargetPhase {
@@ -57,7 +83,7 @@
 
 impl TargetEntry {
     /// Makes the record of a target that is known only by its end.
-    pub(crate) fn ended(name: usher_types::TargetName, born_ms: u64) -> Self {
+    pub fn ended(name: usher_types::TargetName, born_ms: u64) -> Self {
         Self {
             name,
             service: usher_types::ServiceName::default(),
@@ -73,6 +99,39 @@
         }
     }
 
+    /// Checks that a sound process may have sent the entry, whoever passes it on; `wall` is the time
+    /// of day here.
+    ///
+    /// The highest start and number of one name win. A number that no process can have, written by a
+    /// faulty or foreign writer, would hide the real one for good.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the start lies in the future, when the process can't have sent so many heartbeats
+    /// (one a millisecond is far more than any sends), or when nothing can listen on the address.
+    pub fn check(&self, wall: time::SystemTime) -> Result<(), TargetEntryError> {
+        let born_ms = self.born_ms;
+        let latest = wall + MAX_CLOCK_DIFFERENCE;
+        let latest = latest
+            .duration_since(time::UNIX_EPOCH)
+            .unwrap_or(MAX_CLOCK_DIFFERENCE);
+        let latest_ms = u64::try_from(latest.as_millis()).unwrap_or(u64::MAX);
+        if born_ms > latest_ms.min(MAX_EXACT_NUMBER) {
+            return Err(TargetEntryError::Start { born_ms });
+        }
+        let sequence = self.sequence;
+        if sequence > (latest_ms - born_ms).min(MAX_EXACT_NUMBER) {
+            return Err(TargetEntryError::Sequence { sequence, born_ms });
+        }
+        let ip = self.address.ip();
+        let is_callable = self.address.port() != 0 && !ip.is_unspecified() && !ip.is_multicast();
+        // The entry of a target that is known only by its end has no address.
+        if self.phase != TargetPhase::Gone && !is_callable {
+            return Err(TargetEntryError::Unreachable(self.address));
+        }
+        Ok(())
+    }
+
     /// Returns whether new work may be sent to the target.
     pub fn takes_work(&self) -> bool {
         self.phase == TargetPhase::Ready && !self.silent
@@ -141,15 +200,18 @@
     ///
     /// # Errors
     ///
-    /// Fails when the name or the address is invalid.
-    pub fn from_message(beat: &message::TargetBeat) -> Result<Self, TargetEntryError> {
+    /// Fails when the name or the address is invalid, or as [`Self::check`] does.
+    pub fn from_message(
+        beat: &message::TargetBeat,
+        wall: time::SystemTime,
+    ) -> Result<Self, TargetEntryError> {
         let phase = match (beat.gone, beat.leaving) {
             (true, _) => TargetPhase::Gone,
             (false, true) => TargetPhase::Leaving,
             (false, false) => TargetPhase::Ready,
         };
         let address = beat.address.parse();
-        Ok(Self {
+        let entry = Self {
             name: beat.name.parse()?,
             service: usher_types::ServiceName::new(beat.service.as_str()),
             address: address.map_err(|_| TargetEntryError::Address(beat.address.clone()))?,
@@ -161,6 +223,8 @@
             born_ms: beat.born_ms,
             sequence: beat.sequence,
             warm_up: time::Duration::from_millis(beat.cold_ms),
-        })
+        };
+        entry.check(wall)?;
+        Ok(entry)
     }
 }
--- a/crates/usher_roster/tests/roster.rs
+++ b/crates/usher_roster/tests/roster.rs
@@ -120,7 +120,7 @@
 #[test]
 fn entry_survives_its_message() {
     let entry = heartbeat(5, 7, Leaving);
-    let read = TargetEntry::from_message(&entry.to_message()).unwrap();
+    let read = TargetEntry::from_message(&entry.to_message(), time::SystemTime::now()).unwrap();
     assert_eq!(read, entry);
 }
 
@@ -231,3 +231,34 @@
     assert_eq!(feed.changes_since(cursor, true).count(), 1);
     assert!(!feed.record_leaving(&name, 5, now));
 }
+
+/// Checks whether an entry of another process, or of another writer, is accepted from a frame, a
+/// snapshot or a file.
+fn check_message(change: impl Fn(&mut usher_wire::message::TargetBeat), accepted: bool) {
+    let wall = time::UNIX_EPOCH + time::Duration::from_secs(1_800_000_000);
+    let mut beat = heartbeat(1_700_000_000_000, 9, Ready).to_message();
+    change(&mut beat);
+    assert_eq!(TargetEntry::from_message(&beat, wall).is_ok(), accepted);
+}
+
+// Guards against an odd entry that reaches other processes through one that has let it in, such as
+// one of an earlier version.
+usher_types::cases! { check_message:
+    sound_entry_is_accepted(|_| {}, true);
+    entry_without_a_start_is_accepted(|beat| beat.born_ms = 0, true);
+    start_that_a_fast_clock_states_is_accepted(|beat| beat.born_ms = 1_800_000_300_000, true);
+    start_in_the_future_is_refused(|beat| beat.born_ms = 1_800_000_700_000, false);
+    largest_start_is_refused(|beat| beat.born_ms = u64::MAX, false);
+    largest_number_is_refused(|beat| beat.sequence = u64::MAX, false);
+    port_of_zero_is_refused(|beat| beat.address = "127.0.0.1:0".to_owned(), false);
+    port_out_of_range_is_refused(|beat| beat.address = "127.0.0.1:70000".to_owned(), false);
+    unspecified_address_is_refused(|beat| beat.address = "0.0.0.0:9".to_owned(), false);
+    empty_name_is_refused(|beat| beat.name.clear(), false);
+    end_without_an_address_is_accepted(
+        |beat| {
+            beat.gone = true;
+            beat.address = "0.0.0.0:0".to_owned();
+        },
+        true
+    );
+}
