Reserve the ports of all tests, and wait for the address of a restarted daemon

Cause: five places of the tests looked for a free port, closed it and bound it later. Another test, or an outgoing connection, could take it in between: registrar_tells_what_it_knew_before_a_restart failed once with "Address already in use". A daemon that restarts on a fixed port can meet the same when an outgoing connection holds the port, and ended then.

Change: the reservation by a UDP socket of the same number, which platform/tests had, is the crate usher_ports now, below the range of outgoing connections, and all tests and scenarios use it. All daemons open their listeners by usher_kernel::open_listener, which replaces three copies, allows the address of closing connections, and waits up to 3 s, with one line in the log, for an address that is in use.

--- a/crates/pimentousher/src/daemon/registrar.rs
+++ b/crates/pimentousher/src/daemon/registrar.rs
@@ -65,7 +65,7 @@
     let node = usher_control::RegistrarNode::new(options, dialect, clock);
     let node = node.start().await.map_err(error::CommandError::failed)?;
     let routes = routes(node.targets().clone(), node.routes().clone());
-    let listener = tokio::net::TcpListener::bind(settings.listen).await;
+    let listener = usher_kernel::open_listener(settings.listen).await;
     let listener = listener.map_err(error::CommandError::failed)?;
     tracing::info!(
         node = %settings.node.name,
--- a/crates/pimentousher/tests/leader.rs
+++ b/crates/pimentousher/tests/leader.rs
@@ -165,9 +165,8 @@
 /// the new one.
 #[tokio::test]
 async fn redirect_to_a_dead_node_falls_back_to_the_next_node() {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let dead = listener.local_addr().unwrap();
-    drop(listener);
+    // Nobody listens on a reserved port.
+    let dead = usher_ports::reserve_address();
     let first = MockNode::start(vec![redirect_to(dead)]).await;
     let second = MockNode::start(vec![ok("{}")]).await;
     post(&[&first, &second]).await.unwrap();
--- a/crates/pimentousher/tests/support/mod.rs
+++ b/crates/pimentousher/tests/support/mod.rs
@@ -2,9 +2,7 @@
 #![allow(dead_code)] // Each test file uses only some of the helpers.
 
 use std::{
-    fs, io, net, path, process,
-    sync::atomic::{AtomicU16, Ordering},
-    thread,
+    fs, io, net, path, process, thread,
     time::{Duration, Instant},
 };
 
@@ -12,21 +10,7 @@
 /// hanging.
 pub(crate) const HANG_LIMIT: Duration = Duration::from_secs(60);
 
-static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
-
-/// Returns a free loopback address whose port is below the ephemeral range, so that no outgoing
-/// connection takes it.
-pub(crate) fn free_address() -> net::SocketAddr {
-    let offset = u16::try_from(process::id() % 400).unwrap() * 30;
-    for _ in 0..2_000 {
-        let port = 18_000 + (offset + NEXT_PORT.fetch_add(1, Ordering::SeqCst)) % 14_000;
-        let address = net::SocketAddr::from(([127, 0, 0, 1], port));
-        if net::TcpListener::bind(address).is_ok() {
-            return address;
-        }
-    }
-    panic!("no free port was found");
-}
+pub(crate) use usher_ports::reserve_address as free_address;
 
 /// Folder that is removed on drop.
 pub(crate) struct TempFolder(pub(crate) path::PathBuf);
--- a/crates/usher_control/src/lib.rs
+++ b/crates/usher_control/src/lib.rs
@@ -6,7 +6,6 @@
 mod error;
 mod fleet;
 mod grant;
-mod listen;
 mod node;
 mod operator;
 mod options;
--- a/crates/usher_control/src/node.rs
+++ b/crates/usher_control/src/node.rs
@@ -4,7 +4,7 @@
 
 use usher_wire::message;
 
-use crate::{error, fleet, grant, listen, operator, options, order, plan, wire_handler};
+use crate::{error, fleet, grant, operator, options, order, plan, wire_handler};
 
 /// Number of applied commands between two snapshots. A snapshot blocks the replica for about 0.3 s
 /// per million claims, and replaying this many commands at a start takes less time than that.
@@ -81,9 +81,10 @@
     /// services.
     pub async fn start(self) -> Result<RunningControl, error::ControlError> {
         let options = &self.options;
-        let (wire, wire_address) = open_advertised(options.wire_address, options.wire_listen)?;
+        let (wire, wire_address) =
+            open_advertised(options.wire_address, options.wire_listen).await?;
         let (operators, operator_address) =
-            open_advertised(options.operator_address, options.operator_listen)?;
+            open_advertised(options.operator_address, options.operator_listen).await?;
         let replica = usher_replica::ReplicaBuilder::new(
             self.replica_settings(wire_address),
             usher_state::FleetState::new(),
@@ -315,11 +316,16 @@
 }
 
 /// Opens a listener and returns it with the address at which others reach it.
-fn open_advertised(
+async fn open_advertised(
     address: net::SocketAddr,
     listen_address: Option<net::SocketAddr>,
 ) -> Result<(tokio::net::TcpListener, net::SocketAddr), error::ControlError> {
-    let listener = listen::open(listen_address.unwrap_or(address))?;
+    let bound = listen_address.unwrap_or(address);
+    let listener = usher_kernel::open_listener(bound).await;
+    let listener = listener.map_err(|error| error::ControlError::Listen {
+        address: bound,
+        error,
+    })?;
     let advertised = match listen_address {
         Some(_) => address,
         None => bound_address(&listener, address)?,
--- a/crates/usher_control/src/registrar/node.rs
+++ b/crates/usher_control/src/registrar/node.rs
@@ -2,7 +2,7 @@
 
 use std::{sync, time};
 
-use crate::{error, fleet, listen, registrar};
+use crate::{error, fleet, registrar};
 
 /// Number of applied commands between two snapshots.
 const SNAPSHOT_ENTRIES: u64 = 48;
@@ -80,7 +80,8 @@
     /// Fails when it can't listen on the address or can't use the data folder.
     pub async fn start(self) -> Result<RunningRegistrar<C>, error::ControlError> {
         let address = self.options.address;
-        let listener = listen::open(address)?;
+        let listener = usher_kernel::open_listener(address).await;
+        let listener = listener.map_err(|error| error::ControlError::Listen { address, error })?;
         let replica = usher_replica::ReplicaBuilder::new(
             self.replica_settings(),
             usher_state::FleetState::new(),
--- a/crates/usher_control/tests/registrar_restart.rs
+++ b/crates/usher_control/tests/registrar_restart.rs
@@ -28,11 +28,6 @@
     }
 }
 
-fn free_address() -> net::SocketAddr {
-    let listener = net::TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
-}
-
 async fn start(
     folder: &path::Path,
     address: net::SocketAddr,
@@ -97,7 +92,7 @@
     let folder = path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("registrar-restart");
     let _ = std::fs::remove_dir_all(&folder);
     std::fs::create_dir_all(&folder).unwrap();
-    let address = free_address();
+    let address = usher_ports::reserve_address();
     let registrar = start(&folder, address, true).await;
     let routes = VersionedRoutes {
         version: usher_types::ConfigVersion::new(7),
--- a/crates/usher_entry/src/node.rs
+++ b/crates/usher_entry/src/node.rs
@@ -5,7 +5,6 @@
 use std::{io, net, sync, sync::atomic, time};
 
 use axum::{extract, routing};
-use tokio::net as tokio_net;
 
 use crate::{
     announce, cache_events, core, explain, health, heartbeat, model, plain,
@@ -60,7 +59,7 @@
     P: types::EntryTypes,
 {
     pub(crate) async fn start(core: core::EntryCore<P>) -> io::Result<Self> {
-        let listener = tokio_net::TcpListener::bind(core.options.bind).await?;
+        let listener = usher_kernel::open_listener(core.options.bind).await?;
         let address = listener.local_addr()?;
         let core = sync::Arc::new(core);
         let limits = server::ServerLimits {
--- a/crates/usher_gateway/src/node.rs
+++ b/crates/usher_gateway/src/node.rs
@@ -11,9 +11,6 @@
 /// Interval at which idle connections to targets are checked.
 const PRUNE_INTERVAL: time::Duration = time::Duration::from_secs(1);
 
-/// Length of the queue of connections that are not yet accepted.
-const BACKLOG: u32 = 1_024;
-
 /// Time before the end of the grace period at which a gateway that is stopping gives up waiting.
 const END_MARGIN: time::Duration = time::Duration::from_millis(300);
 
@@ -51,8 +48,8 @@
     /// Fails when it can't listen on an address.
     pub async fn start(self, stop: usher_kernel::StopSignal) -> io::Result<RunningGateway> {
         let core = sync::Arc::new(self.core);
-        let callers = listen(core.options.callers)?;
-        let checks = listen(core.options.health)?;
+        let callers = usher_kernel::open_listener(core.options.callers).await?;
+        let checks = usher_kernel::open_listener(core.options.health).await?;
         let open = server::OpenConnections::new();
         let served = core.clone();
         let service = move |request| {
@@ -160,14 +157,3 @@
         }
     }
 }
-
-fn listen(address: net::SocketAddr) -> io::Result<tokio::net::TcpListener> {
-    let socket = match address {
-        net::SocketAddr::V4(_) => tokio::net::TcpSocket::new_v4()?,
-        net::SocketAddr::V6(_) => tokio::net::TcpSocket::new_v6()?,
-    };
-    // Lets a restarted process bind its address while old connections are closing.
-    socket.set_reuseaddr(true)?;
-    socket.bind(address)?;
-    socket.listen(BACKLOG)
-}
--- a/crates/usher_gateway/tests/support/mod.rs
+++ b/crates/usher_gateway/tests/support/mod.rs
@@ -303,11 +303,8 @@
 impl GatewayUnderTest {
     /// Starts a gateway that watches the registrars.
     pub async fn start(registrars: &[StandInRegistrar]) -> Self {
-        let free = || {
-            let listener = net::TcpListener::bind("127.0.0.1:0").unwrap();
-            listener.local_addr().unwrap()
-        };
-        let (callers, health) = (free(), free());
+        let callers = usher_ports::reserve_address();
+        let health = usher_ports::reserve_address();
         let domain = usher_types::DomainName::new("d");
         let region = usher_types::RegionName::new("r");
         let regions = collections::BTreeMap::from([(domain.clone(), region)]);
--- a/crates/usher_kernel/src/lib.rs
+++ b/crates/usher_kernel/src/lib.rs
@@ -4,9 +4,11 @@
 //! services keep the handles that they looked up at startup.
 
 mod error;
+mod listener;
 mod registry;
 mod stop;
 
 pub use error::KernelError;
+pub use listener::open_listener;
 pub use registry::{ServiceHandle, ServiceRegistry};
 pub use stop::{StopSignal, StopSource};
--- a/crates/usher_replica/tests/common/mod.rs
+++ b/crates/usher_replica/tests/common/mod.rs
@@ -91,18 +91,12 @@
     pub fn new(name: &str, count: usize, voters: usize) -> Self {
         let folder = path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
         let _ = std::fs::remove_dir_all(&folder);
-        let listeners: Vec<_> = (0..count)
-            .map(|_| net::TcpListener::bind("127.0.0.1:0").unwrap())
-            .collect();
         Self {
             folder,
             names: (1..=count)
                 .map(|number| NodeName::new(format!("c{number}")))
                 .collect(),
-            addresses: listeners
-                .iter()
-                .map(|listener| listener.local_addr().unwrap())
-                .collect(),
+            addresses: (0..count).map(|_| usher_ports::reserve_address()).collect(),
             voters,
             adjust: |settings| settings.with_repair(None),
         }
--- a/crates/usher_replica/tests/repair.rs
+++ b/crates/usher_replica/tests/repair.rs
@@ -90,9 +90,7 @@
     propose(&handles(&nodes), b"before").await;
     let leader = leader_of(&handles(&nodes)).await;
     let follower = (leader + 1) % 3;
-    let free = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = free.local_addr().unwrap();
-    drop(free);
+    let address = usher_ports::reserve_address();
     let name = usher_types::NodeName::new("c4");
     let settings =
         usher_replica::ReplicaSettings::new("test", name, address, group.folder.join("c4"))
--- a/crates/usher_scenario/src/runner/start.rs
+++ b/crates/usher_scenario/src/runner/start.rs
@@ -1,6 +1,6 @@
 //! Starts the processes and loads of a script. Not for: controlling them later.
 
-use std::{fs, io, net, path, process, sync::atomic};
+use std::{fs, path};
 
 use crate::{error, load, managed_process, relay, runner, settings_file, step};
 
@@ -21,7 +21,7 @@
     pub(super) async fn start_control(&mut self, count: usize) -> Result<(), error::ScenarioError> {
         for index in 0..count {
             let name = step::ProcessName::new(format!("control-{}", index + 1));
-            let wire = free_address()?;
+            let wire = usher_ports::reserve_address();
             let relay = relay::LinkRelay::start(name.clone(), wire, &self.links)
                 .await
                 .map_err(|source| runner::io_error("relay", source))?;
@@ -29,7 +29,7 @@
                 name,
                 relay: relay.address(),
                 wire,
-                operators: free_address()?,
+                operators: usher_ports::reserve_address(),
                 voter: index < runner::VOTER_COUNT,
             });
             self.relays.push(relay);
@@ -47,7 +47,7 @@
         for _ in 0..count {
             let index = self.entries.len();
             let name = step::ProcessName::new(format!("entry-{}", index + 1));
-            let address = free_address()?;
+            let address = usher_ports::reserve_address();
             let text = settings_file::entry_file(&self.control, &name, index, address);
             self.start_daemon("pimentousher-entry", &name, &text)?;
             self.entries.insert(name, address);
@@ -79,7 +79,7 @@
                 .filter(|name| name.as_str().starts_with(&same))
                 .count();
             let name = step::ProcessName::new(format!("{same}{}", index + 1));
-            let address = free_address()?;
+            let address = usher_ports::reserve_address();
             let (region, domain) = settings_file::location_of(index);
             let mut arguments = words(&[
                 "--name",
@@ -146,25 +146,3 @@
 fn words(words: &[&str]) -> Vec<String> {
     words.iter().map(|word| (*word).to_owned()).collect()
 }
-
-/// Returns a loopback address with a free port that no earlier call returned.
-///
-/// The port is below the ephemeral port range: an outgoing connection could otherwise take it
-/// before the intended process listens on it.
-fn free_address() -> Result<net::SocketAddr, error::ScenarioError> {
-    const FIRST: u64 = 18_000;
-    const PORTS: u64 = 14_000;
-    static NEXT: atomic::AtomicU64 = atomic::AtomicU64::new(0);
-    // Test runs in other processes start at other ports.
-    let start = u64::from(process::id()) * 61;
-    for _ in 0..PORTS {
-        let step = NEXT.fetch_add(1, atomic::Ordering::SeqCst);
-        let port = u16::try_from(FIRST + (start + step) % PORTS).unwrap_or(u16::MAX);
-        let address = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, port));
-        if net::TcpListener::bind(address).is_ok() {
-            return Ok(address);
-        }
-    }
-    let source = io::Error::from(io::ErrorKind::AddrInUse);
-    Err(runner::io_error("free port", source))
-}
