Forget nothing that was acknowledged right before a restart

Cause: a registrar writes the targets and routes that it tells right after a restart up to 0.5 s late. When it was killed in that time, targets whose leaving or end it had acknowledged, and routes that an acknowledged change had withdrawn, were told again: the targets until they were silent or the engine said so again, the routes until a leader was elected.

Change: what a target says last is written at once, and its acknowledgement waits for the write, up to 0.4 s as disks may stall. The file names the index up to which the log was applied; a registrar whose log goes on behind it tells no routes until a leader has made it apply more.

--- a/crates/usher_control/src/registrar/last_known_file.rs
+++ b/crates/usher_control/src/registrar/last_known_file.rs
@@ -83,6 +83,7 @@
     C: usher_types::ClockSource,
 {
     let mut changes = targets.watch_changes();
+    let mut departures = targets.watch_departures();
     let mut applied = access.watch_applied();
     let mut written = message::LastKnown::default();
     loop {
@@ -90,22 +91,33 @@
             changed = changes.changed() => if changed.is_err() { return },
             changed = applied.changed() => if changed.is_err() { return },
         }
-        tokio::time::sleep(WRITE_DELAY).await;
+        // The acknowledgement of a target that leaves waits for the write.
+        let is_urgent = departures.has_changed().unwrap_or_default();
+        if !is_urgent {
+            let _ = tokio::time::timeout(WRITE_DELAY, departures.changed()).await;
+        }
+        departures.mark_unchanged();
         changes.mark_unchanged();
         applied.mark_unchanged();
+        let last_change = targets.last_change();
         let newest = routes.newest_known();
         let known = message::LastKnown {
             routes_version: newest.as_ref().map_or(0, |routes| routes.version.get()),
             routes_document: newest.map_or_else(Vec::new, |routes| routes.document.to_vec()),
             targets: targets.usable_targets(),
+            applied_index: access.status().applied.get(),
         };
         if known == written {
+            targets.mark_stored(last_change);
             continue;
         }
         let (file, content) = (file.clone(), known.clone());
         // A stalled disk blocks this task only, not the async runtime.
         match tokio::task::spawn_blocking(move || file.write(&content)).await {
-            Ok(Ok(())) => written = known,
+            Ok(Ok(())) => {
+                written = known;
+                targets.mark_stored(last_change);
+            }
             Ok(Err(error)) => tracing::warn!(%error, "can't write the last-known file"),
             Err(error) => tracing::warn!(%error, "the task that writes the last-known file failed"),
         }
--- a/crates/usher_control/src/registrar/route_store.rs
+++ b/crates/usher_control/src/registrar/route_store.rs
@@ -27,8 +27,35 @@
     access: fleet::FleetAccess,
     clients: sync::Arc<fleet::PeerClients>,
     router: sync::Arc<fleet::CommandRouter<C>>,
-    /// Routes that had been applied before the restart; `None` if the last-known file has none.
-    restored: Option<VersionedRoutes>,
+    restored: RestoredRoutes,
+}
+
+/// What a node knows of the routes before it has heard from a leader.
+#[derive(Clone, Debug)]
+pub(crate) enum RestoredRoutes {
+    /// Those that had been applied before the restart, up to the end of the log; `None` if there were
+    /// none.
+    Current(Option<VersionedRoutes>),
+    /// The log has entries that were not applied before the restart, so that routes which had been
+    /// acknowledged may be missing. Nothing is told until an entry after this one is applied, which
+    /// only a leader with all acknowledged entries brings about.
+    Behind(usher_types::LogIndex),
+}
+
+impl RestoredRoutes {
+    /// Reads what was known before the restart; `status` is that of the replica at its start.
+    pub(crate) fn new(
+        last_known: &message::LastKnown,
+        status: &usher_replica::ReplicaStatus,
+    ) -> Self {
+        if last_known.applied_index < status.last.get() {
+            return Self::Behind(status.applied);
+        }
+        Self::Current((last_known.routes_version > 0).then(|| VersionedRoutes {
+            version: usher_types::ConfigVersion::new(last_known.routes_version),
+            document: last_known.routes_document.clone().into(),
+        }))
+    }
 }
 
 impl<C> RouteStore<C>
@@ -39,7 +66,7 @@
         access: fleet::FleetAccess,
         clients: sync::Arc<fleet::PeerClients>,
         router: sync::Arc<fleet::CommandRouter<C>>,
-        restored: Option<VersionedRoutes>,
+        restored: RestoredRoutes,
     ) -> Self {
         Self {
             access,
@@ -135,9 +162,14 @@
     }
 
     /// Returns the newest routes known to this node, for gateways: the applied ones, or, until a
-    /// leader is elected, those applied before the restart. Both have been committed.
+    /// leader is elected, those applied before the restart. Both have been committed. Routes that
+    /// were withdrawn right before the restart aren't told again.
     pub(crate) fn newest_known(&self) -> Option<VersionedRoutes> {
-        let restored = self.restored.clone();
+        let restored = match &self.restored {
+            RestoredRoutes::Behind(index) if self.access.status().applied <= *index => return None,
+            RestoredRoutes::Behind(_) => None,
+            RestoredRoutes::Current(restored) => restored.clone(),
+        };
         self.applied()
             .into_iter()
             .chain(restored)
--- a/crates/usher_control/src/registrar/target_registry.rs
+++ b/crates/usher_control/src/registrar/target_registry.rs
@@ -11,12 +11,20 @@
 /// Upper limit of the time that a watch request may wait for a change.
 const MAX_WAIT: time::Duration = time::Duration::from_secs(5);
 
+/// Longest time for which the acknowledgement of a target that leaves waits for the disk; targets
+/// wait for a second.
+const MAX_STORE_TIME: time::Duration = time::Duration::from_millis(400);
+
 /// The targets known to this registrar, with change notifications for watchers; cheap to clone.
 #[derive(Clone, Debug)]
 pub struct TargetRegistry<C> {
     feed: sync::Arc<sync::Mutex<usher_roster::RosterFeed>>,
     /// Sequence number of the last change of the feed.
     changes: sync::Arc<watch::Sender<u64>>,
+    /// Sequence number of the last change by which a target stopped taking work.
+    departures: sync::Arc<watch::Sender<u64>>,
+    /// Sequence number up to which the changes are in the file that a restart reads.
+    stored: sync::Arc<watch::Sender<u64>>,
     access: fleet::FleetAccess,
     /// Identifies the run of this process; a cursor of another run is not valid here.
     epoch: u64,
@@ -52,6 +60,8 @@
         Self {
             feed: sync::Arc::new(sync::Mutex::new(feed)),
             changes: sync::Arc::new(watch::Sender::new(0)),
+            departures: sync::Arc::new(watch::Sender::new(0)),
+            stored: sync::Arc::new(watch::Sender::new(0)),
             access,
             epoch: usher_types::IncarnationSource::random().get(),
             domain,
@@ -75,6 +85,9 @@
         let reported = (entry.name.clone(), entry.phase, entry.address);
         let sequence = entry.sequence;
         if self.change(|feed| feed.record_heartbeat(entry, now)) {
+            if reported.1 != usher_roster::TargetPhase::Ready {
+                self.mark_departure();
+            }
             let (target, phase, address) = reported;
             tracing::info!(%target, ?phase, %address, sequence, "target changed");
         }
@@ -96,6 +109,7 @@
         ended.check(self.clock.wall())?;
         let now = self.clock.now();
         if self.change(|feed| feed.record_end(target, born_ms, now)) {
+            self.mark_departure();
             tracing::info!(%target, born_ms, "target ended");
         }
         Ok(())
@@ -126,6 +140,7 @@
         };
         let now = self.clock.now();
         if self.change(|feed| feed.record_leaving(&name, target.born_ms, now)) {
+            self.mark_departure();
             tracing::info!(
                 target_name = %name, born_ms = target.born_ms, %gateway,
                 "target is leaving, as a gateway has heard"
@@ -209,6 +224,42 @@
         usable.map(usher_roster::TargetEntry::to_message).collect()
     }
 
+    /// Waits until all targets that have stopped taking work are stored as such, so that none is used
+    /// again after a restart of this process; gives up after a time, as a disk may stall.
+    pub async fn departures_stored(&self) {
+        let wanted = *self.departures.borrow();
+        let mut stored = self.stored.subscribe();
+        let is_stored = stored.wait_for(|stored| *stored >= wanted);
+        if tokio::time::timeout(MAX_STORE_TIME, is_stored)
+            .await
+            .is_err()
+        {
+            tracing::warn!(
+                max_ms = MAX_STORE_TIME.as_millis(),
+                "targets that leave are not stored in time"
+            );
+        }
+    }
+
+    fn mark_departure(&self) {
+        self.departures.send_replace(self.last_change());
+    }
+
+    /// Returns the sequence number of the last change of the targets.
+    pub(crate) fn last_change(&self) -> u64 {
+        self.lock().last_change()
+    }
+
+    /// Returns a receiver that is notified of each target that stops taking work.
+    pub(crate) fn watch_departures(&self) -> watch::Receiver<u64> {
+        self.departures.subscribe()
+    }
+
+    /// Records that the changes up to a sequence number are in the file that a restart reads.
+    pub(crate) fn mark_stored(&self, last_change: u64) {
+        self.stored.send_replace(last_change);
+    }
+
     /// Returns a receiver that is notified of each change of the targets.
     pub(crate) fn watch_changes(&self) -> watch::Receiver<u64> {
         self.changes.subscribe()
