End long plain answers whose target sends a byte now and then

Cause: the entry limits the wait for each part of an answer above 64 KiB. A stalled target that sends a byte within each limit held its call, and the claim of a call that may run once, forever.

Change: within each limit a target must send 1 KiB. Only the time in which the target is waited for counts, so that a slow caller ends nothing.

Before: long_answer_that_trickles_is_given_up failed (no end within 8 s). After: passed, as does long_answer_that_is_slow_is_forwarded, which passed before.

--- a/crates/usher_entry/src/plain/runner.rs
+++ b/crates/usher_entry/src/plain/runner.rs
@@ -24,6 +24,11 @@
 /// Maximum number of body chunks of a long answer queued for the caller.
 const REST_QUEUE_LEN: usize = 16;
 
+/// Bytes of a long answer that a target must send within each timeout. A target that stalls and sends
+/// a byte now and then would otherwise hold the call and its claim forever; sound ones send a
+/// thousand times as much.
+const MIN_PROGRESS_BYTES: usize = 1_024;
+
 /// A plain call in flight.
 pub(crate) struct PlainRunner<P>
 where
@@ -391,8 +396,9 @@
 
 /// Forwards the rest of an answer to the caller.
 ///
-/// `timeout` limits the wait for each frame. Without it, a target that stays connected but sends
-/// nothing would hold the call and its claim forever.
+/// `timeout` limits the time in which the target is waited for until it has sent
+/// `MIN_PROGRESS_BYTES`; the time that the caller takes doesn't count. Without it, a target that stays
+/// connected but sends nothing would hold the call and its claim forever.
 ///
 /// # Errors
 ///
@@ -402,17 +408,26 @@
     sender: &usher_answer::StreamSender,
     timeout: time::Duration,
 ) -> Result<(), String> {
+    let mut waited = time::Duration::ZERO;
+    let mut received = 0;
     loop {
-        match tokio::time::timeout(timeout, rest.next()).await {
+        let begin = tokio::time::Instant::now();
+        let next = tokio::time::timeout(timeout.saturating_sub(waited), rest.next()).await;
+        waited += begin.elapsed();
+        match next {
             Ok(Ok(None)) => return Ok(()),
             Ok(Ok(Some(bytes))) => {
+                received += bytes.len();
+                if received >= MIN_PROGRESS_BYTES {
+                    (waited, received) = (time::Duration::ZERO, 0);
+                }
                 // The answer is read to its end even if the caller has disconnected.
                 let _ = sender.send(bytes).await;
             }
             Ok(Err(fault)) => return Err(fault.to_string()),
             Err(_) => {
                 return Err(format!(
-                    "target sent no more of its answer within {timeout:?}"
+                    "target sent {received} bytes of its answer within {timeout:?}"
                 ));
             }
         }
--- a/crates/usher_entry/tests/entry/plain.rs
+++ b/crates/usher_entry/tests/entry/plain.rs
@@ -391,6 +391,58 @@
     }
 }
 
+/// Sends a long answer with a length of 100 KiB: its first 80 KiB, then `step` bytes each 100 ms.
+async fn serve_steps(listener: tokio::net::TcpListener, step: usize) {
+    use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+    let Ok((mut socket, _)) = listener.accept().await else {
+        return;
+    };
+    let _ = socket.read(&mut [0; 4_096]).await;
+    let head = b"HTTP/1.1 200 OK\r\ncontent-length: 102400\r\n\r\n";
+    let _ = socket.write_all(head).await;
+    let _ = socket.write_all(&[b'x'; 81_920]).await;
+    let mut left = 20_480_usize;
+    while left > 0 {
+        tokio::time::sleep(time::Duration::from_millis(100)).await;
+        let bytes = vec![b'x'; step.min(left)];
+        left -= bytes.len();
+        if socket.write_all(&bytes).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Checks whether the caller of a long answer that arrives in steps gets all of it.
+fn check_steps(step: usize, complete: bool) {
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    runtime.block_on(async {
+        let timeout = time::Duration::from_millis(400);
+        let options = options()
+            .with_suspect_after(time::Duration::from_secs(60))
+            .with_plain_timeout(timeout);
+        let fleet = Fleet::start(options).await;
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let announcement = serde_json::json!({
+            "name": "steps-1", "incarnation": 1, "address": listener.local_addr().unwrap(),
+            "kind": "plain", "service": "rounds", "region": "south-a", "domain": "domain-1",
+        });
+        tokio::spawn(serve_steps(listener, step));
+        fleet.announce(&announcement).await;
+        let call = call(&fleet, Some("key-1"));
+        let reply = tokio::time::timeout(time::Duration::from_secs(8), call).await;
+        let reply = reply.expect("the call did not end");
+        assert_eq!((reply.status, reply.complete), (200, complete));
+        fleet.wait_idle().await;
+    });
+}
+
+// Guards against a stalled target that sends a byte now and then and so holds its call and claim
+// forever, and against a slow but sound one that is cut.
+usher_types::cases! { check_steps:
+    long_answer_that_trickles_is_given_up(1, false);
+    long_answer_that_is_slow_is_forwarded(1_024, true);
+}
+
 /// Guards against waiting forever for the rest of a long answer, and against a claim that stays
 /// running because of it.
 #[tokio::test]
