Refuse announcements at an entry whose address can't be called

Cause: an entry took port 0 and 0.0.0.0 as the address of a target.

Change: such announcements are refused with 400, as other invalid ones.

Before: announcement_with_odd_ports failed (accepted). After: passed. Nesting 20,000 deep in a field that isn't known, the largest numbers in all fields and numbers out of range end nothing, before and after (three further tests).

--- a/crates/usher_entry/src/announce.rs
+++ b/crates/usher_entry/src/announce.rs
@@ -90,6 +90,13 @@
         check_id::<usher_types::ServiceName>("service", self.service.as_str())?;
         check_id::<usher_types::RegionName>("region", self.region.as_str())?;
         check_id::<usher_types::DomainName>("domain", self.domain.as_str())?;
+        let ip = self.address.ip();
+        if self.address.port() == 0 || ip.is_unspecified() || ip.is_multicast() {
+            return Err(format!(
+                "address: no connection can be made to {}",
+                self.address
+            ));
+        }
         if let Some(model) = &self.model {
             check_id::<usher_types::ModelName>("model", model.as_str())?;
         }
