Log an odd writer of entries once

Cause: a refusal was logged again when its reason differed, and the reason may state a number that grows with each heartbeat.

Change: each source is logged once, whatever the reason.

--- a/crates/usher_control/src/registrar/refused_sources.rs
+++ b/crates/usher_control/src/registrar/refused_sources.rs
@@ -6,27 +6,22 @@
 /// may give each of its entries another name.
 const MAX_SOURCES: usize = 1_024;
 
-/// The last reason for which the records of each source were refused.
+/// The sources whose records were refused.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct RefusedSources {
-    reasons: collections::HashMap<String, String>,
+    names: collections::HashSet<String>,
 }
 
 impl RefusedSources {
-    /// Records a refusal; returns whether it must be logged, because it is the first one of its
-    /// source or has another reason than the one before.
-    pub(crate) fn record(&mut self, source: &str, reason: &str) -> bool {
-        if self
-            .reasons
-            .get(source)
-            .is_some_and(|known| known == reason)
-        {
+    /// Records a refusal; returns whether it is the first one of its source and must be logged. The
+    /// reason doesn't count, as it may state a number that differs each time.
+    pub(crate) fn record(&mut self, source: &str) -> bool {
+        if self.names.contains(source) {
             return false;
         }
-        if self.reasons.len() >= MAX_SOURCES {
-            self.reasons.clear();
+        if self.names.len() >= MAX_SOURCES {
+            self.names.clear();
         }
-        self.reasons.insert(source.to_owned(), reason.to_owned());
-        true
+        self.names.insert(source.to_owned())
     }
 }
--- a/crates/usher_control/src/registrar/target_registry.rs
+++ b/crates/usher_control/src/registrar/target_registry.rs
@@ -115,16 +115,15 @@
         Ok(())
     }
 
-    /// Logs that a record of a target was refused, once for each source and reason.
+    /// Logs that a record of a target was refused, once for each source.
     pub fn log_refusal<E>(&self, source: &str, error: &E)
     where
         E: std::fmt::Display,
     {
-        let reason = error.to_string();
         let refused = self.refused.lock();
         let mut refused = refused.unwrap_or_else(sync::PoisonError::into_inner);
-        if refused.record(source, &reason) {
-            tracing::warn!(source, reason, "target record refused");
+        if refused.record(source) {
+            tracing::warn!(source, reason = %error, "target record refused");
         }
     }
 
