Name the connection pool of the entry after what it pools

It holds connections to all targets since plain calls use it. Renamed only: stream_pool to connection_pool, EngineConnection to TargetConnection.

--- a/crates/usher_entry/src/builder.rs
+++ b/crates/usher_entry/src/builder.rs
@@ -8,8 +8,8 @@
 use usher_types::SystemClock;
 
 use crate::{
-    client, config, core, explain, identity, link, metrics, node, options, outcome, policy, right,
-    routing, stream_pool, types,
+    client, config, connection_pool, core, explain, identity, link, metrics, node, options,
+    outcome, policy, right, routing, types,
 };
 
 /// Collects the components of an entry and starts it.
@@ -120,7 +120,7 @@
             routing: sync::Mutex::new(routing::RoutingState::new(self.policy, &self.options)),
             config: config::ConfigStore::new(),
             client: client::TargetClient::new(self.options.connect_timeout),
-            streams: stream_pool::StreamPool::new(self.options.connect_timeout),
+            connections: connection_pool::ConnectionPool::new(self.options.connect_timeout),
             records: explain::RecordRing::new(),
             ids: identity::IdSource::new(self.options.incarnation),
             drain_started_at: sync::OnceLock::new(),
--- a/crates/usher_entry/src/stream_pool.rs
+++ b/crates/usher_entry/src/connection_pool.rs
@@ -14,11 +14,11 @@
 /// Time after which a connection with unacknowledged bytes counts as broken.
 const TCP_USER_TIMEOUT: time::Duration = time::Duration::from_secs(5);
 
-/// How long an idle connection is kept; shorter than the idle timeout of most engines.
+/// How long an idle connection is kept; shorter than the idle timeout of most targets.
 const IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(15);
 
-/// Maximum number of idle connections per engine.
-const MAX_IDLE_PER_ENGINE: usize = 64;
+/// Maximum number of idle connections per target.
+const MAX_IDLE_PER_TARGET: usize = 64;
 
 /// Time to wait for the end of the body after the last event; then the connection is closed.
 const END_TIMEOUT: time::Duration = time::Duration::from_millis(200);
@@ -32,7 +32,7 @@
 /// A connection that makes progress only while one of its methods is awaited.
 ///
 /// With a separate task per connection, every token would wake two tasks, often on two threads.
-pub(crate) struct EngineConnection {
+pub(crate) struct TargetConnection {
     sender: http1::SendRequest<RequestBody>,
     connection: http1::Connection<hyper_util::rt::TokioIo<tokio_net::TcpStream>, RequestBody>,
     ended: bool,
@@ -45,16 +45,16 @@
     states_ids: bool,
 }
 
-impl std::fmt::Debug for EngineConnection {
+impl std::fmt::Debug for TargetConnection {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("EngineConnection")
+        f.debug_struct("TargetConnection")
             .field("address", &self.address)
             .field("ended", &self.ended)
             .finish_non_exhaustive()
     }
 }
 
-impl EngineConnection {
+impl TargetConnection {
     async fn connect(address: net::SocketAddr, timeout: time::Duration) -> Result<Self, SendError> {
         let socket = tokio::time::timeout(timeout, tokio_net::TcpStream::connect(address))
             .await
@@ -172,7 +172,7 @@
 /// Idle connections by address.
 #[derive(Debug, Default)]
 struct IdleTable {
-    connections: collections::HashMap<net::SocketAddr, Vec<EngineConnection>>,
+    connections: collections::HashMap<net::SocketAddr, Vec<TargetConnection>>,
     swept_at: Option<time::Instant>,
 }
 
@@ -194,14 +194,14 @@
     }
 }
 
-/// A pool of idle connections to engines; cheap to clone.
+/// A pool of idle connections to targets; cheap to clone.
 #[derive(Clone, Debug)]
-pub(crate) struct StreamPool {
+pub(crate) struct ConnectionPool {
     connect_timeout: time::Duration,
     idle: sync::Arc<sync::Mutex<IdleTable>>,
 }
 
-impl StreamPool {
+impl ConnectionPool {
     pub(crate) fn new(connect_timeout: time::Duration) -> Self {
         Self {
             connect_timeout,
@@ -220,7 +220,7 @@
         mut request: http::Request<RequestBody>,
         allowed_use: ConnectionUse,
         may_write: impl Fn() -> bool,
-    ) -> Result<(EngineConnection, http::Response<hyper::body::Incoming>), SendError> {
+    ) -> Result<(TargetConnection, http::Response<hyper::body::Incoming>), SendError> {
         let check = || {
             let refusal = || not_sent("routing right expired before the request was written");
             may_write().then_some(()).ok_or_else(refusal)
@@ -234,12 +234,12 @@
             check()?;
             match connection.send(request).await {
                 Ok(response) => return Ok((connection, response)),
-                // The engine had closed the idle connection; nothing was written.
+                // The target had closed the idle connection; nothing was written.
                 Err((_, Some(unsent))) => request = unsent,
                 Err((error, None)) => return Err(error),
             }
         }
-        let mut connection = EngineConnection::connect(address, self.connect_timeout).await?;
+        let mut connection = TargetConnection::connect(address, self.connect_timeout).await?;
         check()?;
         match connection.send(request).await {
             Ok(response) => Ok((connection, response)),
@@ -251,7 +251,7 @@
     /// Returns a connection to the pool at the end of its response, waiting for the end if needed.
     pub(crate) fn release(
         &self,
-        mut connection: EngineConnection,
+        mut connection: TargetConnection,
         mut body: hyper::body::Incoming,
     ) {
         use futures_util::FutureExt as _;
@@ -270,7 +270,7 @@
         }
     }
 
-    fn store(&self, mut connection: EngineConnection) {
+    fn store(&self, mut connection: TargetConnection) {
         let is_full = connection.carried.len() >= MAX_REQUESTS;
         if !connection.states_ids || is_full || !connection.is_usable() {
             return;
@@ -280,14 +280,14 @@
         let mut idle = self.lock();
         idle.sweep(now);
         let connections = idle.connections.entry(connection.address).or_default();
-        if connections.len() < MAX_IDLE_PER_ENGINE {
+        if connections.len() < MAX_IDLE_PER_TARGET {
             connections.push(connection);
         }
     }
 
     /// Takes an idle connection that hasn't carried a request with this id: its earlier answer would
     /// look like the next one.
-    fn take(&self, address: net::SocketAddr, id: &RequestId) -> Option<EngineConnection> {
+    fn take(&self, address: net::SocketAddr, id: &RequestId) -> Option<TargetConnection> {
         let mut idle = self.lock();
         let connections = idle.connections.get_mut(&address)?;
         while let Some(mut connection) = connections.pop() {
@@ -311,7 +311,7 @@
 /// The body of an answer together with its connection, which makes progress while the body is read.
 #[derive(Debug)]
 pub(crate) struct DrivenBody {
-    connection: EngineConnection,
+    connection: TargetConnection,
     body: hyper::body::Incoming,
 }
 
@@ -321,7 +321,7 @@
 impl DrivenBody {
     /// Returns the reader of an answer.
     pub(crate) fn read_answer(
-        connection: EngineConnection,
+        connection: TargetConnection,
         response: http::Response<hyper::body::Incoming>,
     ) -> DrivenAnswer {
         let (parts, body) = response.into_parts();
@@ -329,7 +329,7 @@
     }
 
     /// Returns the connection to its pool, when the answer has been read.
-    pub(crate) fn release(self, pool: &StreamPool) {
+    pub(crate) fn release(self, pool: &ConnectionPool) {
         pool.release(self.connection, self.body);
     }
 }
--- a/crates/usher_entry/src/core.rs
+++ b/crates/usher_entry/src/core.rs
@@ -8,8 +8,8 @@
 use usher_types::ClockSource as _;
 
 use crate::{
-    announce, client, config, error, explain, identity, metrics, options, outcome, right, routing,
-    stream_pool, types,
+    announce, client, config, connection_pool, error, explain, identity, metrics, options, outcome,
+    right, routing, types,
 };
 
 /// The axum state extractor of the handlers.
@@ -29,7 +29,7 @@
     pub(crate) right: right::RoutingRight,
     pub(crate) config: config::ConfigStore,
     pub(crate) client: client::TargetClient,
-    pub(crate) streams: stream_pool::StreamPool,
+    pub(crate) connections: connection_pool::ConnectionPool,
     pub(crate) records: explain::RecordRing,
     pub(crate) ids: identity::IdSource,
     pub(crate) stop: usher_kernel::StopSignal,
--- a/crates/usher_entry/src/lib.rs
+++ b/crates/usher_entry/src/lib.rs
@@ -14,6 +14,7 @@
 mod call_record;
 mod client;
 mod config;
+mod connection_pool;
 mod core;
 mod error;
 mod explain;
@@ -33,7 +34,6 @@
 mod right;
 mod routing;
 mod server;
-mod stream_pool;
 mod types;
 
 pub use accounts::AccountDirectory;
--- a/crates/usher_entry/src/model/sse.rs
+++ b/crates/usher_entry/src/model/sse.rs
@@ -4,7 +4,7 @@
 
 use usher_answer::AnswerFault;
 
-use crate::stream_pool;
+use crate::connection_pool;
 
 /// Maximum length of an event, in bytes.
 const MAX_EVENT_BYTES: usize = 1 << 20;
@@ -50,7 +50,7 @@
 /// buffered.
 #[derive(Debug)]
 pub(crate) struct SseReader {
-    connection: stream_pool::EngineConnection,
+    connection: connection_pool::TargetConnection,
     body: hyper::body::Incoming,
     check: usher_answer::AnswerCheck,
     splitter: usher_answer::EventSplitter,
@@ -58,7 +58,7 @@
 
 impl SseReader {
     pub(crate) fn new(
-        connection: stream_pool::EngineConnection,
+        connection: connection_pool::TargetConnection,
         response: http::Response<hyper::body::Incoming>,
     ) -> Self {
         let (parts, body) = response.into_parts();
@@ -85,7 +85,7 @@
     }
 
     /// Returns the connection and the unread rest of the body.
-    pub(crate) fn into_parts(self) -> (stream_pool::EngineConnection, hyper::body::Incoming) {
+    pub(crate) fn into_parts(self) -> (connection_pool::TargetConnection, hyper::body::Incoming) {
         (self.connection, self.body)
     }
 }
--- a/crates/usher_entry/src/model/stream.rs
+++ b/crates/usher_entry/src/model/stream.rs
@@ -9,9 +9,9 @@
 use crate::{
     attempt::AttemptGuard,
     client::SendError,
-    core, error,
+    connection_pool, core, error,
     model::{chunk, sse},
-    stream_pool, types,
+    types,
 };
 
 /// Maximum number of events buffered until the first token arrives.
@@ -81,7 +81,7 @@
 {
     guard: AttemptGuard<P>,
     reader: sse::SseReader,
-    pool: stream_pool::StreamPool,
+    pool: connection_pool::ConnectionPool,
     buffered: std::collections::VecDeque<StreamEvent>,
     // Number of tokens that earlier engines delivered before this stream started.
     start: u64,
@@ -120,7 +120,7 @@
                 Ok(Self {
                     guard,
                     reader,
-                    pool: core.streams.clone(),
+                    pool: core.connections.clone(),
                     buffered,
                     start: request.resume_from,
                     tokens: 0,
@@ -169,7 +169,7 @@
         let may_write = || core.has_right();
         let allowed_use = usher_answer::ConnectionUse::Repeated;
         let sent = core
-            .streams
+            .connections
             .send(guard.address, request, allowed_use, may_write);
         let (mut connection, response) = sent.await?;
         guard.record_head(&response);
@@ -317,7 +317,7 @@
 }
 
 async fn read_error(
-    connection: &mut stream_pool::EngineConnection,
+    connection: &mut connection_pool::TargetConnection,
     response: http::Response<hyper::body::Incoming>,
 ) -> String {
     let (parts, mut body) = response.into_parts();
--- a/crates/usher_entry/src/plain/answer.rs
+++ b/crates/usher_entry/src/plain/answer.rs
@@ -8,9 +8,9 @@
 
 use crate::{
     client::SendError,
+    connection_pool,
     error::CallError,
     plain::{call, claim},
-    stream_pool,
 };
 
 /// An answer whose beginning has been read.
@@ -19,20 +19,20 @@
     headers: http::HeaderMap,
     prefix: bytes::Bytes,
     // The unread rest, set for an answer that is longer than what control records.
-    rest: Option<stream_pool::DrivenAnswer>,
+    rest: Option<connection_pool::DrivenAnswer>,
 }
 
 impl PlainAnswer {
     /// Reads an answer up to the length that control records. The connection of one that ends before
     /// returns to the pool.
     pub(crate) async fn read(
-        pool: &stream_pool::StreamPool,
-        connection: stream_pool::EngineConnection,
+        pool: &connection_pool::ConnectionPool,
+        connection: connection_pool::TargetConnection,
         response: http::Response<hyper::body::Incoming>,
     ) -> Result<Self, SendError> {
         let status = response.status();
         let headers = call::answer_headers(response.headers());
-        let mut body = stream_pool::DrivenBody::read_answer(connection, response);
+        let mut body = connection_pool::DrivenBody::read_answer(connection, response);
         let mut prefix = bytes::BytesMut::new();
         let unknown = |fault: usher_answer::AnswerFault| SendError::Unknown(fault.to_string());
         while let Some(bytes) = body.next().await.map_err(unknown)? {
@@ -75,7 +75,7 @@
     }
 
     /// Takes the unread rest of the body.
-    pub(crate) fn take_rest(&mut self) -> Option<stream_pool::DrivenAnswer> {
+    pub(crate) fn take_rest(&mut self) -> Option<connection_pool::DrivenAnswer> {
         self.rest.take()
     }
 
--- a/crates/usher_entry/src/plain/runner.rs
+++ b/crates/usher_entry/src/plain/runner.rs
@@ -12,13 +12,13 @@
 use crate::{
     attempt::AttemptGuard,
     client::SendError,
-    core,
+    connection_pool, core,
     error::CallError,
     identity,
     outcome::{self, OutcomeCause},
     plain::{answer::PlainAnswer, call::PlainCall, claim::HeldClaim},
     policy::DecisionPolicy as _,
-    refusal, stream_pool, types,
+    refusal, types,
 };
 
 /// Maximum number of body chunks of a long answer queued for the caller.
@@ -193,7 +193,7 @@
             } else {
                 ConnectionUse::First
             };
-            let pool = &self.core.streams;
+            let pool = &self.core.connections;
             let may_write = || self.core.has_right();
             let (connection, response) = pool
                 .send(guard.address, request, allowed_use, may_write)
@@ -404,7 +404,7 @@
 ///
 /// Fails with the reason when the answer isn't complete.
 async fn forward(
-    mut rest: stream_pool::DrivenAnswer,
+    mut rest: connection_pool::DrivenAnswer,
     sender: &usher_answer::StreamSender,
     timeout: time::Duration,
 ) -> Result<(), String> {
