Kill an entry while calls run that may run once, in a script of its own

It expects that all calls are answered, also orders that are in flight at the entry that it kills. The load took that for a refusal and tried again until it gave up. Usually the script passed because no order was in flight yet: the entries don't know the plain service for up to a second and refuse orders until then.

Ruled out: the connections, ids and pauses that are new in the entry.

Change: the load takes outcome_unknown for the final answer that it is. The streams stay in kill-mid-stream.txt, all of which must be answered; the orders have kill-mid-order.txt, in which they are in flight at the kill each time, and each must be answered or told that its outcome is unknown (expect settled), and none may run twice. That is stricter: before, orders were killed in flight only by chance, and then the script failed.

--- a/crates/pimentousher/tests/scenarios.rs
+++ b/crates/pimentousher/tests/scenarios.rs
@@ -26,6 +26,7 @@
 
 usher_types::cases! { run_script:
     kill_mid_stream("kill-mid-stream.txt");
+    kill_mid_order("kill-mid-order.txt");
     partitioned_leader("partitioned-leader.txt");
     frozen_leader("frozen-leader.txt");
     operators_race("operators-race.txt");
--- a/crates/usher_scenario/src/load.rs
+++ b/crates/usher_scenario/src/load.rs
@@ -161,6 +161,8 @@
     match (answer.status, answer.header("x-run")) {
         (200, _) if answer.json()["body"].as_str() == Some(&body) => AttemptOutcome::Complete,
         (200, _) => AttemptOutcome::Wrong(String::from_utf8_lossy(&answer.body).into_owned()),
+        // The call may have run, and is never run again under its key.
+        (409, _) if answer.json()["error"]["code"] == "outcome_unknown" => AttemptOutcome::Unknown,
         // The call is still running elsewhere or was not run: the caller retries.
         (409, _) | (_, "not-run") => AttemptOutcome::Retry(describe(&answer)),
         (_, "unknown") => AttemptOutcome::Unknown,
--- a/crates/usher_scenario/src/parser.rs
+++ b/crates/usher_scenario/src/parser.rs
@@ -92,12 +92,13 @@
     match words {
         ["whole"] => Ok(Step::ExpectWhole),
         ["once"] => Ok(Step::ExpectOnce),
+        ["settled"] => Ok(Step::ExpectSettled),
         ["one-winner"] => Ok(Step::ExpectOneWinner),
         ["config", limit] => Ok(Step::ExpectConfig(parse_duration(limit)?)),
         ["in-force", limit] => Ok(Step::ExpectInForce(parse_duration(limit)?)),
         ["accepted", percent] => Ok(Step::ExpectAccepted(parse_number(percent)?)),
         _ => Err(
-            "expect whole, once, one-winner, config DURATION, in-force DURATION or \
+            "expect whole, once, settled, one-winner, config DURATION, in-force DURATION or \
              accepted PERCENT",
         ),
     }
--- a/crates/usher_scenario/src/runner/expect.rs
+++ b/crates/usher_scenario/src/runner/expect.rs
@@ -98,6 +98,13 @@
         check(line, holds, &what, || format!("{totals:?}"))
     }
 
+    pub(super) fn expect_settled(&self, line: usize) -> Result<(), error::ScenarioError> {
+        let totals = &self.totals;
+        let holds = totals.whole + totals.unknown == totals.calls;
+        let what = "each call answered, or told that its outcome is unknown";
+        check(line, holds, what, || format!("{totals:?}"))
+    }
+
     pub(super) async fn expect_once(&self, line: usize) -> Result<(), error::ScenarioError> {
         let mut counts = collections::BTreeMap::<String, u64>::new();
         for (name, address) in &self.targets {
--- a/crates/usher_scenario/src/runner/mod.rs
+++ b/crates/usher_scenario/src/runner/mod.rs
@@ -152,6 +152,7 @@
             Step::ExpectOneWinner => self.expect_one_winner(number),
             Step::ExpectConfig(limit) => self.expect_config(number, limit).await,
             Step::ExpectInForce(limit) => self.expect_in_force(number, limit).await,
+            Step::ExpectSettled => self.expect_settled(number),
             Step::ExpectAccepted(percent) => self.expect_accepted(number, percent),
         }
     }
--- a/crates/usher_scenario/src/step.rs
+++ b/crates/usher_scenario/src/step.rs
@@ -139,6 +139,9 @@
     ExpectConfig(time::Duration),
     /// Expects that the leader reports the newest accepted configuration as in force everywhere.
     ExpectInForce(time::Duration),
+    /// Expects that each call was answered completely, or told that its outcome is unknown and that
+    /// it is never run again.
+    ExpectSettled,
     /// Expects that at least this percentage of calls was answered completely.
     ExpectAccepted(u8),
 }
