Store routes before they are acknowledged, and tell what was applied again

Cause: since a registrar whose log went on behind what it had applied told no routes after a restart until a leader was elected. Faults that strike right after an acknowledgement leave most registrars so, and all callers were refused for a second longer after them.

Change: a registrar tells again what it had applied. Instead it writes its file at once after each applied entry, and acknowledges routes only when they are in the file, as with targets that leave, for at most 0.3 s. What a registrar has withdrawn is then not in use again after its own restart, and of several registrars that all restart the one that acknowledged offers the newest routes, which gateways take.

--- a/crates/usher_control/src/registrar/last_known_file.rs
+++ b/crates/usher_control/src/registrar/last_known_file.rs
@@ -15,7 +15,8 @@
 /// Size of the checksum that precedes the content.
 const CHECKSUM_BYTES: usize = 4;
 
-/// Delay between a change and the write, so that a burst of changes causes a single write.
+/// Delay between a change that nobody waits for and the write, so that a burst of changes causes a
+/// single write.
 const WRITE_DELAY: time::Duration = time::Duration::from_millis(500);
 
 /// The file with the applied routes and the targets that accept calls.
@@ -87,14 +88,20 @@
     let mut applied = access.watch_applied();
     let mut written = message::LastKnown::default();
     loop {
+        // Acknowledgements of targets that leave, and of routes, wait for the write.
         tokio::select! {
-            changed = changes.changed() => if changed.is_err() { return },
             changed = applied.changed() => if changed.is_err() { return },
-        }
-        // The acknowledgement of a target that leaves waits for the write.
-        let is_urgent = departures.has_changed().unwrap_or_default();
-        if !is_urgent {
-            let _ = tokio::time::timeout(WRITE_DELAY, departures.changed()).await;
+            changed = departures.changed() => if changed.is_err() { return },
+            changed = changes.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+                tokio::select! {
+                    () = tokio::time::sleep(WRITE_DELAY) => {}
+                    _ = applied.changed() => {}
+                    _ = departures.changed() => {}
+                }
+            }
         }
         departures.mark_unchanged();
         changes.mark_unchanged();
@@ -105,8 +112,8 @@
             routes_version: newest.as_ref().map_or(0, |routes| routes.version.get()),
             routes_document: newest.map_or_else(Vec::new, |routes| routes.document.to_vec()),
             targets: targets.usable_targets(),
-            applied_index: access.status().applied.get(),
         };
+        let version = known.routes_version;
         if known == written {
             targets.mark_stored(last_change);
             continue;
@@ -117,6 +124,7 @@
             Ok(Ok(())) => {
                 written = known;
                 targets.mark_stored(last_change);
+                routes.mark_stored(version);
             }
             Ok(Err(error)) => tracing::warn!(%error, "can't write the last-known file"),
             Err(error) => tracing::warn!(%error, "the task that writes the last-known file failed"),
--- a/crates/usher_control/src/registrar/node.rs
+++ b/crates/usher_control/src/registrar/node.rs
@@ -98,10 +98,8 @@
         let router = sync::Arc::new(router);
         let file = registrar::last_known_file::LastKnownFile::new(self.options.folder.clone());
         let last_known = file.read().unwrap_or_default();
-        let restored = registrar::route_store::RestoredRoutes::new(&last_known, &replica.status());
         tracing::info!(
             routes = last_known.routes_version,
-            is_current = matches!(restored, registrar::route_store::RestoredRoutes::Current(_)),
             targets = last_known.targets.len(),
             "last-known routes and targets restored"
         );
@@ -116,6 +114,10 @@
             &last_known,
             publisher.watch_version(),
         );
+        let restored = (last_known.routes_version > 0).then(|| registrar::VersionedRoutes {
+            version: usher_types::ConfigVersion::new(last_known.routes_version),
+            document: last_known.routes_document.into(),
+        });
         let routes =
             registrar::RouteStore::new(access.clone(), clients.clone(), router.clone(), restored);
         if let Some(restored) = routes.newest_known() {
--- a/crates/usher_control/src/registrar/route_store.rs
+++ b/crates/usher_control/src/registrar/route_store.rs
@@ -2,6 +2,7 @@
 
 use std::{sync, time};
 
+use tokio::sync::watch;
 use usher_wire::message::{self, envelope, state_command, state_outcome};
 
 use crate::{error, fleet};
@@ -12,6 +13,10 @@
 /// Timeout for this node to apply a version that the leader has confirmed.
 const APPLY_TIMEOUT: time::Duration = time::Duration::from_millis(800);
 
+/// Longest time for which the acknowledgement of routes waits until they are in the file that a
+/// restart reads; a disk may stall.
+const MAX_STORE_TIME: time::Duration = time::Duration::from_millis(300);
+
 /// A set of routes with its version, byte for byte as its author sent it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct VersionedRoutes {
@@ -27,35 +32,10 @@
     access: fleet::FleetAccess,
     clients: sync::Arc<fleet::PeerClients>,
     router: sync::Arc<fleet::CommandRouter<C>>,
-    restored: RestoredRoutes,
-}
-
-/// What a node knows of the routes before it has heard from a leader.
-#[derive(Clone, Debug)]
-pub(crate) enum RestoredRoutes {
-    /// Those that had been applied before the restart, up to the end of the log; `None` if there were
-    /// none.
-    Current(Option<VersionedRoutes>),
-    /// The log has entries that were not applied before the restart, so that routes which had been
-    /// acknowledged may be missing. Nothing is told until an entry after this one is applied, which
-    /// only a leader with all acknowledged entries brings about.
-    Behind(usher_types::LogIndex),
-}
-
-impl RestoredRoutes {
-    /// Reads what was known before the restart; `status` is that of the replica at its start.
-    pub(crate) fn new(
-        last_known: &message::LastKnown,
-        status: &usher_replica::ReplicaStatus,
-    ) -> Self {
-        if last_known.applied_index < status.last.get() {
-            return Self::Behind(status.applied);
-        }
-        Self::Current((last_known.routes_version > 0).then(|| VersionedRoutes {
-            version: usher_types::ConfigVersion::new(last_known.routes_version),
-            document: last_known.routes_document.clone().into(),
-        }))
-    }
+    /// Routes that had been applied before the restart; `None` if the last-known file has none.
+    restored: Option<VersionedRoutes>,
+    /// Version of the routes in the file that a restart reads.
+    stored: sync::Arc<watch::Sender<u64>>,
 }
 
 impl<C> RouteStore<C>
@@ -66,13 +46,32 @@
         access: fleet::FleetAccess,
         clients: sync::Arc<fleet::PeerClients>,
         router: sync::Arc<fleet::CommandRouter<C>>,
-        restored: RestoredRoutes,
+        restored: Option<VersionedRoutes>,
     ) -> Self {
         Self {
             access,
             clients,
             router,
             restored,
+            stored: sync::Arc::new(watch::Sender::new(0)),
+        }
+    }
+
+    /// Records which version of the routes is in the file that a restart reads.
+    pub(crate) fn mark_stored(&self, version: u64) {
+        self.stored.send_replace(version);
+    }
+
+    /// Waits until a version is in the file that a restart reads, so that this node can tell it right
+    /// after a restart; gives up after a time.
+    async fn wait_stored(&self, version: usher_types::ConfigVersion) {
+        let mut stored = self.stored.subscribe();
+        let is_stored = stored.wait_for(|stored| *stored >= version.get());
+        if tokio::time::timeout(MAX_STORE_TIME, is_stored)
+            .await
+            .is_err()
+        {
+            tracing::warn!(%version, "acknowledged routes are not in the last-known file yet");
         }
     }
 
@@ -107,6 +106,7 @@
                     propose_ms = started.elapsed().as_millis(),
                     "routes put"
                 );
+                self.wait_stored(version).await;
                 Ok(version)
             }
             _ => Err(error::CommandError::Unknown(
@@ -162,14 +162,10 @@
     }
 
     /// Returns the newest routes known to this node, for gateways: the applied ones, or, until a
-    /// leader is elected, those applied before the restart. Both have been committed. Routes that
-    /// were withdrawn right before the restart aren't told again.
+    /// leader is elected, those applied before the restart. Both have been committed, and what this
+    /// node has acknowledged is among them.
     pub(crate) fn newest_known(&self) -> Option<VersionedRoutes> {
-        let restored = match &self.restored {
-            RestoredRoutes::Behind(index) if self.access.status().applied <= *index => return None,
-            RestoredRoutes::Behind(_) => None,
-            RestoredRoutes::Current(restored) => restored.clone(),
-        };
+        let restored = self.restored.clone();
         self.applied()
             .into_iter()
             .chain(restored)
--- a/crates/usher_replica/src/builder.rs
+++ b/crates/usher_replica/src/builder.rs
@@ -141,7 +141,6 @@
         leader: None,
         commit: usher_types::LogIndex::new(core.commit()),
         applied: usher_types::LogIndex::new(applied),
-        last: usher_types::LogIndex::new(core.last_index()),
         log_bytes: core.log_bytes(),
         membership: message::Membership::default(),
         members_index: 0,
--- a/crates/usher_replica/src/driver/output.rs
+++ b/crates/usher_replica/src/driver/output.rs
@@ -230,7 +230,6 @@
         status.leader = leader;
         status.commit = usher_types::LogIndex::new(self.core.commit());
         status.applied = usher_types::LogIndex::new(self.applied);
-        status.last = usher_types::LogIndex::new(self.core.last_index());
         status.log_bytes = self.core.log_bytes();
         status.lease_until = self.core.lease_until();
         status.last_leader_contact = self.core.last_leader_contact();
--- a/crates/usher_replica/src/status.rs
+++ b/crates/usher_replica/src/status.rs
@@ -31,8 +31,6 @@
         pub commit: usher_types::LogIndex,
         /// Highest applied index.
         pub applied: usher_types::LogIndex,
-        /// Index of the last entry in the log, which may not be committed.
-        pub last: usher_types::LogIndex,
         /// Payload of the log entries in memory, in bytes.
         pub log_bytes: usize,
         /// Current members.
