Log what ran at an engine when its connection broke

The log of a call named its engines, but neither the shared parts of its prompt nor, in one place, the calls of all gateways that ran at an engine when it ended.

Gateways log one line for each model call whose connection to an engine broke: request, engine and its start, parts, how far the engine had come, and the time since the call was sent. gateway_broken_calls_total counts the same by service and phase. No decision changes.

--- a/crates/usher_answer/src/answer_check.rs
+++ b/crates/usher_answer/src/answer_check.rs
@@ -86,6 +86,14 @@
         matches!(self.content, ContentScanner::Events(_))
     }
 
+    /// Returns the number of complete events so far; 0 if the body is no event stream.
+    pub fn events(&self) -> u64 {
+        match &self.content {
+            ContentScanner::Events(scanner) => scanner.events(),
+            ContentScanner::Json(_) | ContentScanner::Opaque => 0,
+        }
+    }
+
     /// Adds bytes of the body.
     pub fn add(&mut self, bytes: &[u8]) {
         self.bytes += bytes.len() as u64;
--- a/crates/usher_gateway/src/lib.rs
+++ b/crates/usher_gateway/src/lib.rs
@@ -7,6 +7,7 @@
 mod answer;
 mod answer_buffer;
 mod body;
+mod broken_call;
 mod call;
 mod core;
 mod dialect;
--- a/crates/usher_gateway/src/metrics.rs
+++ b/crates/usher_gateway/src/metrics.rs
@@ -8,6 +8,8 @@
     registry,
 };
 
+use crate::broken_call;
+
 /// Bounds of the latency buckets, in seconds: around the objectives of the routes, 0.2 s to 1 s,
 /// and up to their timeouts.
 const LATENCY_BOUNDS: [f64; 12] = [
@@ -24,6 +26,7 @@
     sends: family::Family<Labels, counter::Counter>,
     answers: family::Family<Labels, counter::Counter>,
     notices: family::Family<Labels, counter::Counter>,
+    broken_calls: family::Family<Labels, counter::Counter>,
     first_byte: LatencyFamily,
     total: LatencyFamily,
     pub(crate) running: gauge::Gauge,
@@ -47,6 +50,7 @@
         let sends = family::Family::default();
         let answers = family::Family::default();
         let notices = family::Family::default();
+        let broken_calls = family::Family::default();
         let first_byte = LatencyFamily::new_with_constructor(latency);
         let total = LatencyFamily::new_with_constructor(latency);
         let running = gauge::Gauge::default();
@@ -73,6 +77,8 @@
         );
         let help = "answers in which a target said that it is leaving or wants a pause, by kind";
         registry.register("target_notices", help, notices.clone());
+        let help = "model calls whose connection to an engine broke, by service and phase";
+        registry.register("broken_calls", help, broken_calls.clone());
         let name = "first_byte_seconds";
         registry.register(
             name,
@@ -107,6 +113,7 @@
             sends,
             answers,
             notices,
+            broken_calls,
             first_byte,
             total,
             running,
@@ -159,6 +166,19 @@
         self.notices.get_or_create(&labels).inc();
     }
 
+    /// Counts a model call whose connection to an engine broke.
+    pub(crate) fn call_broken(
+        &self,
+        service: &usher_types::ServiceName,
+        phase: broken_call::CallPhase,
+    ) {
+        let labels = vec![
+            ("service", service.to_string()),
+            ("phase", phase.to_string()),
+        ];
+        self.broken_calls.get_or_create(&labels).inc();
+    }
+
     /// Records that a registrar offers a version of the routes.
     pub(crate) fn set_offered_version(&self, version: u64) {
         let version = i64::try_from(version).unwrap_or(i64::MAX);
--- a/crates/usher_gateway/src/model.rs
+++ b/crates/usher_gateway/src/model.rs
@@ -6,7 +6,7 @@
 use usher_place::{CallGuard, RetryDecision, RetryPolicy};
 use usher_roster::TargetEntry;
 
-use crate::{answer, body, call, core, dialect, held_prompt, relay, send};
+use crate::{answer, body, broken_call, call, core, dialect, held_prompt, relay, send};
 
 /// Maximum number of engines that are asked to read a prompt; after that the decode engine reads
 /// it.
@@ -304,8 +304,10 @@
             return Err(failed(true)(text));
         }
     };
+    let sent_at = answer.sent_at;
     let read = answer.read_own().await.map_err(|fault| {
         core.record_lost(&target.name);
+        core.record_broken_call(call, target, broken_call::CallPhase::Prefill, sent_at);
         failed(true)(fault.to_string())
     });
     let (status, body) = read?;
--- a/crates/usher_gateway/src/relay.rs
+++ b/crates/usher_gateway/src/relay.rs
@@ -8,7 +8,7 @@
 use usher_roster::TargetEntry;
 use usher_route::RepeatKind;
 
-use crate::{body, call, core, dialect, pool, send};
+use crate::{body, broken_call, call, core, dialect, pool, send};
 
 /// Largest event that is buffered, in bytes; events hold a few tokens.
 const MAX_EVENT_BYTES: usize = 256 * 1_024;
@@ -146,12 +146,14 @@
                 version,
                 mut body,
                 connection,
+                sent_at,
                 ..
             } = *answer;
             let result = self.relay(&mut body).await;
             drop(guard);
             let ended = result.name();
             let check = body.check();
+            let events = check.events();
             self.core.metrics.answer_ended(check.framing(), ended);
             let mut outcome = format!("stream {ended}: {check}, {version:?}");
             if let RelayResult::Broken(fault) = &result {
@@ -171,6 +173,9 @@
                     // The engine must not go on while another one does.
                     drop((body, connection));
                     self.core.record_lost(&target.name);
+                    let phase = broken_call::CallPhase::of_events(events);
+                    let core = &self.core;
+                    core.record_broken_call(&self.call, &target, phase, sent_at);
                     tried.push(target.name);
                     self.log.runs += 1;
                     next = self.resume(&mut tried).await;
--- a/crates/usher_gateway/src/send.rs
+++ b/crates/usher_gateway/src/send.rs
@@ -6,7 +6,7 @@
 use usher_place::TargetFailure;
 use usher_roster::TargetEntry;
 
-use crate::{answer_buffer, call, core, dialect, pool};
+use crate::{answer_buffer, broken_call, call, core, dialect, pool};
 
 /// Maximum time to read the body of a refusal.
 const REFUSAL_TIMEOUT: time::Duration = time::Duration::from_millis(500);
@@ -19,6 +19,8 @@
     pub(crate) headers: http::HeaderMap,
     pub(crate) body: pool::TargetBody,
     pub(crate) connection: pool::ConnectionLease,
+    /// Time at which the call was sent.
+    pub(crate) sent_at: time::Instant,
 }
 
 /// The result of a send.
@@ -81,9 +83,10 @@
     core.dialect.write_send(request.headers_mut(), &metadata);
     let runs_call = metadata.step != dialect::SendStep::Prefill;
     let is_new = call.begin_send(&target.name);
+    let sent_at = core.clock.now();
     let result = match core.pool.send(target, request, is_new).await {
-        Ok((answer, connection)) => {
-            let result = check_answer(core, call, target, runs_call, answer, connection).await;
+        Ok(answer) => {
+            let result = check_answer(core, call, target, runs_call, answer, sent_at).await;
             if matches!(result, SendResult::NotRun(_)) {
                 let refused = TargetFailure::Refused;
                 let now = core.clock.now();
@@ -97,6 +100,12 @@
         }
         Err(pool::ConnectionError::Broken(text)) => {
             core.record_lost(&target.name);
+            let phase = if runs_call {
+                broken_call::CallPhase::NoEvent
+            } else {
+                broken_call::CallPhase::Prefill
+            };
+            core.record_broken_call(call, target, phase, sent_at);
             SendResult::Broken(text)
         }
     };
@@ -115,13 +124,14 @@
     call: &call::RoutedCall,
     target: &TargetEntry,
     runs_call: bool,
-    answer: http::Response<pool::TargetBody>,
-    connection: pool::ConnectionLease,
+    answer: (http::Response<pool::TargetBody>, pool::ConnectionLease),
+    sent_at: time::Instant,
 ) -> SendResult
 where
     D: dialect::CallDialect,
     C: usher_types::ClockSource,
 {
+    let (answer, connection) = answer;
     let (parts, mut body) = answer.into_parts();
     let metadata = core.dialect.read_answer(parts.status, &parts.headers);
     core.record_head(target, parts.status, &parts.headers, &metadata);
@@ -167,6 +177,7 @@
         headers: parts.headers,
         body,
         connection,
+        sent_at,
     }))
 }
 
--- a/crates/usher_place/src/work.rs
+++ b/crates/usher_place/src/work.rs
@@ -40,10 +40,15 @@
         self
     }
 
-    /// Returns the length of the shared prefix: all parts but the last one.
-    pub fn shared_tokens(&self) -> u64 {
+    /// Returns the parts that other calls may have too: all but the last one.
+    pub fn shared_parts(&self) -> impl Iterator<Item = &PromptPart> {
         let shared = self.parts.len().saturating_sub(1);
-        self.parts.iter().take(shared).map(|part| part.tokens).sum()
+        self.parts.iter().take(shared)
+    }
+
+    /// Returns the length of the shared prefix.
+    pub fn shared_tokens(&self) -> u64 {
+        self.shared_parts().map(|part| part.tokens).sum()
     }
 
     /// Returns the number of prompt tokens after the shared prefix.
