Refuse calls whose prompts crash engines

Cause: a broken connection was only a failure of its engine. Gateways kept nothing about the calls that ran there, and what they tell each other was per engine too, so the next call with the part went to the next engine. Ruled out: repeats by the system (one engine for each such call) and load (engines with one call ended).

Change: usher_quarantine finds, from the calls that broke and the answers that were complete, the parts that explain three crashes in a row; gateways refuse their calls at once with 503 and don't send or resume them again. Registrars pass the records on between gateways, without loss (positions in a list of changes; merging is commutative and idempotent), and keep those behind a refusal in their last-known file. Sound calls that share other parts are served: a crash that a larger set of parts explains doesn't count against its parts, crashes at the same moment count once, and a complete answer clears its parts.

Conclusion: the fault is fixed for parts that crash each engine. One that crashes only now and then is cleared by its answers.

--- a/crates/pimentousher/src/daemon/gateway.rs
+++ b/crates/pimentousher/src/daemon/gateway.rs
@@ -19,6 +19,7 @@
         seeds: settings.registrars.addresses(),
         retry_share: settings.retry_share,
         retry_slack: settings.retry_slack,
+        crash_lifetime: settings.crash_lifetime,
         grace: settings.grace,
     }
 }
--- a/crates/pimentousher/src/daemon/registrar.rs
+++ b/crates/pimentousher/src/daemon/registrar.rs
@@ -34,6 +34,7 @@
         founds: settings.founds,
         tolerated_losses: settings.tolerated_losses,
         order_lease: settings.order_lease,
+        crash_lifetime: settings.crash_lifetime,
         heartbeat: settings.heartbeat,
     })
 }
--- a/crates/usher_config/src/settings/gateway.rs
+++ b/crates/usher_config/src/settings/gateway.rs
@@ -4,6 +4,10 @@
 
 use crate::settings::{node, output, reader, value};
 
+/// Default of the time for which a crash counts: callers of a prompt that crashes engines have given
+/// up by then, or the engines have been mended.
+const DEFAULT_CRASH_LIFETIME: time::Duration = time::Duration::from_secs(30 * 60);
+
 usher_types::value_type! {
     /// Section `registrars`: how to reach the registrars.
     pub struct SeedSettings {
@@ -50,6 +54,8 @@
         pub retry_slack: f64,
         /// Time between the first stop signal and the end of the process.
         pub grace: time::Duration,
+        /// Time for which the crash of an engine counts against the prompts that it had.
+        pub crash_lifetime: time::Duration,
         /// Log settings.
         pub log: output::LogSettings,
     }
@@ -68,11 +74,18 @@
             retry_share: retries.with_default("share", 0.2),
             retry_slack: retries.with_default("slack", 10.0),
             grace: time::Duration::from_secs_f64(section.with_default("grace_seconds", 8.0)),
+            crash_lifetime: read_crash_lifetime(file),
             log: output::LogSettings::read(file),
         }
     }
 }
 
+/// Reads section `quarantine`.
+fn read_crash_lifetime(file: &reader::SettingsReader) -> time::Duration {
+    let section = file.section("quarantine");
+    section.with_default("lifetime", DEFAULT_CRASH_LIFETIME)
+}
+
 fn read_regions(
     file: &reader::SettingsReader,
 ) -> collections::BTreeMap<usher_types::DomainName, usher_types::RegionName> {
@@ -106,6 +119,8 @@
         pub order_lease: time::Duration,
         /// Interval between the heartbeats of a target.
         pub heartbeat: time::Duration,
+        /// Time for which the crash of an engine counts against the prompts that it had.
+        pub crash_lifetime: time::Duration,
         /// Log settings.
         pub log: output::LogSettings,
     }
@@ -124,6 +139,7 @@
                 .0,
             order_lease: section.with_default("order_lease", time::Duration::from_secs(3)),
             heartbeat: section.with_default("heartbeat", time::Duration::from_secs(1)),
+            crash_lifetime: read_crash_lifetime(file),
             log: output::LogSettings::read(file),
         };
         file.section("node").check(
--- a/crates/usher_control/src/registrar/handler.rs
+++ b/crates/usher_control/src/registrar/handler.rs
@@ -12,6 +12,7 @@
     pub(crate) targets: registrar::TargetRegistry<C>,
     pub(crate) routes: registrar::RouteStore<C>,
     pub(crate) publisher: registrar::route_publisher::RoutePublisher,
+    pub(crate) broken_calls: registrar::broken_calls::BrokenCallRegistry<C>,
     pub(crate) gateway_loads: registrar::load_aggregator::LoadAggregator<C>,
 }
 
@@ -40,9 +41,19 @@
                 for target in &report.leaving {
                     self.targets.record_leaving(&peer.node, target);
                 }
-                let totals = self.gateway_loads.record(&peer.node, report);
-                // Reports of other registrars are one-way.
-                (!is_registrar).then_some(envelope::Body::UseTotals(totals))
+                if is_registrar {
+                    self.gateway_loads.record(&peer.node, report);
+                    // Reports of other registrars are one-way.
+                    return None;
+                }
+                let broken_calls = self.broken_calls.exchange(&report);
+                let loads = self.gateway_loads.record(&peer.node, report);
+                Some(envelope::Body::UseTotals(message::UseTotals {
+                    uses: loads.uses,
+                    gateways: loads.gateways,
+                    reads: loads.reads,
+                    ..broken_calls
+                }))
             }
             envelope::Body::RoutesRequest(request) => Some(self.routes(&request).await),
             _ => Some(wire_handler::refuse(
--- a/crates/usher_control/src/registrar/last_known_file.rs
+++ b/crates/usher_control/src/registrar/last_known_file.rs
@@ -79,6 +79,7 @@
     file: LastKnownFile,
     targets: registrar::TargetRegistry<C>,
     routes: registrar::RouteStore<C>,
+    broken_calls: registrar::broken_calls::BrokenCallRegistry<C>,
     access: fleet::FleetAccess,
 ) where
     C: usher_types::ClockSource,
@@ -86,12 +87,14 @@
     let mut changes = targets.watch_changes();
     let mut departures = targets.watch_departures();
     let mut applied = access.watch_applied();
+    let mut evidence = broken_calls.watch_evidence();
     let mut written = message::LastKnown::default();
     loop {
         // Acknowledgements of targets that leave, and of routes, wait for the write.
         tokio::select! {
             changed = applied.changed() => if changed.is_err() { return },
             changed = departures.changed() => if changed.is_err() { return },
+            changed = evidence.changed() => if changed.is_err() { return },
             changed = changes.changed() => {
                 if changed.is_err() {
                     return;
@@ -100,6 +103,7 @@
                     () = tokio::time::sleep(WRITE_DELAY) => {}
                     _ = applied.changed() => {}
                     _ = departures.changed() => {}
+                    _ = evidence.changed() => {}
                 }
             }
         }
@@ -112,6 +116,7 @@
             routes_version: newest.as_ref().map_or(0, |routes| routes.version.get()),
             routes_document: newest.map_or_else(Vec::new, |routes| routes.document.to_vec()),
             targets: targets.usable_targets(),
+            broken_calls: evidence.borrow_and_update().clone(),
         };
         let version = known.routes_version;
         if known == written {
--- a/crates/usher_control/src/registrar/load_aggregator.rs
+++ b/crates/usher_control/src/registrar/load_aggregator.rs
@@ -75,6 +75,7 @@
             uses,
             gateways,
             reads,
+            ..Default::default()
         }
     }
 
@@ -166,6 +167,7 @@
                 reads: reads.clone(),
                 // Registrars learn of leaving targets by watching each other.
                 leaving: Vec::new(),
+                ..Default::default()
             };
             clients
                 .find(address)
--- a/crates/usher_control/src/registrar/mod.rs
+++ b/crates/usher_control/src/registrar/mod.rs
@@ -4,6 +4,7 @@
 //! For: installations whose gateways forward calls by route. Not for: the protocol of targets and
 //! operators, which an adapter translates.
 
+mod broken_calls;
 mod handler;
 mod last_known_file;
 mod load_aggregator;
--- a/crates/usher_control/src/registrar/node.rs
+++ b/crates/usher_control/src/registrar/node.rs
@@ -106,6 +106,11 @@
         let publisher = registrar::route_publisher::RoutePublisher::new(
             usher_types::IncarnationSource::random().get(),
         );
+        let broken_calls = registrar::broken_calls::BrokenCallRegistry::new(
+            self.options.crash_lifetime,
+            self.clock.clone(),
+            &last_known,
+        );
         let targets = registrar::TargetRegistry::new(
             access.clone(),
             self.options.domain.clone(),
@@ -113,6 +118,7 @@
             self.clock.clone(),
             &last_known,
             publisher.watch_version(),
+            broken_calls.clone(),
         );
         let restored = (last_known.routes_version > 0).then(|| registrar::VersionedRoutes {
             version: usher_types::ConfigVersion::new(last_known.routes_version),
@@ -137,6 +143,7 @@
             targets: targets.clone(),
             routes: routes.clone(),
             publisher,
+            broken_calls: broken_calls.clone(),
             gateway_loads: gateway_loads.clone(),
         };
         let server_identity = identity.clone();
@@ -161,12 +168,24 @@
         let load_reports =
             registrar::load_aggregator::run(gateway_loads, access.clone(), clients, address);
         let load_reports = tokio::spawn(load_reports);
-        let file_writer =
-            registrar::last_known_file::run(file, targets.clone(), routes.clone(), access.clone());
+        let file_writer = registrar::last_known_file::run(
+            file,
+            targets.clone(),
+            routes.clone(),
+            broken_calls.clone(),
+            access.clone(),
+        );
         let file_writer = tokio::spawn(file_writer);
-        let peers = registrar::peer_watch::run(group, updates, new_seeds, targets.clone(), access);
+        let peers = registrar::peer_watch::run(
+            group,
+            updates,
+            new_seeds,
+            targets.clone(),
+            broken_calls.clone(),
+            access,
+        );
         let peers = tokio::spawn(peers);
-        let expiry = tokio::spawn(run_expiry(targets.clone()));
+        let expiry = tokio::spawn(run_expiry(targets.clone(), broken_calls));
         Ok(RunningRegistrar {
             replica,
             targets,
@@ -219,13 +238,16 @@
     }
 }
 
-async fn run_expiry<C>(targets: registrar::TargetRegistry<C>)
-where
+async fn run_expiry<C>(
+    targets: registrar::TargetRegistry<C>,
+    broken_calls: registrar::broken_calls::BrokenCallRegistry<C>,
+) where
     C: usher_types::ClockSource,
 {
     loop {
         tokio::time::sleep(EXPIRE_INTERVAL).await;
         targets.expire();
+        broken_calls.expire();
     }
 }
 
--- a/crates/usher_control/src/registrar/options.rs
+++ b/crates/usher_control/src/registrar/options.rs
@@ -24,6 +24,8 @@
     pub tolerated_losses: usize,
     /// Time for which an engine accepts orders only from the holder that sent the last one.
     pub order_lease: time::Duration,
+    /// Time for which the crash of an engine counts against the prompts that it had.
+    pub crash_lifetime: time::Duration,
     /// Interval of the heartbeats of a target.
     pub heartbeat: time::Duration,
 }
--- a/crates/usher_control/src/registrar/peer_watch.rs
+++ b/crates/usher_control/src/registrar/peer_watch.rs
@@ -14,6 +14,7 @@
     mut updates: mpsc::Receiver<usher_watch::WatchUpdate>,
     mut seeds: mpsc::Receiver<Vec<net::SocketAddr>>,
     targets: registrar::TargetRegistry<C>,
+    broken_calls: registrar::broken_calls::BrokenCallRegistry<C>,
     access: fleet::FleetAccess,
 ) where
     C: usher_types::ClockSource,
@@ -30,6 +31,9 @@
         // This node's replica is at least as up to date on the members as any reply.
         let (index, members) = access.member_addresses(0);
         group.set_members(index, &members);
+        if let Some(reply) = &update.reply {
+            broken_calls.merge(&reply.broken_calls);
+        }
         for beat in update.reply.iter().flat_map(|reply| &reply.targets) {
             targets.merge(update.address, beat);
         }
--- a/crates/usher_control/src/registrar/target_registry.rs
+++ b/crates/usher_control/src/registrar/target_registry.rs
@@ -6,7 +6,10 @@
 use tokio::sync::watch;
 use usher_wire::message;
 
-use crate::{fleet, plan, registrar::refused_sources};
+use crate::{
+    fleet, plan,
+    registrar::{broken_calls, refused_sources},
+};
 
 /// Upper limit of the time that a watch request may wait for a change.
 const MAX_WAIT: time::Duration = time::Duration::from_secs(5);
@@ -31,6 +34,7 @@
     domain: usher_types::DomainName,
     /// Version of the routes that gateways can fetch here.
     published_routes: watch::Receiver<u64>,
+    broken_calls: broken_calls::BrokenCallRegistry<C>,
     refused: sync::Arc<sync::Mutex<refused_sources::RefusedSources>>,
     clock: C,
 }
@@ -46,6 +50,7 @@
         clock: C,
         last_known: &message::LastKnown,
         published_routes: watch::Receiver<u64>,
+        broken_calls: broken_calls::BrokenCallRegistry<C>,
     ) -> Self {
         let mut feed = usher_roster::RosterFeed::new(heartbeat);
         let wall = clock.wall();
@@ -66,6 +71,7 @@
             epoch: usher_types::IncarnationSource::random().get(),
             domain,
             published_routes,
+            broken_calls,
             refused: sync::Arc::default(),
             clock,
         }
@@ -271,12 +277,14 @@
         let mut changes = self.changes.subscribe();
         let mut applied = self.access.watch_applied();
         let mut published = self.published_routes.clone();
+        let mut broken_calls = self.broken_calls.watch_changes();
         let timeout = tokio::time::sleep(wait);
         tokio::pin!(timeout);
         loop {
             changes.mark_unchanged();
             applied.mark_unchanged();
             published.mark_unchanged();
+            broken_calls.mark_unchanged();
             let (reply, has_changes) = self.reply(&request);
             if has_changes {
                 return reply;
@@ -286,16 +294,14 @@
                 _ = changes.changed() => {}
                 _ = applied.changed() => {}
                 _ = published.changed() => {}
+                _ = broken_calls.changed(), if request.own_targets_only => {}
             }
         }
     }
 
     fn reply(&self, request: &message::WatchRequest) -> (message::WatchReply, bool) {
-        let cursor = if request.epoch == self.epoch {
-            request.cursor
-        } else {
-            0
-        };
+        let is_known = request.epoch == self.epoch;
+        let cursor = if is_known { request.cursor } else { 0 };
         let feed = self.lock();
         let targets: Vec<_> = feed
             .changes_since(cursor, request.own_targets_only)
@@ -307,7 +313,14 @@
         drop(feed);
         let routes_version = *self.published_routes.borrow();
         let (members_index, members) = self.access.member_addresses(request.members_index);
-        let has_changes = request.epoch != self.epoch
+        let (broken_calls, broken_calls_cursor) = if request.own_targets_only {
+            let known = is_known.then_some(request.broken_calls_cursor);
+            self.broken_calls.changes_since(known.unwrap_or_default())
+        } else {
+            Default::default()
+        };
+        let has_changes = !is_known
+            || !broken_calls.is_empty()
             || !targets.is_empty()
             || role_changes.is_some()
             || routes_version != request.routes_version
@@ -320,6 +333,8 @@
             members_index,
             members,
             domain: self.domain.to_string(),
+            broken_calls,
+            broken_calls_cursor,
             role_changes: role_changes.map(|engines| message::RoleChangeList {
                 engines: engines.iter().map(ToString::to_string).collect(),
             }),
--- a/crates/usher_control/tests/registrar_restart.rs
+++ b/crates/usher_control/tests/registrar_restart.rs
@@ -43,6 +43,7 @@
         founds,
         tolerated_losses: 0,
         order_lease: time::Duration::from_secs(3),
+        crash_lifetime: time::Duration::from_secs(60),
         heartbeat: time::Duration::from_secs(30),
     };
     let node = RegistrarNode::new(options, NoOrders, usher_types::SystemClock);
--- a/crates/usher_gateway/src/answer.rs
+++ b/crates/usher_gateway/src/answer.rs
@@ -47,6 +47,14 @@
         /// Time until the first pause ends.
         left: time::Duration,
     },
+    /// The prompt has parts that crash engines.
+    #[error("prompt parts {parts} crash engines; their calls are refused for {} s", left.as_secs())]
+    Quarantined {
+        /// The parts.
+        parts: String,
+        /// Time until the first of the crashes is forgotten.
+        left: time::Duration,
+    },
     /// Targets refused the call without running it.
     #[error("no target could run the call: {0}")]
     NotRun(String),
@@ -77,6 +85,7 @@
             Self::NoRoutes
             | Self::NoTarget { .. }
             | Self::Paused { .. }
+            | Self::Quarantined { .. }
             | Self::NotRun(_)
             | Self::LateNotRun => http::StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => http::StatusCode::NOT_FOUND,
@@ -100,7 +109,7 @@
         if status == http::StatusCode::SERVICE_UNAVAILABLE {
             let after = match self {
                 Self::NoRoutes | Self::NoTarget { .. } => STARTUP_RETRY_AFTER,
-                Self::Paused { left, .. } => left,
+                Self::Paused { left, .. } | Self::Quarantined { left, .. } => left,
                 _ => RETRY_AFTER,
             };
             // Rounded up, so that no caller returns too early.
--- a/crates/usher_gateway/src/call.rs
+++ b/crates/usher_gateway/src/call.rs
@@ -4,6 +4,7 @@
 
 use http_body_util::BodyExt as _;
 use tokio::time as tokio_time;
+use usher_quarantine::PartId;
 use usher_route::RouteRule;
 
 use crate::{answer, body, core, dialect, model, plain};
@@ -38,6 +39,8 @@
     pub(crate) arrived: tokio_time::Instant,
     /// The time at which the call is given up.
     pub(crate) deadline: tokio_time::Instant,
+    /// Parts of the prompt that other calls may have too.
+    pub(crate) shared_parts: Vec<PartId>,
     /// Targets that the call has been sent to.
     sent_to: sync::Mutex<Vec<usher_types::TargetName>>,
 }
@@ -254,6 +257,9 @@
     let caller_timeout = caller_timeout.min(route.timeout);
     let deadline = log.arrived + caller_timeout.saturating_sub(ANSWER_MARGIN);
     let body = read_body(body, limits.body_bytes, deadline).await?;
+    let work = metadata.work.iter();
+    let shared_parts = work.flat_map(usher_place::PromptWork::shared_parts);
+    let shared_parts = shared_parts.map(|part| PartId::new(part.id)).collect();
     let mut headers = parts.headers;
     remove_connection_headers(&mut headers);
     headers.remove(http::header::CONTENT_LENGTH);
@@ -270,6 +276,7 @@
         body,
         arrived: log.arrived,
         deadline,
+        shared_parts,
         sent_to: sync::Mutex::default(),
     })
 }
--- a/crates/usher_gateway/src/core.rs
+++ b/crates/usher_gateway/src/core.rs
@@ -38,6 +38,8 @@
     /// process that did.
     leaving: sync::Mutex<collections::BTreeMap<usher_types::TargetName, u64>>,
     services: sync::RwLock<sync::Arc<ServiceIndex>>,
+    /// Calls that broke at engines, and the prompt parts that are refused for that.
+    pub(crate) quarantine: sync::Mutex<usher_quarantine::PartQuarantine>,
 }
 
 impl<D, C> GatewayCore<D, C>
@@ -46,6 +48,7 @@
     C: usher_types::ClockSource,
 {
     pub(crate) fn new(options: options::GatewayOptions, dialect: D, clock: C) -> Self {
+        let quarantine = usher_quarantine::PartQuarantine::new(options.crash_lifetime);
         Self {
             options,
             dialect,
@@ -64,6 +67,7 @@
             role_changes: sync::Mutex::default(),
             leaving: sync::Mutex::default(),
             services: sync::RwLock::default(),
+            quarantine: sync::Mutex::new(quarantine),
         }
     }
 
--- a/crates/usher_gateway/src/lib.rs
+++ b/crates/usher_gateway/src/lib.rs
@@ -7,7 +7,6 @@
 mod answer;
 mod answer_buffer;
 mod body;
-mod broken_call;
 mod call;
 mod core;
 mod dialect;
@@ -20,6 +19,7 @@
 mod options;
 mod plain;
 mod pool;
+mod quarantine;
 mod registrar_watch;
 mod relay;
 mod route_follower;
--- a/crates/usher_gateway/src/load_exchange.rs
+++ b/crates/usher_gateway/src/load_exchange.rs
@@ -3,6 +3,7 @@
 
 use std::{collections, sync, time};
 
+use usher_quarantine::BrokenCall;
 use usher_wire::message::{self, envelope};
 
 use crate::{core, dialect};
@@ -19,8 +20,10 @@
     D: dialect::CallDialect,
     C: usher_types::ClockSource,
 {
+    let mut position = CallPosition::default();
     loop {
         tokio::time::sleep(EXCHANGE_INTERVAL).await;
+        core.change_quarantine(usher_quarantine::PartQuarantine::expire);
         let client = {
             let nearest_registrar = core.nearest_registrar.lock();
             nearest_registrar
@@ -32,11 +35,15 @@
         };
         let reads = own_reads(&core);
         let reported = reads.len();
+        let (broken_calls, last_change) = own_broken_calls(&core, &position);
         let report = message::UseReport {
             uses: own_loads(&core),
             gateways: 0,
             reads,
             leaving: leaving_targets(&core),
+            broken_calls,
+            broken_calls_epoch: position.epoch,
+            broken_calls_cursor: position.cursor,
         };
         let body = envelope::Body::UseReport(report);
         match client.call(body, REPLY_TIMEOUT).await {
@@ -59,6 +66,11 @@
                     .collect();
                 core.loads.set_other_loads(&others);
                 core.set_gateways(totals.gateways);
+                position.advance(&totals, last_change);
+                core.change_quarantine(|quarantine, now| {
+                    let calls = totals.broken_calls.iter();
+                    quarantine.merge(calls.map(|call| BrokenCall::from_message(call, now)), now)
+                });
                 let now = core.clock.now();
                 let reads = totals.reads.iter().map(|read| usher_place::PrefixRead {
                     prefix: read.parts,
@@ -78,6 +90,46 @@
     }
 }
 
+/// How far this gateway and a registrar know each other's broken calls.
+#[derive(Clone, Copy, Debug, Default)]
+struct CallPosition {
+    /// Run of the registrar.
+    epoch: u64,
+    /// Position in the changes of the registrar.
+    cursor: u64,
+    /// Number of the last own change that the registrar knows.
+    acknowledged: u64,
+}
+
+impl CallPosition {
+    /// Moves to the position of a reply to a report with the own changes up to `last_change`. A
+    /// registrar of another run gets all own ones again.
+    fn advance(&mut self, totals: &message::UseTotals, last_change: u64) {
+        let is_known = self.epoch == totals.broken_calls_epoch;
+        *self = Self {
+            epoch: totals.broken_calls_epoch,
+            cursor: totals.broken_calls_cursor,
+            acknowledged: if is_known { last_change } else { 0 },
+        };
+    }
+}
+
+/// Returns the broken calls that this gateway has to report, and the number of the last change.
+fn own_broken_calls<D, C>(
+    core: &core::GatewayCore<D, C>,
+    position: &CallPosition,
+) -> (Vec<message::BrokenCall>, u64)
+where
+    D: dialect::CallDialect,
+    C: usher_types::ClockSource,
+{
+    let now = core.clock.now();
+    let quarantine = core.lock_quarantine();
+    let calls = quarantine.own_changes_since(position.acknowledged);
+    let calls = calls.map(|call| call.to_message(now)).collect();
+    (calls, quarantine.last_change())
+}
+
 fn own_reads<D, C>(core: &core::GatewayCore<D, C>) -> Vec<message::PartsRead>
 where
     D: dialect::CallDialect,
--- a/crates/usher_gateway/src/metrics.rs
+++ b/crates/usher_gateway/src/metrics.rs
@@ -8,8 +8,6 @@
     registry,
 };
 
-use crate::broken_call;
-
 /// Bounds of the latency buckets, in seconds: around the objectives of the routes, 0.2 s to 1 s,
 /// and up to their timeouts.
 const LATENCY_BOUNDS: [f64; 12] = [
@@ -27,6 +25,8 @@
     answers: family::Family<Labels, counter::Counter>,
     notices: family::Family<Labels, counter::Counter>,
     broken_calls: family::Family<Labels, counter::Counter>,
+    quarantined_calls: family::Family<Labels, counter::Counter>,
+    pub(crate) quarantined: gauge::Gauge,
     first_byte: LatencyFamily,
     total: LatencyFamily,
     pub(crate) running: gauge::Gauge,
@@ -51,6 +51,8 @@
         let answers = family::Family::default();
         let notices = family::Family::default();
         let broken_calls = family::Family::default();
+        let quarantined_calls = family::Family::default();
+        let quarantined = gauge::Gauge::default();
         let first_byte = LatencyFamily::new_with_constructor(latency);
         let total = LatencyFamily::new_with_constructor(latency);
         let running = gauge::Gauge::default();
@@ -79,6 +81,10 @@
         registry.register("target_notices", help, notices.clone());
         let help = "model calls whose connection to an engine broke, by service and phase";
         registry.register("broken_calls", help, broken_calls.clone());
+        let help = "refusals of calls whose prompt crashes engines, by service";
+        registry.register("quarantined_calls", help, quarantined_calls.clone());
+        let help = "sets of prompt parts whose calls are refused";
+        registry.register("quarantined", help, quarantined.clone());
         let name = "first_byte_seconds";
         registry.register(
             name,
@@ -114,6 +120,8 @@
             answers,
             notices,
             broken_calls,
+            quarantined_calls,
+            quarantined,
             first_byte,
             total,
             running,
@@ -170,7 +178,7 @@
     pub(crate) fn call_broken(
         &self,
         service: &usher_types::ServiceName,
-        phase: broken_call::CallPhase,
+        phase: usher_quarantine::CallPhase,
     ) {
         let labels = vec![
             ("service", service.to_string()),
@@ -179,6 +187,12 @@
         self.broken_calls.get_or_create(&labels).inc();
     }
 
+    /// Counts the refusal of a call whose prompt crashes engines.
+    pub(crate) fn call_quarantined(&self, service: &usher_types::ServiceName) {
+        let labels = vec![("service", service.to_string())];
+        self.quarantined_calls.get_or_create(&labels).inc();
+    }
+
     /// Records that a registrar offers a version of the routes.
     pub(crate) fn set_offered_version(&self, version: u64) {
         let version = i64::try_from(version).unwrap_or(i64::MAX);
--- a/crates/usher_gateway/src/model.rs
+++ b/crates/usher_gateway/src/model.rs
@@ -4,9 +4,10 @@
 use std::sync;
 
 use usher_place::{CallGuard, RetryDecision, RetryPolicy};
+use usher_quarantine::CallPhase;
 use usher_roster::TargetEntry;
 
-use crate::{answer, body, broken_call, call, core, dialect, held_prompt, relay, send};
+use crate::{answer, body, call, core, dialect, held_prompt, relay, send};
 
 /// Maximum number of engines that are asked to read a prompt; after that the decode engine reads
 /// it.
@@ -55,6 +56,12 @@
     let mut prompt: Option<held_prompt::HeldPrompt<D, C>> = None;
     core.with_budget(&call.service, usher_place::RetryBudget::record_call);
     loop {
+        if let Some(refusal) = core.quarantine_refusal(call) {
+            if log.runs == 0 {
+                return Err(refusal);
+            }
+            break;
+        }
         let placed = if prompt.is_none() {
             place_prefill(core, call, &tried, prefills)
         } else {
@@ -307,7 +314,7 @@
     let sent_at = answer.sent_at;
     let read = answer.read_own().await.map_err(|fault| {
         core.record_lost(&target.name);
-        core.record_broken_call(call, target, broken_call::CallPhase::Prefill, sent_at);
+        core.record_broken_call(call, target, CallPhase::Prefill, sent_at);
         failed(true)(fault.to_string())
     });
     let (status, body) = read?;
--- a/crates/usher_gateway/src/options.rs
+++ b/crates/usher_gateway/src/options.rs
@@ -23,6 +23,8 @@
     pub retry_share: f64,
     /// Retry budget of all gateways in addition to that share, in each window.
     pub retry_slack: f64,
+    /// Time for which the crash of an engine counts against the prompts that it had.
+    pub crash_lifetime: time::Duration,
     /// Grace period between the stop signal and the end of the process.
     pub grace: time::Duration,
 }
--- a/crates/usher_gateway/src/plain.rs
+++ b/crates/usher_gateway/src/plain.rs
@@ -4,6 +4,7 @@
 use std::sync;
 
 use usher_place::{RetryDecision, RetryPolicy};
+use usher_quarantine::CallPhase;
 use usher_route::RepeatKind;
 
 use crate::{answer, body, call, core, dialect, model, send};
@@ -26,6 +27,12 @@
     let rank = usher_place::SendUrgency::of_rank(call.route.priority);
     core.with_budget(&call.service, usher_place::RetryBudget::record_call);
     loop {
+        if let Some(refusal) = core.quarantine_refusal(call) {
+            if log.runs == 0 {
+                return Err(refusal);
+            }
+            break;
+        }
         let targets = core.targets(&call.service);
         let target = {
             let view = core.view(&targets, &tried, &core.options.domain);
@@ -40,7 +47,7 @@
         let options = send::SendOptions::new(dialect::SendStep::Complete);
         let result = send::send(core, call, &target, options).await;
         let result = match result {
-            send::SendResult::Answer(answer) => read(core, &target, answer).await,
+            send::SendResult::Answer(answer) => read(core, call, &target, answer).await,
             other => Err(other),
         };
         drop(guard);
@@ -61,6 +68,7 @@
                     body::AnswerBody::complete(bytes),
                 );
                 if status.is_success() {
+                    core.record_complete_answer(call);
                     core.with_plain_policy(&call.service, |policy| {
                         policy.record_call_time(sent.elapsed())
                     });
@@ -118,6 +126,7 @@
 /// Reads the complete body of an answer; a target that breaks it off counts as lost.
 async fn read<D, C>(
     core: &core::GatewayCore<D, C>,
+    call: &call::RoutedCall,
     target: &usher_roster::TargetEntry,
     answer: Box<send::TargetAnswer>,
 ) -> Result<PlainAnswer, send::SendResult>
@@ -126,6 +135,7 @@
     C: usher_types::ClockSource,
 {
     let framing = answer.body.check().framing();
+    let sent_at = answer.sent_at;
     match answer.read(&core.answers).await {
         Ok((status, headers, bytes)) => {
             core.metrics.answer_ended(framing, "complete");
@@ -139,6 +149,7 @@
         Err(fault) => {
             core.metrics.answer_ended(framing, "broken");
             core.record_lost(&target.name);
+            core.record_broken_call(call, target, CallPhase::NoEvent, sent_at);
             Err(send::SendResult::Broken(fault.to_string()))
         }
     }
--- a/crates/usher_gateway/src/relay.rs
+++ b/crates/usher_gateway/src/relay.rs
@@ -5,10 +5,11 @@
 
 use usher_answer::AnswerFault;
 use usher_place::CallGuard;
+use usher_quarantine::CallPhase;
 use usher_roster::TargetEntry;
 use usher_route::RepeatKind;
 
-use crate::{body, broken_call, call, core, dialect, pool, send};
+use crate::{body, call, core, dialect, pool, send};
 
 /// Largest event that is buffered, in bytes; events hold a few tokens.
 const MAX_EVENT_BYTES: usize = 256 * 1_024;
@@ -163,6 +164,7 @@
             match result {
                 RelayResult::Complete => {
                     connection.release();
+                    self.core.record_complete_answer(&self.call);
                     self.sender.finish();
                     return self.log.finish("answered");
                 }
@@ -173,7 +175,7 @@
                     // The engine must not go on while another one does.
                     drop((body, connection));
                     self.core.record_lost(&target.name);
-                    let phase = broken_call::CallPhase::of_events(events);
+                    let phase = CallPhase::of_events(events);
                     let core = &self.core;
                     core.record_broken_call(&self.call, &target, phase, sent_at);
                     tried.push(target.name);
@@ -244,8 +246,10 @@
             };
             let (service, route) = (&self.call.service, &self.call.route);
             let decide = |budget: &mut _| policy.decide(route, budget);
-            // A caller who has left draws nothing from the budget.
+            // Nothing is drawn from the budget for a caller who has left, or for a call that would
+            // crash the next engine as well.
             if self.sender.is_closed()
+                || self.core.quarantine_refusal(&self.call).is_some()
                 || self.core.with_budget(service, decide) != usher_place::RetryDecision::Retry
             {
                 return None;
--- a/crates/usher_gateway/src/send.rs
+++ b/crates/usher_gateway/src/send.rs
@@ -4,9 +4,10 @@
 
 use usher_answer::{AnswerFault, AnswerOwner};
 use usher_place::TargetFailure;
+use usher_quarantine::CallPhase;
 use usher_roster::TargetEntry;
 
-use crate::{answer_buffer, broken_call, call, core, dialect, pool};
+use crate::{answer_buffer, call, core, dialect, pool};
 
 /// Maximum time to read the body of a refusal.
 const REFUSAL_TIMEOUT: time::Duration = time::Duration::from_millis(500);
@@ -101,9 +102,9 @@
         Err(pool::ConnectionError::Broken(text)) => {
             core.record_lost(&target.name);
             let phase = if runs_call {
-                broken_call::CallPhase::NoEvent
+                CallPhase::NoEvent
             } else {
-                broken_call::CallPhase::Prefill
+                CallPhase::Prefill
             };
             core.record_broken_call(call, target, phase, sent_at);
             SendResult::Broken(text)
--- a/crates/usher_gateway/tests/support/mod.rs
+++ b/crates/usher_gateway/tests/support/mod.rs
@@ -318,6 +318,7 @@
             seeds: registrars.iter().map(|known| known.address).collect(),
             retry_share: 0.2,
             retry_slack: 10.0,
+            crash_lifetime: time::Duration::from_secs(60),
             grace: time::Duration::from_secs(1),
         };
         let (stop, signal) = usher_kernel::StopSource::new();
--- a/crates/usher_watch/src/watch.rs
+++ b/crates/usher_watch/src/watch.rs
@@ -43,6 +43,7 @@
     cursor: u64,
     routes_version: u64,
     members_index: u64,
+    broken_calls: u64,
 }
 
 /// Watches one registrar until the receiver of the updates is dropped.
@@ -71,6 +72,7 @@
                 cursor: reply.cursor,
                 routes_version: reply.routes_version,
                 members_index: reply.members_index,
+                broken_calls: reply.broken_calls_cursor,
             };
         }
         let failed = reply.is_none();
@@ -105,5 +107,6 @@
         gateway: options.is_gateway,
         own_targets_only: !options.is_gateway,
         all_role_changes,
+        broken_calls_cursor: cursor.broken_calls,
     }
 }
