Go on with a broken stream only with another event stream

What callers saw (a report of operators; in our tests): after a stream had broken off, the engine that was asked to go on answered 200 with the text of an error, and the caller found that text behind the events, in an answer framed as complete; with 204 the stream ended as complete.

Cause: any success was taken for the rest of the stream. Change: only a 200 with an event stream is; other answers count as failures of the engine, and further ones are asked as before.

platform/tests/error_splices.rs: of 14 cases, 4 failed before (200 with JSON, in two framings, and with text; 204); all pass.

--- a/crates/usher_gateway/src/relay.rs
+++ b/crates/usher_gateway/src/relay.rs
@@ -92,6 +92,12 @@
         .find_map(|id| std::str::from_utf8(id).ok()?.trim().parse().ok())
 }
 
+/// Returns whether an answer is the rest of an event stream. Engines also report errors with success
+/// and another type of content.
+fn continues_stream(answer: &send::TargetAnswer) -> bool {
+    answer.status == http::StatusCode::OK && answer.body.check().has_events()
+}
+
 impl StreamStart {
     /// Starts to relay the stream; returns the answer with its head.
     pub(crate) fn start<D, C>(
@@ -259,7 +265,7 @@
             reached = !matches!(result, send::SendResult::NotSent(_));
             sends += u32::from(reached);
             match result {
-                send::SendResult::Answer(answer) if answer.status.is_success() => {
+                send::SendResult::Answer(answer) if continues_stream(&answer) => {
                     self.log.record_send(&target.name, "continued the stream");
                     return Some(StreamStart {
                         target,
@@ -268,7 +274,8 @@
                     });
                 }
                 send::SendResult::Answer(answer) => {
-                    self.log.record_send(&target.name, answer.status.as_str());
+                    let outcome = format!("{}, not the rest of the stream", answer.status.as_str());
+                    self.log.record_send(&target.name, &outcome);
                     self.log.runs += 1;
                 }
                 send::SendResult::NotSent(text) | send::SendResult::NotRun(text) => {
