Answer calls that come late in a stop, or outlast it

What callers saw (a report of operators; in our tests): in a planned stop of a gateway, a request whose head or body had begun before the stop, and whose rest came late in the grace period, was passed on and cut off at its end without an answer. So was a call whose route lets it wait longer than the grace period.

Cause: after 2.8 s a gateway takes no new connections and closes those without a request, but a connection whose request has begun stays, and nothing bounded calls by the end of the process. Change: requests that are complete only then are refused with 503, as they have not run; calls without an answer are given up 0.2 s before the gateway ends, with 504, or 503 if they have not run.

--- a/crates/usher_gateway/src/answer.rs
+++ b/crates/usher_gateway/src/answer.rs
@@ -47,6 +47,9 @@
         /// Time until the first pause ends.
         left: time::Duration,
     },
+    /// The gateway stops and takes no more calls.
+    #[error("the gateway is stopping")]
+    Stopping,
     /// The prompt has parts that crash engines.
     #[error("prompt parts {parts} crash engines; their calls are refused for {} s", left.as_secs())]
     Quarantined {
@@ -62,10 +65,10 @@
     #[error("the call may have run: {0}")]
     Unknown(String),
     /// The deadline passed; the call may have run.
-    #[error("the deadline passed, and the call may have run")]
+    #[error("the deadline passed, or the gateway ended, and the call may have run")]
     Late,
     /// The deadline passed before the call was run.
-    #[error("the deadline passed, and the call has not run")]
+    #[error("the deadline passed, or the gateway ended, and the call has not run")]
     LateNotRun,
 }
 
@@ -85,6 +88,7 @@
             Self::NoRoutes
             | Self::NoTarget { .. }
             | Self::Paused { .. }
+            | Self::Stopping
             | Self::Quarantined { .. }
             | Self::NotRun(_)
             | Self::LateNotRun => http::StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/usher_gateway/src/call.rs
+++ b/crates/usher_gateway/src/call.rs
@@ -182,18 +182,23 @@
                     plain::run(&core, &call, &mut log).await
                 }
             };
-            match tokio_time::timeout_at(deadline, run).await {
-                Ok(Ok(model::CallResponse::Complete(answer))) => {
+            let ended = tokio::select! {
+                biased;
+                result = tokio_time::timeout_at(deadline, run) => result.ok(),
+                () = core.calls_end() => None,
+            };
+            match ended {
+                Some(Ok(model::CallResponse::Complete(answer))) => {
                     log.record_head(answer.status());
                     log.finish("answered");
                     return answer;
                 }
-                Ok(Ok(model::CallResponse::Stream(stream))) => {
+                Some(Ok(model::CallResponse::Stream(stream))) => {
                     return stream.start(core, call, log);
                 }
-                Ok(Err(refusal)) => Err(refusal),
-                Err(_) if log.runs > 0 || log.is_running => Err(answer::CallRefusal::Late),
-                Err(_) => Err(answer::CallRefusal::LateNotRun),
+                Some(Err(refusal)) => Err(refusal),
+                None if log.runs > 0 || log.is_running => Err(answer::CallRefusal::Late),
+                None => Err(answer::CallRefusal::LateNotRun),
             }
         }
         Err(refusal) => Err(refusal),
@@ -257,6 +262,9 @@
     let caller_timeout = caller_timeout.min(route.timeout);
     let deadline = log.arrived + caller_timeout.saturating_sub(ANSWER_MARGIN);
     let body = read_body(body, limits.body_bytes, deadline).await?;
+    if core.refuses_calls() {
+        return Err(answer::CallRefusal::Stopping);
+    }
     let work = metadata.work.iter();
     let shared_parts = work.flat_map(usher_place::PromptWork::shared_parts);
     let shared_parts = shared_parts.map(|part| PartId::new(part.id)).collect();
--- a/crates/usher_gateway/src/core.rs
+++ b/crates/usher_gateway/src/core.rs
@@ -5,7 +5,7 @@
 use usher_place::{EnginePolicy, LoadTracker, PlainPolicy, RetryBudget};
 use usher_roster::{TargetEntry, TargetRoster};
 
-use crate::{answer, answer_buffer, dialect, metrics, options, pool};
+use crate::{answer, answer_buffer, dialect, metrics, options, pool, stop_step};
 
 type ServiceIndex = collections::HashMap<usher_types::ServiceName, sync::Arc<Vec<TargetEntry>>>;
 
@@ -38,6 +38,8 @@
     /// process that did.
     leaving: sync::Mutex<collections::BTreeMap<usher_types::TargetName, u64>>,
     services: sync::RwLock<sync::Arc<ServiceIndex>>,
+    /// Step of a planned stop.
+    pub(crate) stop_step: tokio::sync::watch::Sender<stop_step::StopStep>,
     /// Calls that broke at engines, and the prompt parts that are refused for that.
     pub(crate) quarantine: sync::Mutex<usher_quarantine::PartQuarantine>,
 }
@@ -67,6 +69,7 @@
             role_changes: sync::Mutex::default(),
             leaving: sync::Mutex::default(),
             services: sync::RwLock::default(),
+            stop_step: tokio::sync::watch::Sender::new(stop_step::StopStep::Serving),
             quarantine: sync::Mutex::new(quarantine),
         }
     }
@@ -242,6 +245,20 @@
         services.get(service).cloned().unwrap_or_default()
     }
 
+    /// Returns whether calls that arrive are refused because the gateway stops.
+    pub(crate) fn refuses_calls(&self) -> bool {
+        *self.stop_step.borrow() != stop_step::StopStep::Serving
+    }
+
+    /// Waits until calls without an answer are given up because the gateway stops.
+    pub(crate) async fn calls_end(&self) {
+        let mut step = self.stop_step.subscribe();
+        // The sender lives as long as this value.
+        let _ = step
+            .wait_for(|step| *step == stop_step::StopStep::Ending)
+            .await;
+    }
+
     /// Returns whether calls can be served.
     pub(crate) fn is_ready(&self) -> bool {
         let services = self.services.read();
--- a/crates/usher_gateway/src/lib.rs
+++ b/crates/usher_gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod route_follower;
 mod send;
 mod server;
+mod stop_step;
 
 pub use dialect::{
     AnswerMetadata, CallDialect, CallMetadata, PromptHandle, SendMetadata, SendStep, TargetRequest,
--- a/crates/usher_gateway/src/node.rs
+++ b/crates/usher_gateway/src/node.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     call, core, dialect, health, load_exchange, options, registrar_watch, route_follower, server,
+    stop_step,
 };
 
 /// Interval at which idle connections to targets are checked.
@@ -24,7 +25,8 @@
 #[derive(Debug)]
 pub struct RunningGateway {
     open: server::OpenConnections,
-    grace: time::Duration,
+    /// Maximum time that calls have after the start of a stop.
+    limit: time::Duration,
     seeds: mpsc::Sender<Vec<net::SocketAddr>>,
     tasks: Vec<task::JoinHandle<()>>,
 }
@@ -80,7 +82,7 @@
         );
         let (seeds, new_seeds) = mpsc::channel(1);
         let offers = route_follower::RouteOffers::default();
-        let grace = core.options.grace;
+        let limit = core.options.grace.saturating_sub(END_MARGIN);
         let tasks = vec![
             tokio::spawn(server::serve(
                 callers,
@@ -94,7 +96,7 @@
                 health,
                 || server::DEFAULT_IDLE_TIMEOUT,
                 server::OpenConnections::new(),
-                stop,
+                stop.clone(),
             )),
             tokio::spawn(registrar_watch::run(
                 core.clone(),
@@ -105,11 +107,12 @@
             )),
             tokio::spawn(route_follower::run(core.clone(), offers)),
             tokio::spawn(load_exchange::run(core.clone())),
+            tokio::spawn(stop_step::run(stop, limit, core.stop_step.clone())),
             tokio::spawn(prune(core)),
         ];
         Ok(RunningGateway {
             open,
-            grace,
+            limit,
             seeds,
             tasks,
         })
@@ -145,8 +148,7 @@
             }
             self.open.all_closed().await;
         };
-        let limit = self.grace.saturating_sub(END_MARGIN);
-        tokio::time::timeout(limit, all_ended).await.is_ok()
+        tokio::time::timeout(self.limit, all_ended).await.is_ok()
     }
 }
 
--- a/crates/usher_gateway/src/server.rs
+++ b/crates/usher_gateway/src/server.rs
@@ -17,7 +17,7 @@
 /// Time for which a gateway that is stopping still accepts connections and requests. A load
 /// balancer that checks once a second needs two failed checks to remove it, and callers are asked
 /// to close their connections meanwhile.
-const DRAIN_DELAY: time::Duration = time::Duration::from_millis(2_800);
+pub(crate) const DRAIN_DELAY: time::Duration = time::Duration::from_millis(2_800);
 
 /// Counts the open connections.
 #[derive(Clone, Debug)]
