Refuse prompts that crash engines at the entry daemon

Change: the entry records the calls that break, with the hashes of the prompt and of its prefixes as parts, and asks usher_quarantine before it sends, sends again or resumes. A complete answer clears the parts.

Test: crates/usher_entry/tests/entry/quarantine.rs, 2 cases, failed before (13 calls reached engines, bound 3), pass; a prompt that shares nothing with them is answered.

Not covered: entries don't tell each other, so that each of them sees three crashes, and prompts below one piece of KV cache that are never the same twice.

--- a/crates/usher_entry/src/attempt.rs
+++ b/crates/usher_entry/src/attempt.rs
@@ -54,6 +54,11 @@
         })
     }
 
+    /// Returns the state of the entry.
+    pub(crate) fn core(&self) -> &core::EntryCore<P> {
+        &self.core
+    }
+
     /// Records what the head of an answer says of the target.
     pub(crate) fn record_head<B>(&self, answer: &http::Response<B>) {
         self.core.record_head(&self.name, self.incarnation, answer);
--- a/crates/usher_entry/src/builder.rs
+++ b/crates/usher_entry/src/builder.rs
@@ -125,6 +125,9 @@
             ids: identity::IdSource::new(self.options.incarnation),
             drain_started_at: sync::OnceLock::new(),
             running: sync::atomic::AtomicUsize::new(0),
+            quarantine: sync::Mutex::new(usher_quarantine::PartQuarantine::new(
+                self.options.crash_lifetime,
+            )),
             options: self.options,
             clock: self.clock,
             link: self.link,
--- a/crates/usher_entry/src/core.rs
+++ b/crates/usher_entry/src/core.rs
@@ -35,6 +35,7 @@
     pub(crate) stop: usher_kernel::StopSignal,
     pub(crate) drain_started_at: sync::OnceLock<time::Instant>,
     pub(crate) running: atomic::AtomicUsize,
+    pub(crate) quarantine: sync::Mutex<usher_quarantine::PartQuarantine>,
 }
 
 impl<P> EntryCore<P>
--- a/crates/usher_entry/src/model/call.rs
+++ b/crates/usher_entry/src/model/call.rs
@@ -4,6 +4,7 @@
 
 use serde_json::{Map, Value};
 use usher_policy::PromptPrefix;
+use usher_quarantine::PartId;
 use usher_types::TokenCount;
 
 use crate::{error::CallError, model::prompt};
@@ -24,6 +25,8 @@
     pub(crate) max_tokens: Option<u64>,
     pub(crate) prompt: TokenCount,
     pub(crate) prefixes: Vec<PromptPrefix>,
+    /// The prompt and its prefixes, as parts that may crash engines.
+    pub(crate) parts: Vec<PartId>,
     // The caller's fields that are forwarded to the engine.
     fields: Map<String, Value>,
 }
@@ -58,6 +61,7 @@
             return Err(invalid("n", "must be 1"));
         }
         let text = prompt::prompt_text(&fields);
+        let prefixes = prompt::prompt_prefixes(&text);
         for field in RESERVED_FIELDS {
             fields.remove(field);
         }
@@ -71,7 +75,8 @@
             include_usage,
             max_tokens,
             prompt: prompt::count_tokens(&text),
-            prefixes: prompt::prompt_prefixes(&text),
+            parts: prompt::prompt_parts(&text, &prefixes),
+            prefixes,
             fields,
         })
     }
--- a/crates/usher_entry/src/model/dispatch.rs
+++ b/crates/usher_entry/src/model/dispatch.rs
@@ -20,6 +20,10 @@
 {
     /// Chooses a target and decides on admission.
     pub(super) fn admit(&mut self) -> Result<RouteDecision, CallError> {
+        if let Err(error) = self.core.check_prompt(&self.engine.parts, RunState::NotRun) {
+            self.record_outcome(OutcomeCause::Refused);
+            return Err(error);
+        }
         let now = self.core.now();
         let (decision, verdict) = {
             let mut routing = self.core.routing();
@@ -85,6 +89,13 @@
             self.record_outcome(cause);
             return Err(error);
         }
+        if let Err(error) = self
+            .core
+            .check_prompt(&self.engine.parts, RunState::Unknown)
+        {
+            self.record_failure();
+            return Err(error);
+        }
         let now = self.core.now();
         let decision = self.core.routing().policy.choose(&self.request, now);
         self.record_decision(step, &decision, reason.to_owned());
@@ -241,7 +252,7 @@
                 match live.next(stall, || core.now()).await {
                     Ok(event) if event.info.done => return live.finish(),
                     Ok(_) => {}
-                    Err(_) => return live.fail(),
+                    Err(fault) => return live.fail(&fault),
                 }
             }
         });
--- a/crates/usher_entry/src/model/mod.rs
+++ b/crates/usher_entry/src/model/mod.rs
@@ -10,6 +10,7 @@
 mod handover;
 mod list;
 mod prompt;
+mod quarantine;
 mod relay;
 mod sse;
 mod stream;
--- a/crates/usher_entry/src/model/prompt.rs
+++ b/crates/usher_entry/src/model/prompt.rs
@@ -2,7 +2,10 @@
 //!
 //! Not for: validating a body.
 
+use std::hash;
+
 use usher_policy::PromptPrefix;
+use usher_quarantine::PartId;
 use usher_types::{TokenCount, TOKENS_PER_PIECE};
 
 /// Bytes of text counted as one token: an estimate for planning, as only engines count exactly.
@@ -49,6 +52,21 @@
     TokenCount::new(bytes.div_ceil(BYTES_PER_TOKEN).max(1))
 }
 
+/// Returns the identities of a prompt and of its prefixes; calls with a common prefix share those of
+/// the prefixes.
+pub(crate) fn prompt_parts(text: &str, prefixes: &[PromptPrefix]) -> Vec<PartId> {
+    let whole = PartId::new(text_hash(text));
+    let prefixes = prefixes.iter().map(|prefix| PartId::new(prefix.hash));
+    std::iter::once(whole).chain(prefixes).collect()
+}
+
+/// Hashes a text; the same text gives the same hash in this process.
+pub(crate) fn text_hash(text: &str) -> u64 {
+    let mut hasher = hash::DefaultHasher::new();
+    hash::Hash::hash(text, &mut hasher);
+    hash::Hasher::finish(&hasher)
+}
+
 /// Returns the prefixes of a prompt that end at a piece boundary, hashed as engines do for cache
 /// events.
 pub(crate) fn prompt_prefixes(text: &str) -> Vec<PromptPrefix> {
--- a/crates/usher_entry/src/model/relay.rs
+++ b/crates/usher_entry/src/model/relay.rs
@@ -87,6 +87,7 @@
             priority: 0,
             resume_from: 0,
             id: identity.engine_id.clone(),
+            parts: sync::Arc::new(call.parts.clone()),
         };
         Self {
             _running: core::RunningGuard::new(core.clone()),
@@ -275,7 +276,7 @@
             "stream broke"
         );
         self.slow |= *fault == sse::StreamFault::Stalled;
-        live.fail();
+        live.fail(fault);
         self.decode_target = None;
         self.handover_tasks.abort_all();
         self.handover_tasks = tokio::task::JoinSet::new();
@@ -307,6 +308,13 @@
     /// Reopens the stream on another engine after the tokens already delivered.
     async fn resume(&mut self) -> Result<(), CallError> {
         let give_up_at = self.core.now() + self.core.options.resume_wait;
+        if let Err(error) = self
+            .core
+            .check_prompt(&self.engine.parts, RunState::Unknown)
+        {
+            self.record_failure();
+            return Err(error);
+        }
         self.resumes += 1;
         self.core.metrics.add("entry.resumes");
         self.request.delivered = TokenCount::new(self.delivered);
--- a/crates/usher_entry/src/model/sse.rs
+++ b/crates/usher_entry/src/model/sse.rs
@@ -32,6 +32,13 @@
     Stopping,
 }
 
+impl StreamFault {
+    /// Returns whether the engine, or the connection to it, ended in the middle of the stream.
+    pub(crate) fn is_broken(&self) -> bool {
+        matches!(self, Self::Broken(_) | Self::Truncated)
+    }
+}
+
 impl From<AnswerFault> for StreamFault {
     fn from(fault: AnswerFault) -> Self {
         match fault {
--- a/crates/usher_entry/src/model/stream.rs
+++ b/crates/usher_entry/src/model/stream.rs
@@ -5,12 +5,13 @@
 use std::{sync, time};
 
 use usher_policy::FailureKind;
+use usher_quarantine::{CallPhase, PartId};
 
 use crate::{
     attempt::AttemptGuard,
     client::SendError,
     connection_pool, core, error,
-    model::{chunk, sse},
+    model::{chunk, quarantine, sse},
     types,
 };
 
@@ -49,6 +50,8 @@
     pub(crate) priority: u8,
     pub(crate) resume_from: u64,
     pub(crate) id: usher_types::RequestId,
+    /// The prompt and its prefixes, as parts that may crash engines.
+    pub(crate) parts: sync::Arc<Vec<PartId>>,
 }
 
 impl EngineRequest {
@@ -80,6 +83,7 @@
     P: types::EntryTypes,
 {
     guard: AttemptGuard<P>,
+    sent: quarantine::SentCall,
     reader: sse::SseReader,
     pool: connection_pool::ConnectionPool,
     buffered: std::collections::VecDeque<StreamEvent>,
@@ -106,6 +110,13 @@
         timeout: time::Duration,
     ) -> Result<Self, AttemptFailure> {
         let target = guard.name.clone();
+        let sent = quarantine::SentCall {
+            id: request.id.clone(),
+            parts: request.parts.clone(),
+            target: target.clone(),
+            incarnation: guard.incarnation,
+            sent_at: core.now(),
+        };
         let opened = tokio::time::timeout(timeout, Self::connect(&core, &guard, &request)).await;
         let failure = |kind, slow, message: String| AttemptFailure {
             kind,
@@ -119,6 +130,7 @@
                 guard.first_token();
                 Ok(Self {
                     guard,
+                    sent,
                     reader,
                     pool: core.connections.clone(),
                     buffered,
@@ -133,10 +145,14 @@
                 Err(failure(FailureKind::NotSent, false, message))
             }
             Ok(Err(OpenError::Sent(SendError::Unknown(message)))) => {
+                core.record_broken_call(&sent, CallPhase::NoEvent);
                 guard.fail(FailureKind::Broken);
                 Err(failure(FailureKind::Broken, false, message))
             }
             Ok(Err(OpenError::Stream(fault))) => {
+                if fault.is_broken() {
+                    core.record_broken_call(&sent, CallPhase::NoEvent);
+                }
                 guard.fail(FailureKind::Broken);
                 Err(failure(FailureKind::Broken, false, fault.to_string()))
             }
@@ -244,13 +260,19 @@
 
     /// Ends the stream after its last event and returns the connection to the pool.
     pub(crate) fn finish(self) {
+        let parts = &self.sent.parts;
+        self.guard.core().record_complete_answer(parts);
         let (connection, body) = self.reader.into_parts();
         self.pool.release(connection, body);
         self.guard.finish();
     }
 
     /// Ends the stream after a fault.
-    pub(crate) fn fail(self) {
+    pub(crate) fn fail(self, fault: &sse::StreamFault) {
+        if fault.is_broken() {
+            let core = self.guard.core();
+            core.record_broken_call(&self.sent, CallPhase::Streaming);
+        }
         self.guard.fail(FailureKind::Broken);
     }
 }
--- a/crates/usher_entry/src/options.rs
+++ b/crates/usher_entry/src/options.rs
@@ -61,6 +61,8 @@
         /// How long a draining entry still accepts work, so that the load balancer first sees that
         /// it isn't ready.
         pub unready_notice: time::Duration,
+        /// How long the crash of an engine counts against the prompts that it had.
+        pub crash_lifetime: time::Duration,
         /// Output tokens assumed for a request without a limit.
         pub default_output: usher_types::TokenCount,
         /// Accounts of callers.
@@ -140,6 +142,7 @@
             gone_after: time::Duration::from_secs(10),
             cache_poll: time::Duration::from_secs(1),
             unready_notice: time::Duration::from_secs(1),
+            crash_lifetime: time::Duration::from_secs(30 * 60),
             default_output: usher_types::TokenCount::new(256),
             accounts: accounts::AccountDirectory::new(),
             disabled: DisabledFeatures::default(),
@@ -181,6 +184,8 @@
         with_gone_after(gone_after: time::Duration);
         /// Sets how long a draining entry still accepts work.
         with_unready_notice(unready_notice: time::Duration);
+        /// Sets how long the crash of an engine counts.
+        with_crash_lifetime(crash_lifetime: time::Duration);
         /// Sets the poll interval of cache events.
         with_cache_poll(cache_poll: time::Duration);
         /// Sets the accounts of callers.
--- a/crates/usher_entry/tests/entry/main.rs
+++ b/crates/usher_entry/tests/entry/main.rs
@@ -15,6 +15,7 @@
 mod lifecycle;
 mod notices;
 mod plain;
+mod quarantine;
 mod run_state;
 mod streams;
 mod support;
