Look for the parts that explain most crashes first

Change: the set with the most crashes that no other one explains comes first; a larger set that holds it is preferred if it explains enough by itself, as sound calls share parts with those that crash engines.

--- a/crates/usher_quarantine/src/culprit.rs
+++ b/crates/usher_quarantine/src/culprit.rs
@@ -39,13 +39,21 @@
 struct Candidate<'c> {
     parts: Vec<PartId>,
     calls: Vec<&'c BrokenCall>,
-    weight: u32,
+}
+
+impl Candidate<'_> {
+    /// Returns the weight of the crashes that no set explains so far.
+    fn unexplained_weight(&self, explained: &collections::BTreeSet<EngineProcess>) -> u32 {
+        let calls = self.calls.iter().copied();
+        total_weight(calls.filter(|call| !explained.contains(&call.process)))
+    }
 }
 
 /// Finds the parts that explain crashes in a row without a complete answer between them.
 ///
-/// Larger sets come first, and a crash that a set explains doesn't speak against other parts: sound
-/// calls share parts with those that crash engines, and run on the same engines.
+/// The set that explains the most crashes comes first, or a larger set that holds it and explains
+/// enough by itself. Crashes that a set explains don't count for the next ones: sound calls share parts
+/// with those that crash engines, and run on the same engines.
 pub(crate) fn find_culprits<'c, I>(calls: I) -> Vec<Culprit>
 where
     I: IntoIterator<Item = &'c BrokenCall>,
@@ -64,28 +72,17 @@
             .sum::<u32>();
         most >= CULPRIT_WEIGHT && total_weight(calls.iter().copied()) >= CULPRIT_WEIGHT
     });
-    let mut candidates = candidates(&calls_of_part);
-    candidates.sort_by(|one, other| {
-        let order = |candidate: &Candidate<'_>| (candidate.parts.len(), candidate.weight);
-        let larger_first = order(other).cmp(&order(one));
-        larger_first.then_with(|| one.parts.cmp(&other.parts))
-    });
-    let mut explained = collections::BTreeSet::<EngineProcess>::new();
-    let mut culprits = Vec::new();
-    for candidate in candidates {
-        let calls = candidate.calls.iter().copied();
-        let unexplained = calls
-            .clone()
-            .filter(|call| !explained.contains(&call.process));
-        if total_weight(unexplained) < NARROWER_WEIGHT {
-            continue;
-        }
-        let processes: collections::BTreeSet<_> = calls.clone().map(|call| call.process).collect();
+    let candidates = candidates(&calls_of_part);
+    let mut explained = collections::BTreeSet::new();
+    let mut culprits = Vec::<Culprit>::new();
+    while let Some(candidate) = next_culprit(&candidates, &culprits, &explained) {
+        let calls = candidate.calls.iter();
         let Some(first_crash) = calls.clone().map(|call| call.broke_at).min() else {
-            continue;
+            break;
         };
+        let processes: collections::BTreeSet<_> = calls.clone().map(|call| call.process).collect();
         culprits.push(Culprit {
-            parts: candidate.parts,
+            parts: candidate.parts.clone(),
             calls: calls.map(|call| call.id).collect(),
             crashes: processes.len(),
             first_crash,
@@ -95,6 +92,46 @@
     culprits
 }
 
+/// Returns the next set of parts that explains enough crashes.
+fn next_culprit<'s, 'c>(
+    candidates: &'s [Candidate<'c>],
+    culprits: &[Culprit],
+    explained: &collections::BTreeSet<EngineProcess>,
+) -> Option<&'s Candidate<'c>> {
+    let weighed: Vec<_> = candidates
+        .iter()
+        .map(|candidate| (candidate.unexplained_weight(explained), candidate))
+        .collect();
+    let is_enough = |(weight, candidate): &(u32, &Candidate<'_>)| {
+        let is_narrower = culprits
+            .iter()
+            .any(|culprit| is_part_of(&candidate.parts, &culprit.parts));
+        let needed = if is_narrower {
+            NARROWER_WEIGHT
+        } else {
+            CULPRIT_WEIGHT
+        };
+        *weight >= needed
+    };
+    let rank = |(weight, candidate): &(u32, &Candidate<'_>)| (*weight, candidate.parts.len());
+    let enough = weighed.iter().copied().filter(is_enough);
+    let (_, mut best) = enough.max_by_key(rank)?;
+    loop {
+        let larger = weighed.iter().copied().filter(|(weight, candidate)| {
+            *weight >= CULPRIT_WEIGHT && is_part_of(&best.parts, &candidate.parts)
+        });
+        match larger.max_by_key(rank) {
+            Some((_, larger)) => best = larger,
+            None => return Some(best),
+        }
+    }
+}
+
+/// Returns whether a set of parts is a proper part of another one.
+fn is_part_of(parts: &[PartId], other: &[PartId]) -> bool {
+    parts.len() < other.len() && parts.iter().all(|part| other.contains(part))
+}
+
 /// Returns the sets of parts with enough crashes: single parts, those of a call, and those that two
 /// calls have in common.
 fn candidates<'c>(
@@ -123,11 +160,7 @@
             |call: &&BrokenCall| call.suspects().filter(|part| parts.contains(part)).count();
         let calls: Vec<_> = calls.filter(|call| has_all(call) == parts.len()).collect();
         let weight = total_weight(calls.iter().copied());
-        (weight >= CULPRIT_WEIGHT).then_some(Candidate {
-            parts,
-            calls,
-            weight,
-        })
+        (weight >= CULPRIT_WEIGHT).then_some(Candidate { parts, calls })
     });
     candidates.collect()
 }
--- a/crates/usher_quarantine/tests/culprits.rs
+++ b/crates/usher_quarantine/tests/culprits.rs
@@ -139,6 +139,23 @@
     assert!(!fleet.is_refused(&[1, 300]));
 }
 
+/// Guards against sound calls that are refused because the engines that crashed had them, time and
+/// again, while no engine was left to answer them.
+#[test]
+fn sound_calls_of_crashed_engines_are_not_refused() {
+    let mut fleet = Fleet::new();
+    for crash in 0..8 {
+        let crashing = [20 + crash % 5, BAD];
+        let mut calls: Vec<(&[u64], CallPhase)> = vec![(&crashing, NoEvent)];
+        if crash % 2 == 0 {
+            calls.push((&[7, 8], NoEvent));
+        }
+        fleet.next_crash(&calls);
+    }
+    assert!(fleet.is_refused(&[1, BAD]));
+    assert!(!fleet.is_refused(&[7, 8]));
+}
+
 /// Guards against calls that reach engines because the part comes with other ones than before.
 #[test]
 fn part_is_refused_beside_any_other_one() {
