Go on with a broken stream only with a later event

What callers saw (in our tests): an engine that was asked to go on behind the second event began the stream again, repeated an event, or sent an error as an event without an id, and all of it was passed on.

Cause: events of the next engine weren't compared with those that the caller has. Change: its first event must have a later id; else the engine counts as failed and further ones are asked (usher_gateway::resume_point, split off from the relay). A fault that isn't a break of the connection no longer counts as the crash of an engine.

At the entry daemon nothing of the kind was seen: 6 new tests of answers that end inside their head, and of errors in place of the rest of a stream, passed at once (crates/usher_entry/tests/entry/cut_answers.rs).

--- a/crates/usher_answer/src/answer_fault.rs
+++ b/crates/usher_answer/src/answer_fault.rs
@@ -21,6 +21,12 @@
         /// Number of bytes that arrived.
         bytes: u64,
     },
+    /// The engine that was asked to go on with a stream sent something else first.
+    #[error("the answer doesn't go on behind event {after}")]
+    NotContinued {
+        /// Id of the last event that the caller has.
+        after: u64,
+    },
     /// The answer, or one of its events, is longer than the limit.
     #[error("the answer is longer than {limit} bytes")]
     TooLong {
@@ -34,3 +40,16 @@
         limit: usize,
     },
 }
+
+impl AnswerFault {
+    /// Returns whether the target, or the connection to it, ended before the answer did.
+    pub fn is_cut_off(&self) -> bool {
+        match self {
+            Self::Connection(_)
+            | Self::InsideEvent { .. }
+            | Self::NoEvent
+            | Self::InsideJson { .. } => true,
+            Self::NotContinued { .. } | Self::TooLong { .. } | Self::NoRoom { .. } => false,
+        }
+    }
+}
--- a/crates/usher_entry/src/model/sse.rs
+++ b/crates/usher_entry/src/model/sse.rs
@@ -43,7 +43,9 @@
     fn from(fault: AnswerFault) -> Self {
         match fault {
             AnswerFault::Connection(text) => Self::Broken(text),
-            AnswerFault::TooLong { .. } | AnswerFault::NoRoom { .. } => {
+            AnswerFault::TooLong { .. }
+            | AnswerFault::NoRoom { .. }
+            | AnswerFault::NotContinued { .. } => {
                 Self::Malformed("event exceeds the maximum length")
             }
             AnswerFault::InsideEvent { .. }
--- a/crates/usher_entry/tests/entry/cut_answers.rs
+++ b/crates/usher_entry/tests/entry/cut_answers.rs
@@ -5,7 +5,10 @@
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use usher_wire::message::ClaimState;
 
-use crate::support::{options, raw_socket, wait_for, Fleet, Reply};
+use crate::{
+    hostile,
+    support::{options, raw_socket, wait_for, Fleet, Reply},
+};
 
 const PATH: &str = "/svc/rounds/call-out";
 /// Key under which control stores the claim of `key-1`.
@@ -156,3 +159,76 @@
     assert_eq!(answer["choices"][0]["finish_reason"], "length");
     assert!(answer["usage"].is_null(), "{answer}");
 }
+
+/// Guards against an answer that its target broke off inside the head and whose caller gets a
+/// success.
+#[tokio::test]
+async fn answer_that_ends_inside_its_head_is_broken() {
+    let head = "HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\ncontent-length: 5\r\n\r\n";
+    for bytes in (1..head.len()).step_by(13).chain([head.len() - 1]) {
+        let fleet = start(head[..bytes].to_owned()).await;
+        let reply = call(&fleet).await;
+        assert!(reply.status >= 500, "{bytes} bytes: {}", reply.status);
+    }
+}
+
+/// Text that no caller of a stream may get.
+const ERROR_TEXT: &str = "the engine is out of memory";
+
+/// Checks what a caller gets of a stream that breaks off when all engines answer so from then on.
+fn check_error(status: &'static str, content_type: &'static str) {
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    runtime.block_on(async {
+        let wait = time::Duration::from_millis(500);
+        let options = options().with_suspect_after(time::Duration::from_secs(600));
+        let fleet = Fleet::start(options.with_resume_wait(wait)).await;
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        hostile::announce_engine(&fleet, &listener).await;
+        let body = match content_type {
+            "application/json" => format!("{{\"error\":{{\"message\":\"{ERROR_TEXT}\"}}}}"),
+            "text/event-stream" => format!("data: {{\"error\":\"{ERROR_TEXT}\"}}\n\n"),
+            _ => ERROR_TEXT.to_owned(),
+        };
+        let answer = format!(
+            "HTTP/1.1 {status}\r\ncontent-type: {content_type}\r\ncontent-length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        tokio::spawn(async move {
+            let mut begun = false;
+            while let Ok((mut socket, _)) = listener.accept().await {
+                let Some(id) = hostile::read_request(&mut socket).await else {
+                    continue;
+                };
+                let bytes = if std::mem::replace(&mut begun, true) {
+                    answer.clone().into_bytes()
+                } else {
+                    let head = b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n";
+                    [&head[..], &hostile::events(&id)[..3].concat()].concat()
+                };
+                let _ = socket.write_all(&bytes).await;
+            }
+        });
+        let clock = fleet.clock.clone();
+        let ticks = tokio::spawn(async move {
+            loop {
+                tokio::time::sleep(time::Duration::from_millis(20)).await;
+                clock.advance(time::Duration::from_millis(20));
+            }
+        });
+        let reply = fleet.stream(8).await;
+        ticks.abort();
+        let (_, is_done) = reply.chunks();
+        assert!(!is_done, "{}", reply.text);
+        assert!(!reply.text.contains(ERROR_TEXT), "{}", reply.text);
+    });
+}
+
+// Guards against an error of the engine that is asked to go on with a stream, which its caller gets
+// in the middle of the stream, or which ends the stream as if it were complete.
+usher_types::cases! { check_error:
+    resume_fails_with_text("500 Internal Server Error", "text/plain");
+    resume_is_refused_with_json("503 Service Unavailable", "application/json");
+    resume_succeeds_with_json("200 OK", "application/json");
+    resume_succeeds_with_text("200 OK", "text/plain");
+    resume_succeeds_with_an_error_event("200 OK", "text/event-stream");
+}
--- a/crates/usher_gateway/src/lib.rs
+++ b/crates/usher_gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod quarantine;
 mod registrar_watch;
 mod relay;
+mod resume_point;
 mod route_follower;
 mod send;
 mod server;
--- a/crates/usher_gateway/src/model.rs
+++ b/crates/usher_gateway/src/model.rs
@@ -314,7 +314,9 @@
     let sent_at = answer.sent_at;
     let read = answer.read_own().await.map_err(|fault| {
         core.record_lost(&target.name);
-        core.record_broken_call(call, target, CallPhase::Prefill, sent_at);
+        if fault.is_cut_off() {
+            core.record_broken_call(call, target, CallPhase::Prefill, sent_at);
+        }
         failed(true)(fault.to_string())
     });
     let (status, body) = read?;
--- a/crates/usher_gateway/src/plain.rs
+++ b/crates/usher_gateway/src/plain.rs
@@ -149,7 +149,9 @@
         Err(fault) => {
             core.metrics.answer_ended(framing, "broken");
             core.record_lost(&target.name);
-            core.record_broken_call(call, target, CallPhase::NoEvent, sent_at);
+            if fault.is_cut_off() {
+                core.record_broken_call(call, target, CallPhase::NoEvent, sent_at);
+            }
             Err(send::SendResult::Broken(fault.to_string()))
         }
     }
--- a/crates/usher_gateway/src/relay.rs
+++ b/crates/usher_gateway/src/relay.rs
@@ -9,10 +9,7 @@
 use usher_roster::TargetEntry;
 use usher_route::RepeatKind;
 
-use crate::{body, call, core, dialect, pool, send};
-
-/// Largest event that is buffered, in bytes; events hold a few tokens.
-const MAX_EVENT_BYTES: usize = 256 * 1_024;
+use crate::{body, call, core, dialect, pool, resume_point, send};
 
 /// A stream whose head has arrived.
 #[derive(Debug)]
@@ -54,42 +51,7 @@
     log: call::CallLog,
     sender: usher_answer::StreamSender,
     /// Set where another engine may resume the stream.
-    resume: Option<ResumePoint>,
-}
-
-/// Passes on complete events only, so that another engine can resume after the last one.
-struct ResumePoint {
-    splitter: usher_answer::EventSplitter,
-    has_events: bool,
-    /// Id of the last event that was passed on.
-    last_id: Option<u64>,
-}
-
-impl ResumePoint {
-    fn new() -> Self {
-        Self {
-            splitter: usher_answer::EventSplitter::new(MAX_EVENT_BYTES),
-            has_events: false,
-            last_id: None,
-        }
-    }
-
-    /// Adds bytes of the stream; returns the events that are complete now.
-    fn add(&mut self, bytes: &[u8]) -> Result<bytes::Bytes, AnswerFault> {
-        self.splitter.push(bytes)?;
-        let events = self.splitter.take_events().unwrap_or_default();
-        self.has_events |= self.splitter.events() > 0;
-        self.last_id = last_id(&events).or(self.last_id);
-        Ok(events)
-    }
-}
-
-fn last_id(events: &[u8]) -> Option<u64> {
-    events
-        .split(|byte| matches!(byte, b'\n' | b'\r'))
-        .rev()
-        .filter_map(|line| line.strip_prefix(b"id:"))
-        .find_map(|id| std::str::from_utf8(id).ok()?.trim().parse().ok())
+    resume: Option<resume_point::ResumePoint>,
 }
 
 /// Returns whether an answer is the rest of an event stream. Engines also report errors with success
@@ -128,7 +90,7 @@
             call,
             log,
             sender,
-            resume: may_resume.then(ResumePoint::new),
+            resume: may_resume.then(resume_point::ResumePoint::new),
         };
         tokio::spawn(relay.run(self));
         answer
@@ -181,9 +143,11 @@
                     // The engine must not go on while another one does.
                     drop((body, connection));
                     self.core.record_lost(&target.name);
-                    let phase = CallPhase::of_events(events);
-                    let core = &self.core;
-                    core.record_broken_call(&self.call, &target, phase, sent_at);
+                    if fault.is_cut_off() {
+                        let phase = CallPhase::of_events(events);
+                        let core = &self.core;
+                        core.record_broken_call(&self.call, &target, phase, sent_at);
+                    }
                     tried.push(target.name);
                     self.log.runs += 1;
                     next = self.resume(&mut tried).await;
@@ -215,7 +179,7 @@
                 },
                 (Ok(None), None) => return RelayResult::Complete,
                 // Comments may follow the last event.
-                (Ok(None), Some(resume)) => (resume.splitter.take_rest(), true),
+                (Ok(None), Some(resume)) => (resume.take_rest(), true),
             };
             if !bytes.is_empty() {
                 tokio::select! {
@@ -235,12 +199,7 @@
     /// while they don't run the call and the route and the budget allow it.
     async fn resume(&mut self, tried: &mut Vec<usher_types::TargetName>) -> Option<StreamStart> {
         let resume = self.resume.as_mut()?;
-        let _ = resume.splitter.take_rest();
-        // Without an id, another engine would repeat the events that the caller has.
-        if resume.has_events && resume.last_id.is_none() {
-            return None;
-        }
-        let after = resume.last_id.or(self.call.metadata.last_event);
+        let after = resume.begin_resume(self.call.metadata.last_event).ok()?;
         let mut sends = u32::try_from(tried.len()).unwrap_or(u32::MAX);
         let mut reached = true;
         loop {
