--- a/crates/usher_entry/tests/entry/quarantine.rs
+++ b/crates/usher_entry/tests/entry/quarantine.rs
@@ -58,7 +58,7 @@
             let Some((id, crashes)) = read_call(&mut socket).await else {
                 continue;
             };
-            // Nothing happens in no time.
+            // The clock of the entry stands still unless a test advances it.
             self.clock.advance(time::Duration::from_millis(5));
             let _ = socket.write_all(HEAD).await;
             if crashes {
