--- a/crates/usher_entry/src/model/quarantine.rs
+++ b/crates/usher_entry/src/model/quarantine.rs
@@ -32,7 +32,7 @@
         let now = self.now();
         let process = EngineProcess {
             engine: prompt::text_hash(call.target.as_str()),
-            born_ms: call.incarnation.get(),
+            incarnation: call.incarnation.get(),
         };
         let send = format!("{} {} {}", call.id, call.target, call.incarnation);
         let times = (call.sent_at, now);
--- a/crates/usher_gateway/src/quarantine.rs
+++ b/crates/usher_gateway/src/quarantine.rs
@@ -42,7 +42,7 @@
         );
         let process = EngineProcess {
             engine: usher_place::text_key(target.name.as_str()),
-            born_ms: target.born_ms,
+            incarnation: target.born_ms,
         };
         let send = format!("{} {} {}", call.id, target.name, target.born_ms);
         let broken = BrokenCall::new(
--- a/crates/usher_quarantine/src/broken_call.rs
+++ b/crates/usher_quarantine/src/broken_call.rs
@@ -64,8 +64,9 @@
     pub struct EngineProcess {
         /// Key of the engine's name.
         pub engine: u64,
-        /// Start of the process, in ms since 1970; 0 when not stated.
-        pub born_ms: u64,
+        /// Tells processes of one name apart: the start in ms since 1970, 0 when not stated, or an
+        /// incarnation.
+        pub incarnation: u64,
     }
 }
 
@@ -122,7 +123,7 @@
             id: call.id,
             process: EngineProcess {
                 engine: call.engine,
-                born_ms: call.born_ms,
+                incarnation: call.born_ms,
             },
             parts: parts(&call.parts),
             cleared: parts(&call.cleared),
@@ -142,7 +143,7 @@
         message::BrokenCall {
             id: self.id,
             engine: self.process.engine,
-            born_ms: self.process.born_ms,
+            born_ms: self.process.incarnation,
             parts: parts(&self.parts),
             cleared: parts(&self.cleared),
             phase: self.phase.to_message().into(),
--- a/crates/usher_quarantine/src/part_quarantine.rs
+++ b/crates/usher_quarantine/src/part_quarantine.rs
@@ -49,7 +49,7 @@
 /// for crash in 1..=3 {
 ///     assert!(quarantine.find(&parts).is_none());
 ///     let broke_at = start + second * crash;
-///     let process = EngineProcess { engine: u64::from(crash), born_ms: 0 };
+///     let process = EngineProcess { engine: u64::from(crash), incarnation: 0 };
 ///     let call = BrokenCall::new(
 ///         u64::from(crash),
 ///         process,
--- a/crates/usher_quarantine/tests/culprits.rs
+++ b/crates/usher_quarantine/tests/culprits.rs
@@ -48,7 +48,7 @@
             self.sends += 1;
             let process = EngineProcess {
                 engine: self.processes % 5,
-                born_ms: self.processes,
+                incarnation: self.processes,
             };
             let times = (self.now - ELAPSED, self.now);
             let parts = parts(numbers).into_iter();
@@ -247,7 +247,7 @@
     let now = fleet.now + Duration::from_secs(1);
     let process = EngineProcess {
         engine: 9,
-        born_ms: 9,
+        incarnation: 9,
     };
     let last = BrokenCall {
         id: 99,
--- a/crates/usher_quarantine/tests/merges.rs
+++ b/crates/usher_quarantine/tests/merges.rs
@@ -65,7 +65,7 @@
             } => {
                 let process = EngineProcess {
                     engine: *engine,
-                    born_ms: 0,
+                    incarnation: 0,
                 };
                 let parts = part_ids(parts).into_iter();
                 let times = (now - Duration::from_millis(50), now);
--- a/crates/usher_quarantine/tests/storms.rs
+++ b/crates/usher_quarantine/tests/storms.rs
@@ -98,7 +98,7 @@
                 engine.back_at = Some(now + RESTART_TIME);
                 let process = EngineProcess {
                     engine: number as u64,
-                    born_ms: engine.process,
+                    incarnation: engine.process,
                 };
                 for call in std::mem::take(&mut engine.running) {
                     let age = now.duration_since(call.sent_at);
