Count no break of a kept connection as a crash

Cause: engines reset kept connections, and each reset of a request that was sent on one counted as the crash of its engine. Change: a break before the head of an answer counts only on a connection that had carried nothing else.

--- a/crates/usher_gateway/src/pool.rs
+++ b/crates/usher_gateway/src/pool.rs
@@ -44,8 +44,13 @@
     #[error("not sent: {0}")]
     NotSent(String),
     /// The target may have acted on the request.
-    #[error("connection broke: {0}")]
-    Broken(String),
+    #[error("connection broke: {text}")]
+    Broken {
+        /// What went wrong.
+        text: String,
+        /// Whether the connection had carried other requests before.
+        connection_use: ConnectionUse,
+    },
 }
 
 #[derive(Debug)]
@@ -128,7 +133,10 @@
                 let text = error.into_error().to_string();
                 let error = match &unsent {
                     Some(_) => ConnectionError::NotSent(text),
-                    None => ConnectionError::Broken(text),
+                    None => ConnectionError::Broken {
+                        text,
+                        connection_use,
+                    },
                 };
                 Err((error, unsent))
             }
--- a/crates/usher_gateway/src/send.rs
+++ b/crates/usher_gateway/src/send.rs
@@ -2,7 +2,7 @@
 
 use std::{net, time};
 
-use usher_answer::{AnswerFault, AnswerOwner};
+use usher_answer::{AnswerFault, AnswerOwner, ConnectionUse};
 use usher_place::TargetFailure;
 use usher_quarantine::CallPhase;
 use usher_roster::TargetEntry;
@@ -99,14 +99,20 @@
             core.record_lost(&target.name);
             SendResult::NotSent(text)
         }
-        Err(pool::ConnectionError::Broken(text)) => {
+        Err(pool::ConnectionError::Broken {
+            text,
+            connection_use,
+        }) => {
             core.record_lost(&target.name);
             let phase = if runs_call {
                 CallPhase::NoEvent
             } else {
                 CallPhase::Prefill
             };
-            core.record_broken_call(call, target, phase, sent_at);
+            // A target may drop a kept connection at any time, and resets what is sent on it next.
+            if connection_use == ConnectionUse::First {
+                core.record_broken_call(call, target, phase, sent_at);
+            }
             SendResult::Broken(text)
         }
     };
