--- a/review/stand/src/case_term.rs
+++ b/review/stand/src/case_term.rs
@@ -16,6 +16,10 @@
 const GATEWAYS: usize = 8;
 const CLIENTS: usize = 16;
 
+/// Rounds in which all gateways are stopped in turn; the second one follows only if all of them stopped
+/// by themselves in the first one.
+const ROUNDS: usize = 2;
+
 /// Pause between the restart of a machine and the stop of the next one.
 const GAP: Duration = Duration::from_millis(1_300);
 
@@ -115,14 +119,19 @@
         client::run_client(platform, number, kind, Duration::from_millis(20), &log);
     }
     thread::sleep(Duration::from_secs(5));
-    if trouble {
-        // The seeds are exchanged for other machines that serve control.
-        platform.set_seeds(&[3, 4, 0]);
-    }
     let mut stops = Vec::new();
-    for gateway in 0..GATEWAYS {
-        stops.push(restart(platform, gateway, trouble));
-        thread::sleep(GAP);
+    // The seeds are exchanged for other machines that serve control.
+    for seeds in [[3, 4, 0], [0, 1, 2]].iter().take(ROUNDS) {
+        if trouble {
+            platform.set_seeds(seeds);
+        }
+        for gateway in 0..GATEWAYS {
+            stops.push(restart(platform, gateway, trouble));
+            thread::sleep(GAP);
+        }
+        if stops.iter().any(|stop| stop.killed.is_some()) {
+            break;
+        }
     }
     platform
         .stop
--- a/review/stand/src/platform.rs
+++ b/review/stand/src/platform.rs
@@ -279,6 +279,19 @@
         }
     }
 
+    /// Returns the resident memory of the process of a machine, in bytes.
+    pub fn memory(&self, machine: &Machine) -> u64 {
+        let child = machine.child.lock().unwrap();
+        let Some(child) = child.as_ref() else {
+            return 0;
+        };
+        let status = fs::read_to_string(format!("/proc/{}/status", child.id()));
+        let status = status.unwrap_or_default();
+        let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+        let kib = line.and_then(|line| line.split_whitespace().nth(1));
+        kib.and_then(|kib| kib.parse::<u64>().ok()).unwrap_or(0) * 1_024
+    }
+
     /// Replaces the seeds in the settings that are written from now on.
     pub fn set_seeds(&self, seeds: &[usize]) {
         *self.seeds.lock().unwrap() = seeds.to_vec();
