--- a/review/stand/src/case_term.rs
+++ b/review/stand/src/case_term.rs
@@ -20,6 +20,9 @@
 /// by themselves in the first one.
 const ROUNDS: usize = 2;
 
+/// Machines that had to be killed, after which no other one is stopped.
+const ENOUGH: usize = 2;
+
 /// Pause between the restart of a machine and the stop of the next one.
 const GAP: Duration = Duration::from_millis(1_300);
 
@@ -119,19 +122,22 @@
         client::run_client(platform, number, kind, Duration::from_millis(20), &log);
     }
     thread::sleep(Duration::from_secs(5));
-    let mut stops = Vec::new();
+    let mut stops: Vec<Stop> = Vec::new();
+    let killed = |stops: &[Stop]| stops.iter().filter(|stop| stop.killed.is_some()).count();
     // The seeds are exchanged for other machines that serve control.
     for seeds in [[3, 4, 0], [0, 1, 2]].iter().take(ROUNDS) {
-        if trouble {
+        if trouble && killed(&stops) == 0 {
             platform.set_seeds(seeds);
         }
         for gateway in 0..GATEWAYS {
+            // One more round is played only if all machines have stopped by themselves.
+            let is_over = stops.len() >= GATEWAYS && killed(&stops) > 0;
+            if is_over || killed(&stops) >= ENOUGH {
+                break;
+            }
             stops.push(restart(platform, gateway, trouble));
             thread::sleep(GAP);
         }
-        if stops.iter().any(|stop| stop.killed.is_some()) {
-            break;
-        }
     }
     platform
         .stop
