--- a/review/stand/src/case_leave.rs
+++ b/review/stand/src/case_leave.rs
@@ -82,7 +82,7 @@
         .collect();
     if trouble {
         for machine in &killed {
-            platform.signal(machine, SIGKILL);
+            platform.signal(machine, &[SIGKILL]);
         }
         for machine in &killed {
             platform.reap(machine);
--- a/review/stand/src/case_term.rs
+++ b/review/stand/src/case_term.rs
@@ -16,9 +16,11 @@
 const GATEWAYS: usize = 8;
 const CLIENTS: usize = 16;
 
-/// Rounds in which all gateways are stopped in turn; the second one follows only if all of them stopped
-/// by themselves in the first one.
-const ROUNDS: usize = 2;
+/// Rollouts that are played at most. Each changes the seeds and stops some gateways in turn.
+const ROUNDS: usize = 5;
+
+/// Gateways of a rollout: a share of 0.375.
+const STOPPED: usize = 3;
 
 /// Machines that had to be killed, after which no other one is stopped.
 const ENOUGH: usize = 2;
@@ -52,18 +54,19 @@
 /// Stops a machine as planned and starts it again.
 fn restart(platform: &Platform, gateway: usize, changes_settings: bool) -> Stop {
     let machine = &platform.gateways[gateway];
+    let asked = platform.record.now();
     if changes_settings {
         platform.write_settings(machine, false);
-        platform.signal(machine, SIGHUP);
+        platform.signal(machine, &[SIGHUP, SIGTERM]);
+    } else {
+        platform.signal(machine, &[SIGTERM]);
     }
-    let asked = platform.record.now();
-    platform.signal(machine, SIGTERM);
     let end = Instant::now() + GRACE;
     let mut killed = None;
     while !platform.has_ended(machine) {
         if Instant::now() >= end {
             killed = Some(platform.record.now());
-            platform.signal(machine, SIGKILL);
+            platform.signal(machine, &[SIGKILL]);
             platform.reap(machine);
             break;
         }
@@ -124,17 +127,17 @@
     thread::sleep(Duration::from_secs(5));
     let mut stops: Vec<Stop> = Vec::new();
     let killed = |stops: &[Stop]| stops.iter().filter(|stop| stop.killed.is_some()).count();
-    // The seeds are exchanged for other machines that serve control.
-    for seeds in [[3, 4, 0], [0, 1, 2]].iter().take(ROUNDS) {
-        if trouble && killed(&stops) == 0 {
-            platform.set_seeds(seeds);
+    for round in 0..ROUNDS {
+        if killed(&stops) >= ENOUGH {
+            break;
+        }
+        if trouble {
+            // The seeds are exchanged for other machines that serve control.
+            let seeds = if round % 2 == 0 { [3, 4, 0] } else { [0, 1, 2] };
+            platform.set_seeds(&seeds);
         }
-        for gateway in 0..GATEWAYS {
-            // One more round is played only if all machines have stopped by themselves.
-            let is_over = stops.len() >= GATEWAYS && killed(&stops) > 0;
-            if is_over || killed(&stops) >= ENOUGH {
-                break;
-            }
+        for number in 0..STOPPED {
+            let gateway = (round * STOPPED + number) % GATEWAYS;
             stops.push(restart(platform, gateway, trouble));
             thread::sleep(GAP);
         }
--- a/review/stand/src/client.rs
+++ b/review/stand/src/client.rs
@@ -36,8 +36,6 @@
 pub struct Sent {
     pub id: String,
     pub gateway: usize,
-    /// Whether its connection had carried requests before.
-    pub is_kept: bool,
     /// Time at which the last byte was sent.
     pub at: Duration,
     pub ended: Duration,
@@ -65,14 +63,12 @@
     let id = next_id();
     let record = &platform.record;
     let name = &platform.gateways[gateway].name;
-    let is_kept = connection.is_some();
     let ended = |at, ending: Ending| {
         let ended = record.now();
         record.line(&format!("end {id} at {name}: {ending:?}"));
         Sent {
             id: id.clone(),
             gateway,
-            is_kept,
             at,
             ended,
             ending,
--- a/review/stand/src/main.rs
+++ b/review/stand/src/main.rs
@@ -3,7 +3,6 @@
 //! run.
 
 mod case_leave;
-mod case_memory;
 
 mod case_refused;
 mod case_term;
@@ -34,7 +33,6 @@
     record.say(&format!("case {case}, trouble {trouble}"));
     let verdict = match case.as_str() {
         "refused" => case_refused::play(&record, trouble),
-        "memory" => case_memory::play(&record, trouble),
         "term" => case_term::play(&record, trouble),
         "leave" => case_leave::play(&record, trouble),
         _ => Verdict::NotRun(format!("no case {case}")),
--- a/review/stand/src/platform.rs
+++ b/review/stand/src/platform.rs
@@ -253,14 +253,16 @@
         }
     }
 
-    /// Sends a signal to the process of a machine.
-    pub fn signal(&self, machine: &Machine, signal: i32) {
+    /// Sends signals to the process of a machine, one right after the other.
+    pub fn signal(&self, machine: &Machine, signals: &[i32]) {
         if let Some(child) = machine.child.lock().unwrap().as_ref() {
-            // SAFETY: the process is a child that has not been waited for.
-            unsafe { kill(child.id() as i32, signal) };
+            for signal in signals {
+                // SAFETY: the process is a child that has not been waited for.
+                unsafe { kill(child.id() as i32, *signal) };
+            }
         }
         self.record
-            .line(&format!("signal {signal} to {}", machine.name));
+            .line(&format!("signals {signals:?} to {}", machine.name));
     }
 
     /// Returns whether the process of a machine has ended by now.
@@ -279,19 +281,6 @@
         }
     }
 
-    /// Returns the resident memory of the process of a machine, in bytes.
-    pub fn memory(&self, machine: &Machine) -> u64 {
-        let child = machine.child.lock().unwrap();
-        let Some(child) = child.as_ref() else {
-            return 0;
-        };
-        let status = fs::read_to_string(format!("/proc/{}/status", child.id()));
-        let status = status.unwrap_or_default();
-        let line = status.lines().find(|line| line.starts_with("VmRSS:"));
-        let kib = line.and_then(|line| line.split_whitespace().nth(1));
-        kib.and_then(|kib| kib.parse::<u64>().ok()).unwrap_or(0) * 1_024
-    }
-
     /// Replaces the seeds in the settings that are written from now on.
     pub fn set_seeds(&self, seeds: &[usize]) {
         *self.seeds.lock().unwrap() = seeds.to_vec();
