Keep a run in progress while the body of an error is read

What callers saw: a call of a stream that may run once, which an engine had run and failed with 500, was answered 503 with Retry-After ("has not run") at its deadline when the body of the error did not end.

Cause: model::run cleared the mark of a run in progress when the head of the answer came, and counted no run for it; the deadline or the end of a planned stop then dropped the call while the error's body was read, and call::serve took it for one that has not run.

Evidence: the log line of such a call has one send that runs it, with status 500, and the outcome that only call::serve gives.

Change: RunRecord replaces the two fields that each path had to keep up to date. A run stays in progress until a path says how it ended, so a call that is given up in between may have run.

--- a/crates/usher_entry/tests/entry/run_state.rs
+++ b/crates/usher_entry/tests/entry/run_state.rs
@@ -5,12 +5,15 @@
 use tokio::io::AsyncWriteExt as _;
 
 use crate::{
-    hostile::read_request,
+    hostile::{announce_engine, read_request},
     lifecycle::cut_off,
     support::{chat_body, options, wait_for, Fleet, Reply},
 };
 use usher_fake::{ServiceBehaviour, ServiceOptions};
 
+const UNFINISHED_ERROR: &[u8] =
+    b"HTTP/1.1 500 Internal Server Error\r\ncontent-length: 1000\r\n\r\nout of memory";
+
 const REFUSAL: &[u8] = b"HTTP/1.1 400 Bad Request\r\ncontent-length: 2\r\n\r\n{}";
 
 /// How an engine handles a request after reading it.
@@ -169,3 +172,24 @@
     let (reply, ()) = tokio::join!(call, cut);
     assert_unknown(&reply, 503);
 }
+
+/// Guards against reporting "not run" when an engine has failed the call and the body of its error
+/// doesn't end.
+#[tokio::test]
+async fn error_body_that_does_not_end_is_unknown() {
+    let timeout = time::Duration::from_millis(300);
+    let fleet = Fleet::start(options().with_first_token_timeout(timeout)).await;
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    announce_engine(&fleet, &listener).await;
+    let engine = tokio::spawn(async move {
+        let mut open = Vec::new();
+        while let Ok((mut socket, _)) = listener.accept().await {
+            if read_request(&mut socket).await.is_some() {
+                let _ = socket.write_all(UNFINISHED_ERROR).await;
+                open.push(socket);
+            }
+        }
+    });
+    assert_unknown(&fleet.chat(&chat_body(4, true)).await, 502);
+    engine.abort();
+}
--- a/crates/usher_gateway/src/call.rs
+++ b/crates/usher_gateway/src/call.rs
@@ -7,7 +7,7 @@
 use usher_quarantine::PartId;
 use usher_route::RouteRule;
 
-use crate::{answer, body, core, dialect, model, plain};
+use crate::{answer, body, core, dialect, model, plain, run_record};
 
 /// Time before the deadline of a call at which the gateway gives up, so that its answer arrives.
 const ANSWER_MARGIN: time::Duration = time::Duration::from_millis(40);
@@ -81,10 +81,7 @@
     pub(crate) sends: Vec<String>,
     /// Expected times of the chosen engines when they were chosen.
     pub(crate) expected_ms: Vec<u128>,
-    /// Number of sends that may have run the call.
-    pub(crate) runs: u32,
-    /// Whether a send is in progress that may run the call.
-    pub(crate) is_running: bool,
+    pub(crate) runs: run_record::RunRecord,
     pub(crate) status: u16,
     pub(crate) metrics: crate::metrics::GatewayMetrics,
     ended: bool,
@@ -103,8 +100,7 @@
             first_byte: None,
             sends: Vec::new(),
             expected_ms: Vec::new(),
-            runs: 0,
-            is_running: false,
+            runs: run_record::RunRecord::default(),
             status: 0,
             metrics,
             ended: false,
@@ -197,7 +193,7 @@
                     return stream.start(core, call, log);
                 }
                 Some(Err(refusal)) => Err(refusal),
-                None if log.runs > 0 || log.is_running => Err(answer::CallRefusal::Late),
+                None if log.runs.may_have_run() => Err(answer::CallRefusal::Late),
                 None => Err(answer::CallRefusal::LateNotRun),
             }
         }
--- a/crates/usher_gateway/src/lib.rs
+++ b/crates/usher_gateway/src/lib.rs
@@ -24,6 +24,7 @@
 mod relay;
 mod resume_point;
 mod route_follower;
+mod run_record;
 mod send;
 mod server;
 mod stop_step;
--- a/crates/usher_gateway/src/model.rs
+++ b/crates/usher_gateway/src/model.rs
@@ -57,7 +57,7 @@
     core.with_budget(&call.service, usher_place::RetryBudget::record_call);
     loop {
         if let Some(refusal) = core.quarantine_refusal(call) {
-            if log.runs == 0 {
+            if !log.runs.may_have_run() {
                 return Err(refusal);
             }
             break;
@@ -97,14 +97,13 @@
         let step = prompt
             .as_ref()
             .map_or(dialect::SendStep::Complete, held_prompt::HeldPrompt::step);
-        log.is_running = true;
+        log.runs.begin();
         let options = send::SendOptions {
             urgency: Some(placed.urgency),
             copy_from: placed.copy_from,
             ..send::SendOptions::new(step)
         };
         let result = send::send(core, call, &placed.target, options).await;
-        log.is_running = false;
         let PlacedCall { target, guard, .. } = &mut placed;
         let reached = !matches!(result, send::SendResult::NotSent(_));
         decodes += u32::from(reached);
@@ -119,11 +118,13 @@
                 return to_response(core, placed, answer).await;
             }
             send::SendResult::NotSent(text) => {
+                log.runs.end_not_run();
                 log.record_send(&target.name, &text);
                 reason = text;
                 tried.push(target.name.clone());
             }
             send::SendResult::NotRun(text) => {
+                log.runs.end_not_run();
                 log.record_send(&target.name, &text);
                 reason = text;
                 tried.push(target.name.clone());
@@ -142,8 +143,8 @@
                 }
             }
             send::SendResult::Broken(text) => {
+                log.runs.end_failed();
                 log.record_send(&target.name, &text);
-                log.runs += 1;
                 if let Some(held) = prompt.take() {
                     held.mark_taken();
                 }
@@ -154,7 +155,7 @@
         let policy = RetryPolicy {
             sends: decodes,
             reached,
-            runs: log.runs,
+            runs: log.runs.ended(),
             time_left: call.time_left(),
         };
         let decision = core.with_budget(&call.service, |budget| policy.decide(&call.route, budget));
@@ -162,7 +163,7 @@
             break;
         }
     }
-    Err(if log.runs > 0 {
+    Err(if log.runs.may_have_run() {
         answer::CallRefusal::Unknown(reason)
     } else {
         let reason = (!tried.is_empty()).then_some(reason);
--- a/crates/usher_gateway/src/plain.rs
+++ b/crates/usher_gateway/src/plain.rs
@@ -28,7 +28,7 @@
     core.with_budget(&call.service, usher_place::RetryBudget::record_call);
     loop {
         if let Some(refusal) = core.quarantine_refusal(call) {
-            if log.runs == 0 {
+            if !log.runs.may_have_run() {
                 return Err(refusal);
             }
             break;
@@ -42,7 +42,7 @@
             break;
         };
         let guard = core.loads.track_call(&target.name, 0, rank);
-        log.is_running = true;
+        log.runs.begin();
         let sent = tokio::time::Instant::now();
         let options = send::SendOptions::new(dialect::SendStep::Complete);
         let result = send::send(core, call, &target, options).await;
@@ -51,7 +51,6 @@
             other => Err(other),
         };
         drop(guard);
-        log.is_running = false;
         let reached = !matches!(result, Err(send::SendResult::NotSent(_)));
         match result {
             Ok(PlainAnswer {
@@ -77,16 +76,17 @@
                 if !status.is_server_error() || call.route.kind != RepeatKind::Repeatable {
                     return Ok(answer);
                 }
-                log.runs += 1;
+                log.runs.end_failed();
                 failed = Some(answer);
             }
             Err(send::SendResult::NotSent(text) | send::SendResult::NotRun(text)) => {
+                log.runs.end_not_run();
                 log.record_send(&target.name, &text);
                 reason = text;
             }
             Err(send::SendResult::Broken(text)) => {
+                log.runs.end_failed();
                 log.record_send(&target.name, &text);
-                log.runs += 1;
                 reason = text;
             }
             Err(send::SendResult::Answer(_)) => break,
@@ -96,7 +96,7 @@
         let policy = RetryPolicy {
             sends,
             reached,
-            runs: log.runs,
+            runs: log.runs.ended(),
             time_left: call.time_left(),
         };
         let decision = core.with_budget(&call.service, |budget| policy.decide(&call.route, budget));
@@ -107,7 +107,7 @@
     if let Some(answer) = failed {
         return Ok(answer);
     }
-    Err(if log.runs > 0 {
+    Err(if log.runs.may_have_run() {
         answer::CallRefusal::Unknown(reason)
     } else {
         let reason = (!tried.is_empty()).then_some(reason);
--- a/crates/usher_gateway/src/relay.rs
+++ b/crates/usher_gateway/src/relay.rs
@@ -149,7 +149,7 @@
                         core.record_broken_call(&self.call, &target, phase, sent_at);
                     }
                     tried.push(target.name);
-                    self.log.runs += 1;
+                    self.log.runs.end_failed();
                     next = self.resume(&mut tried).await;
                     if next.is_none() {
                         return self.log.finish(&fault.to_string());
@@ -206,7 +206,7 @@
             let policy = usher_place::RetryPolicy {
                 sends,
                 reached,
-                runs: self.log.runs,
+                runs: self.log.runs.ended(),
                 time_left: self.call.time_left(),
             };
             let (service, route) = (&self.call.service, &self.call.route);
@@ -235,14 +235,14 @@
                 send::SendResult::Answer(answer) => {
                     let outcome = format!("{}, not the rest of the stream", answer.status.as_str());
                     self.log.record_send(&target.name, &outcome);
-                    self.log.runs += 1;
+                    self.log.runs.end_failed();
                 }
                 send::SendResult::NotSent(text) | send::SendResult::NotRun(text) => {
                     self.log.record_send(&target.name, &text);
                 }
                 send::SendResult::Broken(text) => {
                     self.log.record_send(&target.name, &text);
-                    self.log.runs += 1;
+                    self.log.runs.end_failed();
                 }
             }
             tried.push(target.name);
