Subscribe to the stop signals once for the life of a daemon

What callers saw: a gateway that got new settings, SIGHUP and SIGTERM at the same moment took requests for its whole grace period and was killed with requests in flight, whose connections ended without an answer.

Cause: each round of the main loop made a new subscription to SIGTERM inside select!. When the settings were polled first, the subscription that held SIGTERM was dropped, and the next one sees only later signals.

Evidence: of 8 gateways that were resumed with both signals waiting, the logs of 4 have "settings read again" and no "gateway is draining".

Change: StopListener subscribes once, before the daemon accepts work. The same for the entry and control daemons and the demo, which subscribed after their start and again for a second signal. SIGHUP, which ends a process without a handler, is handled from before the start of gateways and registrars too.

--- a/crates/pimentousher/src/daemon/control.rs
+++ b/crates/pimentousher/src/daemon/control.rs
@@ -68,6 +68,7 @@
         )));
     };
     let options = control_options(&settings)?;
+    let stop_listener = daemon::StopListener::new()?;
     daemon::start_log(&settings.log)?;
     let node = usher_control::ControlNode::new(options).start().await;
     let node = node.map_err(error::CommandError::failed)?;
@@ -82,7 +83,7 @@
         daemon::metric_client(&settings.metrics, &settings.node.name)?,
         settings.metrics.interval,
     ));
-    let result = run_until_stopped(node).await;
+    let result = run_until_stopped(node, stop_listener).await;
     gauges.abort();
     result
 }
@@ -116,10 +117,13 @@
 }
 
 /// Runs the node until a stop signal arrives or its replica fails.
-async fn run_until_stopped(node: usher_control::RunningControl) -> Result<(), error::CommandError> {
+async fn run_until_stopped(
+    node: usher_control::RunningControl,
+    mut stop_listener: daemon::StopListener,
+) -> Result<(), error::CommandError> {
     tokio::select! {
-        signal = daemon::wait_for_stop() => {
-            tracing::info!(signal = signal?, "control node is stopping");
+        signal = stop_listener.wait() => {
+            tracing::info!(signal, "control node is stopping");
         }
         reason = node.failed() => {
             let reason = reason.unwrap_or_else(|| "unknown".to_owned());
@@ -128,8 +132,8 @@
     }
     tokio::select! {
         () = node.stop() => Ok(()),
-        signal = daemon::wait_for_stop() => {
-            let message = format!("terminated by a second {} before the shutdown completed", signal?);
+        signal = stop_listener.wait() => {
+            let message = format!("terminated by a second {signal} before the shutdown completed");
             Err(error::CommandError::Failed(message))
         }
     }
--- a/crates/pimentousher/src/daemon/entry.rs
+++ b/crates/pimentousher/src/daemon/entry.rs
@@ -113,9 +113,10 @@
             settings.display()
         )));
     };
+    let mut stop_listener = daemon::StopListener::new()?;
     daemon::start_log(&settings.log)?;
     let recorder = start_recorder(&settings)?;
-    let result = serve(&settings, recorder.sink()).await;
+    let result = serve(&settings, recorder.sink(), &mut stop_listener).await;
     recorder.finish();
     result
 }
@@ -133,6 +134,7 @@
 async fn serve(
     settings: &EntrySettings,
     outcomes: burn_recorder::BurnSink,
+    stop_listener: &mut daemon::StopListener,
 ) -> Result<(), error::CommandError> {
     let options = entry_options(settings);
     let policy = entry_policy(settings, options.incarnation.get(), time::Instant::now());
@@ -153,7 +155,7 @@
         .map_err(|error| {
             error::CommandError::Failed(format!("cannot listen on {}: {error}", settings.listen))
         })?;
-    let signal = daemon::wait_for_stop().await?;
+    let signal = stop_listener.wait().await;
     tracing::info!(signal, "entry is draining");
     stop.drain();
     let result = tokio::select! {
@@ -162,9 +164,8 @@
             "requests were still in flight after [limits] drain = {}",
             humantime::format_duration(settings.limits.drain)
         ))),
-        signal = daemon::wait_for_stop() => Err(error::CommandError::Failed(format!(
-            "terminated by a second {} while requests were still in flight",
-            signal?
+        signal = stop_listener.wait() => Err(error::CommandError::Failed(format!(
+            "terminated by a second {signal} while requests were still in flight"
         ))),
     };
     stop.stop();
--- a/crates/pimentousher/src/daemon/gateway.rs
+++ b/crates/pimentousher/src/daemon/gateway.rs
@@ -34,7 +34,10 @@
     D: usher_gateway::CallDialect,
 {
     let settings = read_gateway_settings(path)?;
+    let mut stop_listener = daemon::StopListener::new()?;
     let _log = daemon::start_output_log(&settings.log)?;
+    let mut watch =
+        settings_watch::SettingsWatch::new(settings.clone(), || read_gateway_settings(path))?;
     let (stop, signal) = usher_kernel::StopSource::new();
     let options = gateway_options(&settings);
     let clock = usher_types::SystemClock;
@@ -49,11 +52,10 @@
         seeds = ?settings.registrars.seeds,
         "gateway started"
     );
-    let mut watch = settings_watch::SettingsWatch::new(settings, || read_gateway_settings(path))?;
     loop {
         tokio::select! {
-            signal = daemon::wait_for_stop() => {
-                tracing::info!(signal = signal?, "gateway is draining");
+            signal = stop_listener.wait() => {
+                tracing::info!(signal, "gateway is draining");
                 break;
             }
             settings = watch.changed() => {
--- a/crates/pimentousher/src/daemon/mod.rs
+++ b/crates/pimentousher/src/daemon/mod.rs
@@ -22,4 +22,4 @@
 pub use logging::{start_log, start_output_log};
 pub use metrics::metric_client;
 pub use registrar::{registrar_options, run_registrar};
-pub use signal::{wait_for_stop, ReloadSignal};
+pub use signal::{ReloadSignal, StopListener};
--- a/crates/pimentousher/src/daemon/registrar.rs
+++ b/crates/pimentousher/src/daemon/registrar.rs
@@ -60,7 +60,10 @@
     ) -> axum::Router,
 {
     let settings = read_registrar_settings(path)?;
+    let mut stop_listener = daemon::StopListener::new()?;
     let _log = daemon::start_output_log(&settings.log)?;
+    let mut watch =
+        settings_watch::SettingsWatch::new(settings.clone(), || read_registrar_settings(path))?;
     let clock = usher_types::BootClock::new();
     let options = registrar_options(&settings)?;
     let node = usher_control::RegistrarNode::new(options, dialect, clock);
@@ -80,11 +83,10 @@
     let server = axum::serve(listener, routes)
         .with_graceful_shutdown(async move { signal.draining().await });
     let server = tokio::spawn(async move { server.await });
-    let mut watch = settings_watch::SettingsWatch::new(settings, || read_registrar_settings(path))?;
     loop {
         tokio::select! {
-            signal = daemon::wait_for_stop() => {
-                tracing::info!(signal = signal?, "registrar is stopping");
+            signal = stop_listener.wait() => {
+                tracing::info!(signal, "registrar is stopping");
                 break;
             }
             reason = node.failed() => {
--- a/crates/pimentousher/src/daemon/signal.rs
+++ b/crates/pimentousher/src/daemon/signal.rs
@@ -6,18 +6,37 @@
 
 use crate::error;
 
-/// Waits for SIGTERM or SIGINT, and returns the name of the signal.
+/// Receives SIGTERM and SIGINT, which ask a daemon to stop.
 ///
-/// # Errors
-///
-/// Fails if the signal handlers can't be installed.
-pub async fn wait_for_stop() -> Result<&'static str, error::CommandError> {
-    let mut terminate = subscribe(unix::SignalKind::terminate())?;
-    let mut interrupt = subscribe(unix::SignalKind::interrupt())?;
-    Ok(tokio::select! {
-        _ = terminate.recv() => "SIGTERM",
-        _ = interrupt.recv() => "SIGINT",
-    })
+/// A subscription to a signal gets only what arrives after it was made, so a daemon makes one listener
+/// before it accepts any work and keeps it until it ends.
+#[derive(Debug)]
+pub struct StopListener {
+    terminate: unix::Signal,
+    interrupt: unix::Signal,
+}
+
+impl StopListener {
+    /// Installs the handlers of SIGTERM and SIGINT.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the signal handlers can't be installed.
+    pub fn new() -> Result<Self, error::CommandError> {
+        Ok(Self {
+            terminate: subscribe(unix::SignalKind::terminate())?,
+            interrupt: subscribe(unix::SignalKind::interrupt())?,
+        })
+    }
+
+    /// Waits for a signal that no earlier call has returned, and returns its name. No signal is lost
+    /// when the wait is cancelled.
+    pub async fn wait(&mut self) -> &'static str {
+        tokio::select! {
+            _ = self.terminate.recv() => "SIGTERM",
+            _ = self.interrupt.recv() => "SIGINT",
+        }
+    }
 }
 
 /// Waits for SIGHUP, which asks a daemon to reload its settings.
--- a/crates/pimentousher/src/demo/serve.rs
+++ b/crates/pimentousher/src/demo/serve.rs
@@ -14,6 +14,7 @@
 ///
 /// Fails if the installation can't be started.
 pub async fn serve(address: net::SocketAddr) -> Result<(), error::CommandError> {
+    let mut stop_listener = daemon::StopListener::new()?;
     let fleet = fleet::DemoFleet::start(Some(address), |options| options).await?;
     let bound_address = fleet.addresses().first().copied().unwrap_or(address);
     let mut out = io::stdout();
@@ -26,7 +27,7 @@
     );
     // Serving continues if standard output is closed.
     let _ = written.and_then(|()| out.flush());
-    daemon::wait_for_stop().await?;
+    stop_listener.wait().await;
     fleet.stop().await;
     Ok(())
 }
