Store targets that have left, and announce them after a restart

What callers saw: an engine had ended its registration and was acknowledged; after all registrars and some gateways were killed and restarted, gateways sent it work again until it counted as silent.

Cause: the file that a restart reads held only targets that accept calls. After the restart the registrar that had acknowledged the departure knew nothing of the target, while the others, which write their files up to 0.5 s later, restored it as one that takes work.

Change: the file has the targets that have left, and a registrar announces them after a restart. Records of targets that left and then fell silent are forgotten after the same time as those that ended.

--- a/crates/usher_control/src/registrar/last_known_file.rs
+++ b/crates/usher_control/src/registrar/last_known_file.rs
@@ -19,7 +19,7 @@
 /// single write.
 const WRITE_DELAY: time::Duration = time::Duration::from_millis(500);
 
-/// The file with the applied routes and the targets that accept calls.
+/// The file with the applied routes, and with the targets that accept calls or have left.
 #[derive(Clone, Debug)]
 pub(crate) struct LastKnownFile {
     folder: path::PathBuf,
@@ -115,7 +115,7 @@
         let known = message::LastKnown {
             routes_version: newest.as_ref().map_or(0, |routes| routes.version.get()),
             routes_document: newest.map_or_else(Vec::new, |routes| routes.document.to_vec()),
-            targets: targets.usable_targets(),
+            targets: targets.lasting_targets(),
             broken_calls: evidence.borrow_and_update().clone(),
         };
         let version = known.routes_version;
--- a/crates/usher_control/src/registrar/target_registry.rs
+++ b/crates/usher_control/src/registrar/target_registry.rs
@@ -89,9 +89,10 @@
         entry.check(self.clock.wall())?;
         let now = self.clock.now();
         let reported = (entry.name.clone(), entry.phase, entry.address);
+        let has_left = entry.has_left();
         let sequence = entry.sequence;
         if self.change(|feed| feed.record_heartbeat(entry, now)) {
-            if reported.1 != usher_roster::TargetPhase::Ready {
+            if has_left {
                 self.mark_departure();
             }
             let (target, phase, address) = reported;
@@ -222,11 +223,13 @@
         feed.roster().iter().filter(live).count()
     }
 
-    /// Returns the targets that accept calls.
-    pub(crate) fn usable_targets(&self) -> Vec<message::TargetBeat> {
+    /// Returns the targets that a restart must know: those that accept calls, and those that have
+    /// stopped to, as another registrar may have missed that.
+    pub(crate) fn lasting_targets(&self) -> Vec<message::TargetBeat> {
         let feed = self.lock();
-        let usable = feed.roster().iter().filter(|entry| entry.takes_work());
-        usable.map(usher_roster::TargetEntry::to_message).collect()
+        let lasting = |entry: &&usher_roster::TargetEntry| entry.takes_work() || entry.has_left();
+        let entries = feed.roster().iter().filter(lasting);
+        entries.map(usher_roster::TargetEntry::to_message).collect()
     }
 
     /// Waits until all targets that have stopped taking work are stored as such, so that none is used
--- /dev/null
+++ b/crates/usher_control/tests/departures.rs
@@ -0,0 +1,97 @@
+//! Targets that have left, over restarts of all registrars at once.
+
+mod registrars;
+
+use std::time;
+
+use registrars::{RegistrarGroup, TestRegistrar};
+use usher_roster::{TargetEntry, TargetPhase};
+use usher_wire::message;
+
+/// Timeout of what registrars tell each other at once.
+const LIMIT: time::Duration = time::Duration::from_secs(5);
+
+fn target(group: &RegistrarGroup, phase: TargetPhase, sequence: u64) -> TargetEntry {
+    TargetEntry {
+        name: usher_types::TargetName::new("t"),
+        service: usher_types::ServiceName::new("s"),
+        address: group.nodes[0].address,
+        domain: usher_types::DomainName::new("d"),
+        slots: 8,
+        role: None,
+        phase,
+        silent: false,
+        born_ms: 1,
+        sequence,
+        warm_up: time::Duration::ZERO,
+    }
+}
+
+/// Starts three registrars, one of which may be lost, that have a target in their files.
+async fn start(name: &str) -> RegistrarGroup {
+    let group = RegistrarGroup::start(name, 3, 1).await;
+    let ready = target(&group, TargetPhase::Ready, 1);
+    let registrar = group.nodes[0].running();
+    registrar.targets().record_heartbeat(ready).unwrap();
+    for node in &group.nodes {
+        node.wait_for("the target in the file", |node| {
+            let known = node.last_known();
+            known.targets.iter().any(takes_work)
+        })
+        .await;
+    }
+    group
+}
+
+fn takes_work(beat: &message::TargetBeat) -> bool {
+    !beat.leaving && !beat.gone && !beat.silent
+}
+
+/// Lets the target leave at the first registrar, as its acknowledgement requires.
+async fn leave(group: &RegistrarGroup, phase: TargetPhase) {
+    let targets = group.nodes[0].running().targets();
+    match phase {
+        TargetPhase::Gone => targets.record_end(&usher_types::TargetName::new("t"), 1),
+        phase => targets.record_heartbeat(target(group, phase, 2)),
+    }
+    .unwrap();
+    targets.departures_stored().await;
+}
+
+/// Checks that all registrars tell gateways that the target takes no work.
+async fn check_left(group: &RegistrarGroup) {
+    for node in &group.nodes {
+        let told =
+            node.tell_targets_until(LIMIT, |beats| beats.iter().any(|beat| !takes_work(beat)));
+        let beats = told.await;
+        assert!(
+            beats.iter().any(|beat| !takes_work(beat)),
+            "{} tells {beats:?}",
+            node.address
+        );
+    }
+}
+
+/// Restarts all registrars at once, all but the first one with the file of the time before a target
+/// left.
+fn check_stale_files(case: &str, phase: TargetPhase) {
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    runtime.block_on(async {
+        let mut group = start(&format!("stale-{case}")).await;
+        let files: Vec<_> = group.nodes.iter().map(TestRegistrar::file).collect();
+        leave(&group, phase).await;
+        group.stop().await;
+        for (node, file) in group.nodes.iter().zip(files).skip(1) {
+            node.replace_file(&file);
+        }
+        group.restart().await;
+        check_left(&group).await;
+    });
+}
+
+// Guards against a target that is in use again after all registrars were killed, because the one that
+// has acknowledged its departure doesn't tell the others.
+usher_types::cases! { check_stale_files:
+    target_that_is_leaving_stays_so("leaving", TargetPhase::Leaving);
+    target_that_has_ended_stays_so("ended", TargetPhase::Gone);
+}
--- a/crates/usher_roster/src/entry.rs
+++ b/crates/usher_roster/src/entry.rs
@@ -137,6 +137,11 @@
         self.phase == TargetPhase::Ready && !self.silent
     }
 
+    /// Returns whether the process has said that it is leaving, or has ended.
+    pub fn has_left(&self) -> bool {
+        self.phase != TargetPhase::Ready
+    }
+
     /// Returns whether this entry is newer than another one of the same name.
     ///
     /// A later process start always is. For the same process the phase never goes back, then the
--- a/crates/usher_roster/src/feed.rs
+++ b/crates/usher_roster/src/feed.rs
@@ -165,12 +165,16 @@
         (self.last_role_change > cursor).then(engines)
     }
 
-    /// Adds a target that was known before a restart. It is used until it turns out to be silent:
-    /// most targets keep running when the system's own processes are restarted.
+    /// Adds a target that was known before a restart. One that took work is used until it turns out to
+    /// be silent: most targets keep running when the system's own processes are restarted. One that
+    /// had left is announced, as the other registrars may have been stopped before they knew.
     pub fn restore(&mut self, entry: entry::TargetEntry, now: time::Instant) {
         let name = entry.name.clone();
+        let is_gone = entry.phase == entry::TargetPhase::Gone;
         if self.roster.merge(entry, now) {
-            self.restored.insert(name.clone(), now);
+            if !is_gone {
+                self.restored.insert(name.clone(), now);
+            }
             self.mark_changed(name);
         }
     }
--- a/crates/usher_roster/src/roster.rs
+++ b/crates/usher_roster/src/roster.rs
@@ -4,8 +4,8 @@
 
 use crate::entry;
 
-/// Retention of the record of a target that ended, so that delayed heartbeats of its process don't
-/// bring it back. Longer than a partition usually lasts.
+/// Retention of the record of a target that ended, or has been silent since it said that it is
+/// leaving, so that delayed heartbeats of its process don't bring it back. Longer than a partition usually lasts.
 const GONE_RETENTION: time::Duration = time::Duration::from_secs(120);
 
 /// The newest entry of each target.
@@ -59,11 +59,16 @@
         self.merge(entry, now)
     }
 
-    /// Removes targets that ended before the retention period.
+    /// Removes targets that ended, or left and fell silent, before the retention period.
     pub fn forget(&mut self, now: time::Instant) {
         self.entries.retain(|_, record| {
             let kept = now.saturating_duration_since(record.merged_at) < GONE_RETENTION;
-            record.entry.phase != entry::TargetPhase::Gone || kept
+            let has_ended = match record.entry.phase {
+                entry::TargetPhase::Ready => false,
+                entry::TargetPhase::Leaving => record.entry.silent,
+                entry::TargetPhase::Gone => true,
+            };
+            !has_ended || kept
         });
     }
 
--- a/crates/usher_roster/tests/roster.rs
+++ b/crates/usher_roster/tests/roster.rs
@@ -187,6 +187,44 @@
         .takes_work());
 }
 
+/// Guards against a target that had left before a restart and that other processes still use.
+#[test]
+fn restored_targets_that_left_are_announced() {
+    for phase in [Leaving, Gone] {
+        let now = time::Instant::now();
+        let mut feed = RosterFeed::new(HEARTBEAT_INTERVAL);
+        feed.restore(heartbeat(5, 3, phase), now);
+        let told: Vec<_> = feed.changes_since(0, true).collect();
+        assert_eq!(told, [&heartbeat(5, 3, phase)]);
+        feed.merge(heartbeat(5, 4, Ready), now);
+        assert_eq!(
+            feed.roster()
+                .iter()
+                .filter(|entry| entry.takes_work())
+                .count(),
+            0
+        );
+    }
+}
+
+/// Guards against records of targets that left and never reported their end, which would stay in each
+/// registrar and its file for good.
+#[test]
+fn targets_that_leave_and_fall_silent_are_forgotten() {
+    let start = time::Instant::now();
+    let mut feed = RosterFeed::new(HEARTBEAT_INTERVAL);
+    feed.restore(heartbeat(5, 3, Leaving), start);
+    let silent_at = start + HEARTBEAT_INTERVAL * 10;
+    feed.expire(silent_at);
+    assert_eq!(
+        feed.roster().iter().count(),
+        1,
+        "delayed heartbeats may come"
+    );
+    feed.expire(silent_at + time::Duration::from_secs(600));
+    assert_eq!(feed.roster().iter().count(), 0);
+}
+
 /// Plays the mark of an answer and further entries; checks whether the target takes work then.
 fn check_mark(marked_ms: u64, entries: Vec<TargetEntry>, takes_work: bool) {
     let now = time::Instant::now();
