Repeat a failed write of the last-known file

What operators would see: after a write of the file failed, as on a full disk, the file stayed behind until some later change caused another write. A departure that was acknowledged meanwhile, after a wait of 0.4 s, was forgotten at the next restart, and so were routes.

Cause: the writer waits for changes only; a failed write is not one.

Change: a failed write is repeated every 0.25 s until the file is up to date. The log has one line for a series of failures and one when it ends.

Test: failed_write_is_repeated failed before (the departure was not in the file 20 s after writes were possible again) and passes.

--- a/crates/usher_control/src/registrar/last_known_file.rs
+++ b/crates/usher_control/src/registrar/last_known_file.rs
@@ -19,6 +19,9 @@
 /// single write.
 const WRITE_DELAY: time::Duration = time::Duration::from_millis(500);
 
+/// Delay before a failed write is repeated; a full disk may have space again at any moment.
+const RETRY_DELAY: time::Duration = time::Duration::from_millis(250);
+
 /// The file with the applied routes, and with the targets that accept calls or have left.
 #[derive(Clone, Debug)]
 pub(crate) struct LastKnownFile {
@@ -74,7 +77,8 @@
     }
 }
 
-/// Rewrites the file after changes of the routes or targets, until the task is aborted.
+/// Rewrites the file after changes of the routes or targets, and after a failed write until it is up
+/// to date, until the task is aborted.
 pub(crate) async fn run<C>(
     file: LastKnownFile,
     targets: registrar::TargetRegistry<C>,
@@ -89,12 +93,14 @@
     let mut applied = access.watch_applied();
     let mut evidence = broken_calls.watch_evidence();
     let mut written = message::LastKnown::default();
+    let mut failed_writes = 0_u64;
     loop {
         // Acknowledgements of targets that leave, and of routes, wait for the write.
         tokio::select! {
             changed = applied.changed() => if changed.is_err() { return },
             changed = departures.changed() => if changed.is_err() { return },
             changed = evidence.changed() => if changed.is_err() { return },
+            () = tokio::time::sleep(RETRY_DELAY), if failed_writes > 0 => {}
             changed = changes.changed() => {
                 if changed.is_err() {
                     return;
@@ -119,20 +125,33 @@
             broken_calls: evidence.borrow_and_update().clone(),
         };
         let version = known.routes_version;
-        if known == written {
+        if known == written && failed_writes == 0 {
             targets.mark_stored(last_change);
             continue;
         }
         let (file, content) = (file.clone(), known.clone());
         // A stalled disk blocks this task only, not the async runtime.
-        match tokio::task::spawn_blocking(move || file.write(&content)).await {
-            Ok(Ok(())) => {
+        let result = match tokio::task::spawn_blocking(move || file.write(&content)).await {
+            Ok(result) => result,
+            Err(error) => Err(io::Error::other(error)),
+        };
+        match result {
+            Ok(()) => {
                 written = known;
                 targets.mark_stored(last_change);
                 routes.mark_stored(version);
+                if failed_writes > 0 {
+                    tracing::info!(failed_writes, "last-known file written again");
+                }
+                failed_writes = 0;
+            }
+            Err(error) => {
+                // Once for a series of failures.
+                if failed_writes == 0 {
+                    tracing::warn!(%error, "can't write the last-known file; it is tried again");
+                }
+                failed_writes += 1;
             }
-            Ok(Err(error)) => tracing::warn!(%error, "can't write the last-known file"),
-            Err(error) => tracing::warn!(%error, "the task that writes the last-known file failed"),
         }
     }
 }
--- a/crates/usher_control/tests/departures.rs
+++ b/crates/usher_control/tests/departures.rs
@@ -95,3 +95,25 @@
     target_that_is_leaving_stays_so("leaving", TargetPhase::Leaving);
     target_that_has_ended_stays_so("ended", TargetPhase::Gone);
 }
+
+/// Guards against a file that stays behind for good after a write failed, as on a full disk, when no
+/// later change causes another write.
+#[tokio::test(flavor = "multi_thread")]
+async fn failed_write_is_repeated() {
+    let group = RegistrarGroup::start("failed-write", 1, 0).await;
+    let node = &group.nodes[0];
+    let ready = target(&group, TargetPhase::Ready, 1);
+    node.running().targets().record_heartbeat(ready).unwrap();
+    node.wait_for("the target in the file", |node| {
+        node.last_known().targets.iter().any(takes_work)
+    })
+    .await;
+    node.block_file();
+    leave(&group, TargetPhase::Gone).await;
+    assert!(node.last_known().targets.iter().any(takes_work));
+    node.unblock_file();
+    node.wait_for("the departure in the file", |node| {
+        node.last_known().targets.iter().any(|beat| beat.gone)
+    })
+    .await;
+}
--- a/crates/usher_control/tests/registrars/mod.rs
+++ b/crates/usher_control/tests/registrars/mod.rs
@@ -143,6 +143,15 @@
         std::fs::write(self.folder.join("last-known"), content).unwrap();
     }
 
+    /// Makes writes of the file fail.
+    pub(crate) fn block_file(&self) {
+        std::fs::create_dir(self.folder.join("last-known.new")).unwrap();
+    }
+
+    pub(crate) fn unblock_file(&self) {
+        std::fs::remove_dir(self.folder.join("last-known.new")).unwrap();
+    }
+
     /// Returns the content of the file that a restart reads.
     pub(crate) fn last_known(&self) -> message::LastKnown {
         let file = self.file();
