Acknowledge a departure when enough registrars have stored it

Cause: only the registrar that acknowledged a departure had stored it; the others, which heard of it, wrote their files up to 0.5 s later.

Change: the registrar asks the others to store the departure (StoreTargets) and acknowledges it when as many as may lose their disks at once have answered, besides its own file; otherwise it answers 503 after 0.7 s at most, and the target asks another one. Departures that registrars hear of are written at once.

--- a/crates/usher_control/src/registrar/handler.rs
+++ b/crates/usher_control/src/registrar/handler.rs
@@ -56,6 +56,19 @@
                 }))
             }
             envelope::Body::RoutesRequest(request) => Some(self.routes(&request).await),
+            envelope::Body::StoreTargets(request) => {
+                for target in &request.targets {
+                    self.targets.merge(&peer.node, target);
+                }
+                Some(if self.targets.departures_stored_here().await {
+                    envelope::Body::Ack(message::Ack {})
+                } else {
+                    wire_handler::refuse(
+                        message::ErrorKind::Unknown,
+                        "the targets are not stored in time",
+                    )
+                })
+            }
             _ => Some(wire_handler::refuse(
                 message::ErrorKind::BadRequest,
                 "a registrar doesn't answer this message",
--- a/crates/usher_control/src/registrar/mod.rs
+++ b/crates/usher_control/src/registrar/mod.rs
@@ -5,6 +5,7 @@
 //! operators, which an adapter translates.
 
 mod broken_calls;
+mod departure_copies;
 mod handler;
 mod last_known_file;
 mod load_aggregator;
--- a/crates/usher_control/src/registrar/node.rs
+++ b/crates/usher_control/src/registrar/node.rs
@@ -111,8 +111,15 @@
             self.clock.clone(),
             &last_known,
         );
+        let departure_copies = registrar::departure_copies::DepartureCopies::new(
+            access.clone(),
+            clients.clone(),
+            address,
+            self.options.tolerated_losses,
+        );
         let targets = registrar::TargetRegistry::new(
             access.clone(),
+            departure_copies,
             self.options.domain.clone(),
             self.options.heartbeat,
             self.clock.clone(),
--- a/crates/usher_control/src/registrar/peer_watch.rs
+++ b/crates/usher_control/src/registrar/peer_watch.rs
@@ -35,7 +35,7 @@
             broken_calls.merge(&reply.broken_calls);
         }
         for beat in update.reply.iter().flat_map(|reply| &reply.targets) {
-            targets.merge(update.address, beat);
+            targets.merge(&update.address, beat);
         }
     }
 }
--- a/crates/usher_control/src/registrar/target_registry.rs
+++ b/crates/usher_control/src/registrar/target_registry.rs
@@ -1,22 +1,22 @@
 //! Registers targets by their heartbeats and answers the watch requests of gateways.
 //! Not for: the routes.
 
-use std::{net, sync, time};
+use std::{sync, time};
 
 use tokio::sync::watch;
 use usher_wire::message;
 
 use crate::{
     fleet, plan,
-    registrar::{broken_calls, refused_sources},
+    registrar::{broken_calls, departure_copies, refused_sources},
 };
 
 /// Upper limit of the time that a watch request may wait for a change.
 const MAX_WAIT: time::Duration = time::Duration::from_secs(5);
 
-/// Longest time for which the acknowledgement of a target that leaves waits for the disk; targets
-/// wait for a second.
-const MAX_STORE_TIME: time::Duration = time::Duration::from_millis(400);
+/// Longest time for which the acknowledgement of a target that leaves waits for disks and other
+/// registrars. Targets wait for a second, part of which the way between regions takes.
+const MAX_STORE_TIME: time::Duration = time::Duration::from_millis(700);
 
 /// The targets known to this registrar, with change notifications for watchers; cheap to clone.
 #[derive(Clone, Debug)]
@@ -29,6 +29,7 @@
     /// Sequence number up to which the changes are in the file that a restart reads.
     stored: sync::Arc<watch::Sender<u64>>,
     access: fleet::FleetAccess,
+    departure_copies: departure_copies::DepartureCopies,
     /// Identifies the run of this process; a cursor of another run is not valid here.
     epoch: u64,
     domain: usher_types::DomainName,
@@ -45,6 +46,7 @@
 {
     pub(crate) fn new(
         access: fleet::FleetAccess,
+        departure_copies: departure_copies::DepartureCopies,
         domain: usher_types::DomainName,
         heartbeat: time::Duration,
         clock: C,
@@ -68,6 +70,7 @@
             departures: sync::Arc::new(watch::Sender::new(0)),
             stored: sync::Arc::new(watch::Sender::new(0)),
             access,
+            departure_copies,
             epoch: usher_types::IncarnationSource::random().get(),
             domain,
             published_routes,
@@ -154,18 +157,25 @@
         }
     }
 
-    /// Merges a record that the registrar at an address has received.
-    pub(crate) fn merge(&self, from: net::SocketAddr, beat: &message::TargetBeat) {
+    /// Merges a record that another registrar has sent.
+    pub(crate) fn merge<N>(&self, from: &N, beat: &message::TargetBeat)
+    where
+        N: std::fmt::Display,
+    {
         let entry = match usher_roster::TargetEntry::from_message(beat, self.clock.wall()) {
             Ok(entry) => entry,
             Err(error) => return self.log_refusal(&format!("{from} {}", beat.name), &error),
         };
         let now = self.clock.now();
-        self.change(|feed| {
+        let has_left = entry.has_left();
+        let changed = self.change(|feed| {
             let before = feed.last_change();
             feed.merge(entry, now);
             feed.last_change() != before
         });
+        if changed && has_left {
+            self.mark_departure();
+        }
     }
 
     /// Marks targets whose heartbeats have stopped as silent.
@@ -232,21 +242,38 @@
         entries.map(usher_roster::TargetEntry::to_message).collect()
     }
 
-    /// Waits until all targets that have stopped taking work are stored as such, so that none is used
-    /// again after a restart of this process; gives up after a time, as a disk may stall.
-    pub async fn departures_stored(&self) {
-        let wanted = *self.departures.borrow();
-        let mut stored = self.stored.subscribe();
-        let is_stored = stored.wait_for(|stored| *stored >= wanted);
-        if tokio::time::timeout(MAX_STORE_TIME, is_stored)
-            .await
-            .is_err()
-        {
+    /// Waits until the departure of a target may be acknowledged: until so many registrars have stored
+    /// it that none uses the target again, also when all are restarted and as many as may be lost have
+    /// lost their disks. Returns whether that was so within a time that the target waits.
+    pub async fn departure_stored(&self, target: &usher_types::TargetName) -> bool {
+        let entry = self.lock().roster().get(target).cloned();
+        let Some(entry) = entry else {
+            return true;
+        };
+        let copies = self
+            .departure_copies
+            .store(entry.to_message(), MAX_STORE_TIME);
+        let (here, elsewhere) = tokio::join!(self.departures_stored_here(), copies);
+        if !(here && elsewhere) {
             tracing::warn!(
+                %target,
+                here,
+                elsewhere,
                 max_ms = MAX_STORE_TIME.as_millis(),
-                "targets that leave are not stored in time"
+                "target that leaves is not stored by enough registrars in time"
             );
         }
+        here && elsewhere
+    }
+
+    /// Waits until all targets that have stopped taking work are in the file that a restart of this
+    /// process reads; returns whether that was so in time, as a disk may stall.
+    pub(crate) async fn departures_stored_here(&self) -> bool {
+        let wanted = *self.departures.borrow();
+        let mut stored = self.stored.subscribe();
+        let is_stored = stored.wait_for(|stored| *stored >= wanted);
+        let is_stored = tokio::time::timeout(MAX_STORE_TIME, is_stored).await;
+        is_stored.is_ok()
     }
 
     fn mark_departure(&self) {
--- a/crates/usher_control/tests/departures.rs
+++ b/crates/usher_control/tests/departures.rs
@@ -47,15 +47,17 @@
     !beat.leaving && !beat.gone && !beat.silent
 }
 
-/// Lets the target leave at the first registrar, as its acknowledgement requires.
-async fn leave(group: &RegistrarGroup, phase: TargetPhase) {
+/// Lets the target leave at the first registrar; returns whether that may be acknowledged.
+async fn leave(group: &RegistrarGroup, phase: TargetPhase) -> bool {
     let targets = group.nodes[0].running().targets();
     match phase {
         TargetPhase::Gone => targets.record_end(&usher_types::TargetName::new("t"), 1),
         phase => targets.record_heartbeat(target(group, phase, 2)),
     }
     .unwrap();
-    targets.departures_stored().await;
+    targets
+        .departure_stored(&usher_types::TargetName::new("t"))
+        .await
 }
 
 /// Checks that all registrars tell gateways that the target takes no work.
@@ -79,7 +81,7 @@
     runtime.block_on(async {
         let mut group = start(&format!("stale-{case}")).await;
         let files: Vec<_> = group.nodes.iter().map(TestRegistrar::file).collect();
-        leave(&group, phase).await;
+        assert!(leave(&group, phase).await);
         group.stop().await;
         for (node, file) in group.nodes.iter().zip(files).skip(1) {
             node.replace_file(&file);
@@ -109,7 +111,7 @@
     })
     .await;
     node.block_file();
-    leave(&group, TargetPhase::Gone).await;
+    assert!(!leave(&group, TargetPhase::Gone).await);
     assert!(node.last_known().targets.iter().any(takes_work));
     node.unblock_file();
     node.wait_for("the departure in the file", |node| {
@@ -117,3 +119,33 @@
     })
     .await;
 }
+
+/// Guards against a target that is in use again after a restart, because the registrar that has
+/// acknowledged its departure lost its disk and was the only one to have stored it.
+#[tokio::test(flavor = "multi_thread")]
+async fn departure_survives_the_loss_of_a_disk() {
+    let mut group = start("departure-lost-disk").await;
+    assert!(leave(&group, TargetPhase::Gone).await);
+    group.stop().await;
+    group.nodes[0].lose_disk();
+    group.restart().await;
+    check_left(&group).await;
+}
+
+/// Guards against the acknowledgement of a departure that a loss of one disk would undo.
+#[tokio::test(flavor = "multi_thread")]
+async fn departure_is_not_acknowledged_without_a_copy() {
+    let mut group = start("departure-no-copy").await;
+    for node in &mut group.nodes[1..] {
+        node.stop().await;
+    }
+    assert!(!leave(&group, TargetPhase::Gone).await);
+}
+
+/// Guards against a departure that isn't acknowledged because one of three registrars is down.
+#[tokio::test(flavor = "multi_thread")]
+async fn departure_is_acknowledged_while_a_registrar_is_down() {
+    let mut group = start("departure-one-down").await;
+    group.nodes[2].stop().await;
+    assert!(leave(&group, TargetPhase::Leaving).await);
+}
--- a/crates/usher_control/tests/registrars/mod.rs
+++ b/crates/usher_control/tests/registrars/mod.rs
@@ -143,6 +143,16 @@
         std::fs::write(self.folder.join("last-known"), content).unwrap();
     }
 
+    /// Removes the folder, as the loss of a disk does.
+    pub(crate) fn lose_disk(&self) {
+        std::fs::remove_dir_all(&self.folder).unwrap();
+    }
+
+    /// Stops the registrar.
+    pub(crate) async fn stop(&mut self) {
+        self.running.take().unwrap().stop().await;
+    }
+
     /// Makes writes of the file fail.
     pub(crate) fn block_file(&self) {
         std::fs::create_dir(self.folder.join("last-known.new")).unwrap();
