Bound what a target may send before the head of its answer

What callers would see: a target that sends interim answers (1xx) without end holds the only thread of a gateway or registrar. 40 calls took 19.8 s with a deadline of 4 s; a registrar answered nothing for 30 s.

Cause: the HTTP library drops each interim answer and reads on, and while bytes keep arriving no other task gets its turn. Only the head itself had a limit.

Change: HeadLimit fails a connection when the head of an answer isn't complete within 256 KiB, at gateways, registrars, entry daemons and control.

--- /dev/null
+++ b/crates/usher_answer/src/head_limit.rs
@@ -0,0 +1,121 @@
+//! Bounds what a target may send before the head of its answer is complete. Not for: bodies.
+
+use std::{io, pin, sync, sync::atomic, task};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+/// Most bytes that are read until the head of an answer is complete: interim answers (status 1xx),
+/// the head, and what a read takes of the body along with it. HTTP libraries bound a head, but skip
+/// interim answers and empty lines without end, and serve nothing else on their thread meanwhile.
+const MAX_BYTES: usize = 256 * 1_024;
+
+/// Value of `left` while no head is awaited.
+const NO_LIMIT: usize = usize::MAX;
+
+/// Says when a connection awaits the head of an answer; cheap to clone.
+#[derive(Clone, Debug)]
+pub struct HeadLimit {
+    /// Bytes that may still be read.
+    left: sync::Arc<atomic::AtomicUsize>,
+}
+
+/// A connection on which the bytes of each head are bounded.
+#[derive(Debug)]
+pub struct LimitedStream<S> {
+    stream: S,
+    limit: HeadLimit,
+}
+
+impl HeadLimit {
+    /// Bounds the heads of answers on a connection; no head is awaited yet.
+    pub fn new<S>(stream: S) -> (Self, LimitedStream<S>) {
+        let limit = Self {
+            left: sync::Arc::new(atomic::AtomicUsize::new(NO_LIMIT)),
+        };
+        let stream = LimitedStream {
+            stream,
+            limit: limit.clone(),
+        };
+        (limit, stream)
+    }
+
+    /// Marks that a request is sent, whose answer is awaited.
+    pub fn begin(&self) {
+        self.left.store(MAX_BYTES, atomic::Ordering::Relaxed);
+    }
+
+    /// Marks that the head of the answer is complete.
+    pub fn end(&self) {
+        self.left.store(NO_LIMIT, atomic::Ordering::Relaxed);
+    }
+
+    fn count(&self, bytes: usize) -> io::Result<()> {
+        let left = self.left.load(atomic::Ordering::Relaxed);
+        if left == NO_LIMIT {
+            return Ok(());
+        }
+        let left = left.saturating_sub(bytes);
+        self.left.store(left, atomic::Ordering::Relaxed);
+        if left > 0 {
+            return Ok(());
+        }
+        Err(io::Error::new(
+            io::ErrorKind::InvalidData,
+            format!("no complete head of an answer in {MAX_BYTES} bytes"),
+        ))
+    }
+}
+
+impl<S> AsyncRead for LimitedStream<S>
+where
+    S: AsyncRead + Unpin,
+{
+    fn poll_read(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let read = pin::Pin::new(&mut self.stream).poll_read(context, buffer);
+        read.map(|result| result.and_then(|()| self.limit.count(buffer.filled().len() - before)))
+    }
+}
+
+impl<S> AsyncWrite for LimitedStream<S>
+where
+    S: AsyncWrite + Unpin,
+{
+    fn poll_write(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+        bytes: &[u8],
+    ) -> task::Poll<io::Result<usize>> {
+        pin::Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> task::Poll<io::Result<usize>> {
+        pin::Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        pin::Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        pin::Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- a/crates/usher_control/src/order/engine_client.rs
+++ b/crates/usher_control/src/order/engine_client.rs
@@ -99,15 +99,11 @@
         G: FnOnce() -> bool,
     {
         let connect = connect(address);
-        let (mut sender, _guard) =
-            tokio::time::timeout(self.timeout, connect)
-                .await
-                .map_err(|_| {
-                    error::EngineError::NotSent(format!(
-                        "connecting took longer than {:?}",
-                        self.timeout
-                    ))
-                })??;
+        let (mut sender, head_limit, _guard) = tokio::time::timeout(self.timeout, connect)
+            .await
+            .map_err(|_| {
+            error::EngineError::NotSent(format!("connecting took longer than {:?}", self.timeout))
+        })??;
         if !may_write() {
             return Err(error::EngineError::NotSent(
                 "the leader lease has expired".to_owned(),
@@ -115,8 +111,10 @@
         }
         let unknown = |text: String| error::EngineError::Unknown(text);
         let exchange = async {
+            head_limit.begin();
             let answer = sender.send_request(request).await;
             let answer = answer.map_err(|error| unknown(error.to_string()))?;
+            head_limit.end();
             let (parts, body) = answer.into_parts();
             let mut body = usher_answer::AnswerReader::new(&parts.headers, body);
             let body = body
@@ -133,7 +131,9 @@
 
 type EngineSender = hyper::client::conn::http1::SendRequest<http_body_util::Full<bytes::Bytes>>;
 
-async fn connect(address: &str) -> Result<(EngineSender, ConnectionGuard), error::EngineError> {
+async fn connect(
+    address: &str,
+) -> Result<(EngineSender, usher_answer::HeadLimit, ConnectionGuard), error::EngineError> {
     let not_sent = |text: String| error::EngineError::NotSent(text);
     let address: net::SocketAddr = address
         .parse()
@@ -142,6 +142,7 @@
         .await
         .map_err(|error| not_sent(error.to_string()))?;
     limit_time_in_flight(&socket).map_err(|error| not_sent(error.to_string()))?;
+    let (head_limit, socket) = usher_answer::HeadLimit::new(socket);
     let io = hyper_util::rt::TokioIo::new(socket);
     let (sender, connection) = hyper::client::conn::http1::handshake(io)
         .await
@@ -149,7 +150,7 @@
     let task = tokio::spawn(async move {
         let _ = future::IntoFuture::into_future(connection).await;
     });
-    Ok((sender, ConnectionGuard(task)))
+    Ok((sender, head_limit, ConnectionGuard(task)))
 }
 
 /// Limits the time for which the bytes of an order can be in flight: unacknowledged bytes time out,
--- a/crates/usher_control/src/registrar/role_orders.rs
+++ b/crates/usher_control/src/registrar/role_orders.rs
@@ -181,6 +181,7 @@
         // Closing resets the connection, so that an abandoned request does not arrive later.
         let linger = socket2::SockRef::from(&socket).set_linger(Some(time::Duration::ZERO));
         linger.map_err(|error| error.to_string())?;
+        let (head_limit, socket) = usher_answer::HeadLimit::new(socket);
         let io = hyper_util::rt::TokioIo::new(socket);
         let handshake = hyper::client::conn::http1::handshake(io).await;
         let (mut sender, connection) = handshake.map_err(|error| error.to_string())?;
@@ -198,7 +199,9 @@
             return Err("the leader lease expired while connecting".to_owned());
         }
         let answered = async {
+            head_limit.begin();
             let answer = sender.send_request(request).await?;
+            head_limit.end();
             let (parts, body) = answer.into_parts();
             let mut body = usher_answer::AnswerReader::new(&parts.headers, body);
             let body = body.read_all(MAX_ANSWER_BYTES).await;
--- a/crates/usher_entry/src/connection_pool.rs
+++ b/crates/usher_entry/src/connection_pool.rs
@@ -6,7 +6,7 @@
 
 use hyper::{body::Body as _, client::conn::http1};
 use tokio::net as tokio_net;
-use usher_answer::{AnswerOwner, ConnectionUse};
+use usher_answer::{AnswerOwner, ConnectionUse, HeadLimit, LimitedStream};
 use usher_types::RequestId;
 
 use crate::client::SendError;
@@ -27,6 +27,7 @@
 const MAX_REQUESTS: usize = 256;
 
 type RequestBody = http_body_util::Full<bytes::Bytes>;
+type TargetIo = hyper_util::rt::TokioIo<LimitedStream<tokio_net::TcpStream>>;
 type FrameResult = Option<Result<hyper::body::Frame<bytes::Bytes>, hyper::Error>>;
 
 /// A connection that makes progress only while one of its methods is awaited.
@@ -34,7 +35,8 @@
 /// With a separate task per connection, every token would wake two tasks, often on two threads.
 pub(crate) struct TargetConnection {
     sender: http1::SendRequest<RequestBody>,
-    connection: http1::Connection<hyper_util::rt::TokioIo<tokio_net::TcpStream>, RequestBody>,
+    connection: http1::Connection<TargetIo, RequestBody>,
+    head_limit: HeadLimit,
     ended: bool,
     address: net::SocketAddr,
     used_at: time::Instant,
@@ -64,11 +66,13 @@
         socket2::SockRef::from(&socket)
             .set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))
             .map_err(not_sent)?;
+        let (head_limit, socket) = HeadLimit::new(socket);
         let io = hyper_util::rt::TokioIo::new(socket);
         let (sender, connection) = http1::handshake(io).await.map_err(not_sent)?;
         Ok(Self {
             sender,
             connection,
+            head_limit,
             ended: false,
             address,
             used_at: time::Instant::now(),
@@ -122,6 +126,7 @@
         http::Response<hyper::body::Incoming>,
         (SendError, Option<http::Request<RequestBody>>),
     > {
+        self.head_limit.begin();
         let response = self.sender.try_send_request(request);
         tokio::pin!(response);
         let result = future::poll_fn(|context| {
@@ -132,6 +137,7 @@
             response.as_mut().poll(context)
         })
         .await;
+        self.head_limit.end();
         result.map_err(|mut error| {
             let request = error.take_message();
             let message = error.into_error().to_string();
--- a/crates/usher_entry/tests/entry/hostile.rs
+++ b/crates/usher_entry/tests/entry/hostile.rs
@@ -130,6 +130,37 @@
     assert_eq!(ends.count(), 1);
 }
 
+/// Guards against interim answers without end, which hold a call and the thread that reads them.
+#[tokio::test]
+async fn endless_interim_answers_are_given_up() {
+    let fleet =
+        Fleet::start(options().with_first_token_timeout(time::Duration::from_secs(20))).await;
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    announce_engine(&fleet, &listener).await;
+    let engine = tokio::spawn(async move {
+        while let Ok((mut socket, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let hints = "HTTP/1.1 103 Early Hints\r\nx: y\r\n\r\n".repeat(1_000);
+                while socket.write_all(hints.as_bytes()).await.is_ok() {}
+            });
+        }
+    });
+    let begin = time::Instant::now();
+    let reply = fleet.chat(&chat_body(4, true)).await;
+    assert_eq!(
+        (reply.status, reply.run()),
+        (502, Some("unknown")),
+        "{}",
+        reply.text
+    );
+    assert!(
+        begin.elapsed() < time::Duration::from_secs(5),
+        "{:?}",
+        begin.elapsed()
+    );
+    engine.abort();
+}
+
 /// Guards against requests without a Host header or in absolute form, which HTTP/1.1 servers
 /// refuse.
 #[tokio::test]
--- a/crates/usher_gateway/src/pool.rs
+++ b/crates/usher_gateway/src/pool.rs
@@ -32,7 +32,13 @@
 /// sends without end fills no more on each connection.
 const MAX_HEAD_BYTES: usize = 64 * 1_024;
 
-type ConnectionSender = http1::SendRequest<RequestBody>;
+/// A connection that can carry a request.
+#[derive(Debug)]
+struct ConnectionSender {
+    sender: http1::SendRequest<RequestBody>,
+    head_limit: usher_answer::HeadLimit,
+}
+
 /// The body of an answer, whose end is reported only when the answer is complete.
 pub(crate) type TargetBody = usher_answer::AnswerReader<hyper::body::Incoming>;
 pub(crate) type RequestBody = http_body_util::Full<bytes::Bytes>;
@@ -115,8 +121,10 @@
         (http::Response<TargetBody>, ConnectionLease),
         (ConnectionError, Option<http::Request<RequestBody>>),
     > {
-        match sender.try_send_request(request).await {
+        sender.head_limit.begin();
+        match sender.sender.try_send_request(request).await {
             Ok(answer) => {
+                sender.head_limit.end();
                 let connection = ConnectionLease {
                     pool: self.clone(),
                     target: target.clone(),
@@ -147,8 +155,9 @@
     pub(crate) fn prune(&self, is_known: impl Fn(&usher_types::TargetName) -> bool) {
         let now = time::Instant::now();
         self.lock().retain(|name, connections| {
-            connections
-                .retain(|connection| connection.until > now && !connection.sender.is_closed());
+            connections.retain(|connection| {
+                connection.until > now && !connection.sender.sender.is_closed()
+            });
             !connections.is_empty() && is_known(name)
         });
     }
@@ -158,7 +167,7 @@
         let mut idle = self.lock();
         let connections = idle.get_mut(target)?;
         while let Some(connection) = connections.pop() {
-            if connection.until > now && connection.sender.is_ready() {
+            if connection.until > now && connection.sender.sender.is_ready() {
                 return Some(connection.sender);
             }
         }
@@ -186,7 +195,7 @@
             return;
         }
         tokio::spawn(async move {
-            let ready = tokio::time::timeout(RELEASE_TIMEOUT, sender.ready()).await;
+            let ready = tokio::time::timeout(RELEASE_TIMEOUT, sender.sender.ready()).await;
             if matches!(ready, Ok(Ok(()))) {
                 let until = time::Instant::now() + keep_alive;
                 let connection = IdleConnection { sender, until };
@@ -216,6 +225,7 @@
         .and_then(|()| options.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT)))
         .and_then(|()| options.set_tcp_keepalive(&probes))
         .map_err(not_sent)?;
+    let (head_limit, socket) = usher_answer::HeadLimit::new(socket);
     let io = hyper_util::rt::TokioIo::new(socket);
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
@@ -227,7 +237,7 @@
             tracing::debug!(%address, %error, "connection to a target ended with an error");
         }
     });
-    Ok(sender)
+    Ok(ConnectionSender { sender, head_limit })
 }
 
 fn not_sent<E>(error: E) -> ConnectionError
