Drop the lock before stale role changes are removed

What callers saw: all gateways hung for good after a registrar that had ordered a role, and was not among the seeds, had lost its disk: no answers, no readiness, no end.

Cause: retain_role_changes took the lock of the lists in the head of a while let, inside a block. In the 2021 edition the guard lives until the end of the body, which takes the same lock.

Test: role_changes_of_a_removed_registrar_are_dropped failed before (the gateway did not go on within 30 s) and passes.

--- a/crates/usher_control/src/registrar/node.rs
+++ b/crates/usher_control/src/registrar/node.rs
@@ -118,10 +118,9 @@
             self.options.tolerated_losses,
         );
         let targets = registrar::TargetRegistry::new(
+            &self.options,
             access.clone(),
             departure_copies,
-            self.options.domain.clone(),
-            self.options.heartbeat,
             self.clock.clone(),
             &last_known,
             publisher.watch_version(),
--- a/crates/usher_control/src/registrar/target_registry.rs
+++ b/crates/usher_control/src/registrar/target_registry.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     fleet, plan,
-    registrar::{broken_calls, departure_copies, refused_sources},
+    registrar::{self, broken_calls, departure_copies, refused_sources},
 };
 
 /// Upper limit of the time that a watch request may wait for a change.
@@ -45,16 +45,15 @@
     C: usher_types::ClockSource,
 {
     pub(crate) fn new(
+        options: &registrar::RegistrarOptions,
         access: fleet::FleetAccess,
         departure_copies: departure_copies::DepartureCopies,
-        domain: usher_types::DomainName,
-        heartbeat: time::Duration,
         clock: C,
         last_known: &message::LastKnown,
         published_routes: watch::Receiver<u64>,
         broken_calls: broken_calls::BrokenCallRegistry<C>,
     ) -> Self {
-        let mut feed = usher_roster::RosterFeed::new(heartbeat);
+        let mut feed = usher_roster::RosterFeed::new(options.heartbeat);
         let wall = clock.wall();
         for beat in &last_known.targets {
             match usher_roster::TargetEntry::from_message(beat, wall) {
@@ -72,7 +71,7 @@
             access,
             departure_copies,
             epoch: usher_types::IncarnationSource::random().get(),
-            domain,
+            domain: options.domain.clone(),
             published_routes,
             broken_calls,
             refused: sync::Arc::default(),
--- a/crates/usher_gateway/src/core.rs
+++ b/crates/usher_gateway/src/core.rs
@@ -195,11 +195,15 @@
 
     /// Removes the lists of registrars that are no longer watched.
     pub(crate) fn retain_role_changes(&self, is_watched: impl Fn(&net::SocketAddr) -> bool) {
-        let stale = |lists: &RoleChanges| {
-            let stale = lists.keys().find(|registrar| !is_watched(registrar));
-            stale.copied()
+        let stale: Vec<_> = {
+            let lists = self.lock_role_changes();
+            let registrars = lists.keys().copied();
+            registrars
+                .filter(|registrar| !is_watched(registrar))
+                .collect()
         };
-        while let Some(registrar) = { stale(&self.lock_role_changes()) } {
+        // Takes the lock of the lists itself.
+        for registrar in stale {
             self.set_role_changes(registrar, None);
         }
     }
--- a/crates/usher_gateway/tests/routes.rs
+++ b/crates/usher_gateway/tests/routes.rs
@@ -75,3 +75,34 @@
     gateway.wait_for_targets(3).await;
     gateway.wait_for_targets(2).await;
 }
+
+/// Time after which the next test fails. A thread that waits for itself would keep the runtime, and so
+/// the test, from ending.
+const DEADLOCK_LIMIT: time::Duration = time::Duration::from_secs(30);
+
+/// Guards against a gateway that waits for itself for good when a registrar that changes the role of an
+/// engine is no longer watched.
+#[test]
+fn role_changes_of_a_removed_registrar_are_dropped() {
+    let (finished, is_finished) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        let runtime = tokio::runtime::Runtime::new().unwrap();
+        runtime.block_on(async {
+            let link = ThinLink::new(LINK_BYTES_PER_SECOND);
+            let removed = StandInRegistrar::start(link.clone()).await;
+            removed.set_engines(&["e1", "e2", "e3"], &["e2"]);
+            let kept = StandInRegistrar::start(link).await;
+            kept.set_engines(&["e1", "e2", "e3"], &[]);
+            let registrars = [kept, removed];
+            let gateway = GatewayUnderTest::start(&registrars).await;
+            gateway.wait_for_targets(2).await;
+            gateway.set_seeds(&registrars[..1]).await;
+            registrars[0].offer(&Document::new(1, 100));
+            gateway.wait_for_targets(3).await;
+            gateway.wait_for_routes(1).await;
+        });
+        finished.send(()).unwrap();
+    });
+    let result = is_finished.recv_timeout(DEADLOCK_LIMIT);
+    assert_eq!(result, Ok(()), "the gateway does not go on");
+}
--- a/crates/usher_gateway/tests/support/mod.rs
+++ b/crates/usher_gateway/tests/support/mod.rs
@@ -346,6 +346,12 @@
         }
     }
 
+    /// Replaces the registrars from which the others are learned.
+    pub async fn set_seeds(&self, registrars: &[StandInRegistrar]) {
+        let seeds = registrars.iter().map(|known| known.address).collect();
+        self.running.set_seeds(seeds).await;
+    }
+
     /// Waits until this many targets take work.
     pub async fn wait_for_targets(&self, count: u64) {
         let limit = time::Instant::now() + HANG_LIMIT;
--- a/crates/usher_wire/src/call.rs
+++ b/crates/usher_wire/src/call.rs
@@ -152,7 +152,8 @@
     pending: &sync::Mutex<collections::HashMap<u64, ReplySender>>,
     envelope: message::Envelope,
 ) {
-    if let Some(reply) = lock(pending).remove(&envelope.call) {
+    let reply = lock(pending).remove(&envelope.call);
+    if let Some(reply) = reply {
         let _ = reply.send(envelope.body.ok_or(error::CallError::Unexpected));
     }
 }
