--- a/crates/usher_replica/tests/common/mod.rs
+++ b/crates/usher_replica/tests/common/mod.rs
@@ -6,7 +6,7 @@
 
 use usher_replica::{
     ProposeError, ReplicaBuilder, ReplicaHandle, ReplicaRole, ReplicaSettings, RestoreError,
-    StateMachine,
+    StartError, StateMachine,
 };
 use usher_types::{LogIndex, NodeName};
 use usher_wire::{message, CallHandler, WireIdentity};
@@ -143,13 +143,34 @@
     where
         C: usher_types::ClockSource,
     {
-        let machine = ListMachine::default();
         let (name, address) = (settings.name.clone(), settings.address);
-        let handle = ReplicaBuilder::new(settings, machine)
+        let handle = ReplicaBuilder::new(settings, ListMachine::default())
             .with_clock(clock)
             .start()
             .await
             .unwrap();
+        Self::serve(handle, name, address)
+    }
+
+    /// Starts one node on a folder in memory.
+    ///
+    /// # Errors
+    ///
+    /// Fails as the start of the replica does.
+    pub async fn start_on(
+        &self,
+        node_index: usize,
+        folder: usher_log::MemoryFolder,
+    ) -> Result<Node, StartError> {
+        let settings = self.settings(node_index);
+        let (name, address) = (settings.name.clone(), settings.address);
+        let builder = ReplicaBuilder::new(settings, ListMachine::default());
+        let handle = builder.start_on(folder).await?;
+        Ok(Self::serve(handle, name, address))
+    }
+
+    /// Receives messages for a replica.
+    fn serve(handle: Handle, name: NodeName, address: net::SocketAddr) -> Node {
         let socket = tokio::net::TcpSocket::new_v4().unwrap();
         socket.set_reuseaddr(true).unwrap();
         socket.bind(address).unwrap();
