--- a/crates/usher_answer/src/head_limit.rs
+++ b/crates/usher_answer/src/head_limit.rs
@@ -5,8 +5,8 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 /// Most bytes that are read until the head of an answer is complete: interim answers (status 1xx),
-/// the head, and what a read takes of the body along with it. HTTP libraries bound a head, but skip
-/// interim answers and empty lines without end, and serve nothing else on their thread meanwhile.
+/// the head, and what a read takes of the body along with it. The HTTP library bounds a head, but skips
+/// interim answers without end, and leaves its thread no time for anything else meanwhile.
 const MAX_BYTES: usize = 256 * 1_024;
 
 /// Value of `left` while no head is awaited.
--- a/crates/usher_gateway/src/pool.rs
+++ b/crates/usher_gateway/src/pool.rs
@@ -35,7 +35,7 @@
 /// A connection that can carry a request.
 #[derive(Debug)]
 struct ConnectionSender {
-    sender: http1::SendRequest<RequestBody>,
+    requests: http1::SendRequest<RequestBody>,
     head_limit: usher_answer::HeadLimit,
 }
 
@@ -122,7 +122,7 @@
         (ConnectionError, Option<http::Request<RequestBody>>),
     > {
         sender.head_limit.begin();
-        match sender.sender.try_send_request(request).await {
+        match sender.requests.try_send_request(request).await {
             Ok(answer) => {
                 sender.head_limit.end();
                 let connection = ConnectionLease {
@@ -156,7 +156,7 @@
         let now = time::Instant::now();
         self.lock().retain(|name, connections| {
             connections.retain(|connection| {
-                connection.until > now && !connection.sender.sender.is_closed()
+                connection.until > now && !connection.sender.requests.is_closed()
             });
             !connections.is_empty() && is_known(name)
         });
@@ -167,7 +167,7 @@
         let mut idle = self.lock();
         let connections = idle.get_mut(target)?;
         while let Some(connection) = connections.pop() {
-            if connection.until > now && connection.sender.sender.is_ready() {
+            if connection.until > now && connection.sender.requests.is_ready() {
                 return Some(connection.sender);
             }
         }
@@ -195,7 +195,7 @@
             return;
         }
         tokio::spawn(async move {
-            let ready = tokio::time::timeout(RELEASE_TIMEOUT, sender.sender.ready()).await;
+            let ready = tokio::time::timeout(RELEASE_TIMEOUT, sender.requests.ready()).await;
             if matches!(ready, Ok(Ok(()))) {
                 let until = time::Instant::now() + keep_alive;
                 let connection = IdleConnection { sender, until };
@@ -227,7 +227,7 @@
         .map_err(not_sent)?;
     let (head_limit, socket) = usher_answer::HeadLimit::new(socket);
     let io = hyper_util::rt::TokioIo::new(socket);
-    let (sender, connection) = http1::Builder::new()
+    let (requests, connection) = http1::Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
         .handshake(io)
         .await
@@ -237,7 +237,10 @@
             tracing::debug!(%address, %error, "connection to a target ended with an error");
         }
     });
-    Ok(ConnectionSender { sender, head_limit })
+    Ok(ConnectionSender {
+        requests,
+        head_limit,
+    })
 }
 
 fn not_sent<E>(error: E) -> ConnectionError
