--- a/crates/usher_control/tests/registrar_restart.rs
+++ b/crates/usher_control/tests/registrar_restart.rs
@@ -1,33 +1,15 @@
 //! Tests that a restarted registrar still serves the routes and targets that it knew before.
 
+mod registrars;
+
 use std::{net, path, time};
 
 use prost::Message as _;
-use usher_control::{
-    EngineRequest, OrderDialect, RegistrarNode, RegistrarOptions, RoleOrder, RunningRegistrar,
-    VersionedRoutes,
-};
+use registrars::NoOrders;
+use usher_control::{RegistrarNode, RegistrarOptions, RunningRegistrar, VersionedRoutes};
 use usher_roster::{TargetEntry, TargetPhase};
 use usher_wire::message::{self, envelope};
 
-/// Dialect of a test in which no orders are sent.
-#[derive(Clone)]
-struct NoOrders;
-
-impl OrderDialect for NoOrders {
-    fn revision_request(&self, _engine: &usher_types::TargetName) -> EngineRequest {
-        unreachable!("no engine has a role")
-    }
-
-    fn parse_revision(&self, _body: &[u8]) -> Option<u64> {
-        None
-    }
-
-    fn order_request(&self, _order: &RoleOrder) -> EngineRequest {
-        unreachable!("no engine has a role")
-    }
-}
-
 async fn start(
     folder: &path::Path,
     address: net::SocketAddr,
@@ -50,20 +32,6 @@
     node.start().await.unwrap()
 }
 
-/// Documents of this test are the number of their version.
-impl usher_route::RouteDialect for NoOrders {
-    fn read_routes(&self, document: &[u8]) -> Result<usher_route::RouteSheet, String> {
-        let text = std::str::from_utf8(document).map_err(|error| error.to_string())?;
-        let version = text.parse::<u64>().map_err(|error| error.to_string())?;
-        Ok(usher_route::RouteSheet {
-            version: usher_types::ConfigVersion::new(version),
-            routes: Vec::new(),
-            services: std::collections::BTreeMap::new(),
-            limits: usher_route::CallerLimits::default(),
-        })
-    }
-}
-
 /// Returns the first answer to a watch request, without waiting for changes.
 async fn first_reply(address: net::SocketAddr) -> message::WatchReply {
     let identity = usher_wire::WireIdentity {
--- a/crates/usher_control/tests/registrars/mod.rs
+++ b/crates/usher_control/tests/registrars/mod.rs
@@ -1,5 +1,7 @@
 //! Several registrars in one process, each with an address and a folder of its own.
 
+#![allow(dead_code)]
+
 use std::{net, path, time};
 
 use prost::Message as _;
@@ -13,7 +15,7 @@
 
 /// Dialect of tests in which no orders are sent.
 #[derive(Clone)]
-struct NoOrders;
+pub(crate) struct NoOrders;
 
 impl OrderDialect for NoOrders {
     fn revision_request(&self, _engine: &usher_types::TargetName) -> EngineRequest {
