--- a/review/stand-2/src/engine.rs
+++ b/review/stand-2/src/engine.rs
@@ -13,8 +13,15 @@
     install::{Install, Record},
 };
 
+/// What an engine writes as an answer.
+pub enum Reply {
+    Whole(Vec<u8>),
+    /// Pieces with a pause after each.
+    Pieces(Vec<Vec<u8>>, Duration),
+}
+
 /// What an engine writes instead of its usual answer to a request that it runs.
-pub type Trouble = Arc<dyn Fn(&Message) -> Option<Vec<u8>> + Send + Sync>;
+pub type Trouble = Arc<dyn Fn(&Message) -> Option<Reply> + Send + Sync>;
 
 /// A request that an engine ran.
 #[derive(Clone, Debug)]
@@ -114,27 +121,37 @@
     let _ = stream.set_nodelay(true);
     let mut kept = Vec::new();
     while let Ok(Some(request)) = http::read_message(&mut stream, &mut kept, false) {
-        let bytes = reply(&request, engine, runs, record, trouble.as_ref());
-        if stream.write_all(&bytes).is_err() {
-            return;
+        let (pieces, pause) = match reply(&request, engine, runs, record, trouble.as_ref()) {
+            Reply::Whole(bytes) => (vec![bytes], Duration::ZERO),
+            Reply::Pieces(pieces, pause) => (pieces, pause),
+        };
+        for piece in pieces {
+            if stream.write_all(&piece).is_err() {
+                return;
+            }
+            thread::sleep(pause);
         }
     }
 }
 
+fn whole(status: &str, headers: &str, body: &str) -> Reply {
+    Reply::Whole(answer(status, headers, body))
+}
+
 fn reply(
     request: &Message,
     engine: &EngineOptions,
     runs: &Runs,
     record: &Record,
     trouble: Option<&Trouble>,
-) -> Vec<u8> {
+) -> Reply {
     let (method, path) = request.target();
     let name = engine.name;
     let id = request
         .header("pimentousher-request-id")
         .unwrap_or_default();
     if path == "/healthz" {
-        return answer("200 OK", &stamped(id, name), "");
+        return whole("200 OK", &stamped(id, name), "");
     }
     if path == "/api/report" {
         let stage = engine.stage.unwrap_or_default();
@@ -142,10 +159,10 @@
             "{{\"stage\":\"{stage}\",\"models\":[],\"busy\":true,\"seqNo\":0,\"waiting\":0,\
              \"runningReqs\":0,\"kvUsed\":0,\"kvTotal\":446876,\"kvHandles\":0}}"
         );
-        return answer("200 OK", "Content-Type: application/json\r\n", &body);
+        return whole("200 OK", "Content-Type: application/json\r\n", &body);
     }
     if path.starts_with("/api/") {
-        return answer("409 Conflict", "", "");
+        return whole("409 Conflict", "", "");
     }
     let not_run = format!("{}Pimentousher-Not-Run: 1\r\n", stamped(id, name));
     let expected = request.header("pimentousher-expect-instance");
@@ -153,10 +170,10 @@
         record.add(format!(
             "{name} turns {id} away: it is meant for another engine"
         ));
-        return answer("421 Misdirected Request", &not_run, "");
+        return whole("421 Misdirected Request", &not_run, "");
     }
     if id.is_empty() {
-        return answer("400 Bad Request", &not_run, "");
+        return whole("400 Bad Request", &not_run, "");
     }
     record.add(format!(
         "{name} of service {} runs {id}: {method} {path}",
@@ -168,10 +185,10 @@
         engine: name.to_owned(),
         service: engine.service.to_owned(),
     });
-    if let Some(bytes) = trouble.and_then(|trouble| trouble(request)) {
-        return bytes;
+    if let Some(reply) = trouble.and_then(|trouble| trouble(request)) {
+        return reply;
     }
-    answer(
+    whole(
         "200 OK",
         &stamped(id, name),
         &format!("from {name} of service {}", engine.service),
--- a/review/stand-2/src/interim.rs
+++ b/review/stand-2/src/interim.rs
@@ -46,7 +46,8 @@
             .header("pimentousher-request-id")
             .unwrap_or_default();
         let head = engine::stamped(id, "i-rounds-1");
-        Some(format!("HTTP/1.1 101 Switching Protocols\r\n{head}\r\n").into_bytes())
+        let head = format!("HTTP/1.1 101 Switching Protocols\r\n{head}\r\n");
+        Some(engine::Reply::Whole(head.into_bytes()))
     });
     let engine = |number, name, trouble| {
         let options = EngineOptions {
--- a/review/stand-2/src/main.rs
+++ b/review/stand-2/src/main.rs
@@ -1,12 +1,15 @@
 //! The scripts of the second review: `stand-2 CASE FOLDER`. Exits with 1 if the rule was broken, 0
 //! if it held, 2 if the case couldn't run. `TROUBLE=0` leaves the disruption out.
 
+mod crowd;
 mod engine;
 mod http;
 mod install;
 mod interim;
 mod odd_entry;
 mod same_host;
+mod slow_reader;
+mod streams;
 
 use std::{env, path::PathBuf, process::ExitCode};
 
@@ -32,6 +35,8 @@
     let record = Record::new();
     record.add(format!("case {case}, disruption: {}", has_trouble()));
     let result = match case.as_str() {
+        "slow-reader" => slow_reader::run(&record),
+        "streams" => streams::run(&record),
         "same-host" => same_host::run(&record),
         "odd-entry" => odd_entry::run(&record),
         "interim" => interim::run(&record),
