--- a/review/stand-2/src/install.rs
+++ b/review/stand-2/src/install.rs
@@ -53,8 +53,10 @@
             .create(true)
             .append(true)
             .open(self.settings.with_extension("log"))?;
-        let mut command = Command::new(&self.program);
-        command.current_dir(root).env_clear();
+        // `maxFds` of the machine.
+        let mut command = Command::new("/bin/sh");
+        command.args(["-c", "ulimit -n 4100 && exec \"$0\""]);
+        command.arg(&self.program).current_dir(root).env_clear();
         for name in ["PATH", "HOME", "LANG"] {
             if let Some(value) = env::var_os(name) {
                 command.env(name, value);
@@ -70,6 +72,15 @@
         Ok(())
     }
 
+    /// Memory of the process in bytes; 0 if there is none.
+    pub fn memory(&self) -> u64 {
+        let pid = self.child.as_ref().map_or(0, Child::id);
+        let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+        let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+        let kib = line.and_then(|line| line.split_whitespace().nth(1)?.parse::<u64>().ok());
+        kib.unwrap_or(0) * 1_024
+    }
+
     fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
@@ -232,6 +243,14 @@
         SocketAddr::new(self.fronts[front].ip, self.ports.front)
     }
 
+    /// Kills a gateway and starts it again, as the platform does.
+    pub fn restart_front(&mut self, front: usize) -> io::Result<()> {
+        let machine = &mut self.fronts[front];
+        machine.kill();
+        thread::sleep(Duration::from_millis(300));
+        machine.start(&self.root)
+    }
+
     /// Sends a configuration to a registrar, as the operator does; returns the status.
     pub fn put_config(&self, core: usize, config: &str) -> io::Result<u16> {
         let host = self.control(core).to_string();
--- a/review/stand-2/src/main.rs
+++ b/review/stand-2/src/main.rs
@@ -5,7 +5,7 @@
 mod engine;
 mod http;
 mod install;
-mod interim;
+mod memory;
 mod odd_entry;
 mod same_host;
 mod slow_reader;
@@ -32,14 +32,21 @@
         eprintln!("usage: stand-2 CASE FOLDER");
         return ExitCode::from(2);
     };
+    if case == "crowd-member" {
+        let joined = folder.parse().map_err(std::io::Error::other);
+        return match joined.and_then(memory::crowd_member) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(_) => ExitCode::from(2),
+        };
+    }
     let record = Record::new();
     record.add(format!("case {case}, disruption: {}", has_trouble()));
     let result = match case.as_str() {
         "slow-reader" => slow_reader::run(&record),
         "streams" => streams::run(&record),
         "same-host" => same_host::run(&record),
+        "memory" => memory::run(&record),
         "odd-entry" => odd_entry::run(&record),
-        "interim" => interim::run(&record),
         _ => Err(format!("no case {case}")),
     };
     let (text, code) = match result {
