--- a/crates/pimentousher/tests/support/mod.rs
+++ b/crates/pimentousher/tests/support/mod.rs
@@ -78,6 +78,10 @@
         until("the process to end", || self.child.try_wait().unwrap()).code()
     }
 
+    pub(crate) fn cost(&self) -> usher_crowd::ProcessCost {
+        usher_crowd::ProcessCost::of(&self.child)
+    }
+
     pub(crate) fn is_running(&mut self) -> bool {
         self.child.try_wait().unwrap().is_none()
     }
