--- a/crates/pimentousher/src/daemon/mod.rs
+++ b/crates/pimentousher/src/daemon/mod.rs
@@ -8,7 +8,6 @@
 mod gateway;
 mod launcher;
 mod logging;
-mod metered_server;
 mod metrics;
 mod process_limits;
 mod registrar;
--- a/crates/pimentousher/src/daemon/registrar.rs
+++ b/crates/pimentousher/src/daemon/registrar.rs
@@ -3,7 +3,7 @@
 use std::{net, path, time};
 
 use crate::{
-    daemon::{self, metered_server, process_limits, settings_watch},
+    daemon::{self, process_limits, settings_watch},
     error, file,
 };
 
@@ -89,7 +89,13 @@
     let node = node.start().await.map_err(error::CommandError::failed)?;
     let routes = routes(node.targets().clone(), node.routes().clone());
     let metrics = node.metrics().clone();
-    let page = axum::routing::get(move || async move { metrics.render() });
+    let budget = process_limits::caller_budget(&settings.vm);
+    let memory = usher_intake::CallerMemory::new("control", budget);
+    let measured = memory.clone();
+    let page = axum::routing::get(move || async move {
+        metrics.set_client_memory(&measured);
+        metrics.render()
+    });
     let routes = routes.route("/metrics", page);
     let listener = usher_kernel::open_listener(settings.listen).await;
     let listener = listener.map_err(error::CommandError::failed)?;
@@ -102,9 +108,7 @@
         "registrar started"
     );
     let (stop, signal) = usher_kernel::StopSource::new();
-    let budget = process_limits::caller_budget(&settings.vm);
-    let memory = usher_intake::CallerMemory::new("control", budget);
-    let server = metered_server::serve(listener, routes, memory, MAX_REQUEST_BYTES, signal);
+    let server = usher_intake::serve_router(listener, routes, memory, MAX_REQUEST_BYTES, signal);
     let server = tokio::spawn(server);
     loop {
         tokio::select! {
@@ -121,7 +125,7 @@
             }
         }
     }
-    stop.drain();
+    stop.stop();
     let served = tokio::time::timeout(STOP_GRACE, server).await.is_ok();
     node.stop().await;
     tracing::info!(served, "registrar stopped");
--- a/crates/usher_answer/src/answer_fault.rs
+++ b/crates/usher_answer/src/answer_fault.rs
@@ -37,11 +37,11 @@
         /// Largest accepted size, in bytes.
         limit: usize,
     },
-    /// Other long answers leave no room to buffer this one.
-    #[error("long answers take more than {limit} bytes together")]
+    /// Other calls leave no room to buffer the answer.
+    #[error("there is no memory for {bytes} bytes of the answer")]
     NoRoom {
-        /// Largest size of all long answers together, in bytes.
-        limit: usize,
+        /// Size of the buffer, in bytes.
+        bytes: usize,
     },
 }
 
--- a/crates/usher_answer/src/answer_reader.rs
+++ b/crates/usher_answer/src/answer_reader.rs
@@ -54,6 +54,11 @@
         self.body
     }
 
+    /// Returns the length of the body, if its head states one.
+    pub fn stated_length(&self) -> Option<u64> {
+        self.body.size_hint().exact()
+    }
+
     /// Reads the next bytes; returns `None` at the end of a complete answer.
     ///
     /// # Errors
--- a/crates/usher_answer/src/event_splitter.rs
+++ b/crates/usher_answer/src/event_splitter.rs
@@ -49,6 +49,11 @@
         Ok(())
     }
 
+    /// Returns the memory that the buffered bytes take.
+    pub fn held_bytes(&self) -> usize {
+        self.buffer.capacity()
+    }
+
     /// Returns the number of complete events since the last [`Self::take_rest`]; comments don't
     /// count.
     pub fn events(&self) -> u64 {
--- a/crates/usher_answer/src/head_limit.rs
+++ b/crates/usher_answer/src/head_limit.rs
@@ -10,6 +10,10 @@
 /// interim answers without end, and leaves its thread no time for anything else meanwhile.
 const MAX_BYTES: usize = 256 * 1_024;
 
+/// Bytes that are read at a time. The HTTP library reads into buffers that grow with what a read
+/// brings, and each part of an answer keeps its buffer.
+const READ_STEP: usize = 8 * 1_024;
+
 /// Value of `left` while no head is awaited.
 const NO_LIMIT: usize = usize::MAX;
 
@@ -100,9 +104,18 @@
         context: &mut task::Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> task::Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        let read = pin::Pin::new(&mut self.stream).poll_read(context, buffer);
-        read.map(|result| result.and_then(|()| self.limit.count(buffer.filled().len() - before)))
+        let stream = pin::Pin::new(&mut self.stream);
+        if buffer.remaining() <= READ_STEP {
+            let before = buffer.filled().len();
+            let read = stream.poll_read(context, buffer);
+            let bytes = buffer.filled().len() - before;
+            return read.map(|result| result.and_then(|()| self.limit.count(bytes)));
+        }
+        let mut part = ReadBuf::new(buffer.initialize_unfilled_to(READ_STEP));
+        let read = stream.poll_read(context, &mut part);
+        let bytes = part.filled().len();
+        buffer.advance(bytes);
+        read.map(|result| result.and_then(|()| self.limit.count(bytes)))
     }
 }
 
--- a/crates/usher_control/src/registrar/metrics.rs
+++ b/crates/usher_control/src/registrar/metrics.rs
@@ -17,6 +17,7 @@
     missed_windows: family::Family<Labels, counter::Counter>,
     pub(crate) late_counts: counter::Counter,
     engine_orders: family::Family<Labels, counter::Counter>,
+    client_memory: usher_intake::MemoryMetrics,
     registry: sync::Arc<registry::Registry>,
 }
 
@@ -27,6 +28,7 @@
         let missed_windows = family::Family::default();
         let late_counts = counter::Counter::default();
         let engine_orders = family::Family::default();
+        let client_memory = usher_intake::MemoryMetrics::register(&mut registry, "client");
         let help = "orders of engines, by outcome";
         registry.register("engine_orders", help, engine_orders.clone());
         registry.register(
@@ -49,6 +51,7 @@
             missed_windows,
             late_counts,
             engine_orders,
+            client_memory,
             registry: sync::Arc::new(registry),
         }
     }
@@ -75,6 +78,11 @@
         }
     }
 
+    /// Sets the metrics of the memory account of targets and operators.
+    pub fn set_client_memory(&self, memory: &usher_intake::CallerMemory) {
+        self.client_memory.update(memory);
+    }
+
     /// Returns the page of metrics.
     pub fn render(&self) -> String {
         let mut page = String::new();
--- a/crates/usher_gateway/src/answer.rs
+++ b/crates/usher_gateway/src/answer.rs
@@ -131,6 +131,17 @@
         }
     }
 
+    /// Returns whether the caller is refused for what it sends, as crowds of callers may be.
+    pub(crate) fn is_of_request(&self) -> bool {
+        matches!(
+            self,
+            Self::NoMemory
+                | Self::HeadTooLong { .. }
+                | Self::BodyTooLong { .. }
+                | Self::BodyTimeout
+        )
+    }
+
     /// Returns the name of the reason in metrics.
     pub(crate) fn reason(&self) -> &'static str {
         match self {
--- a/crates/usher_gateway/src/body_reader.rs
+++ b/crates/usher_gateway/src/body_reader.rs
@@ -18,6 +18,8 @@
         Ok(Ok(body)) => Ok(body),
         Ok(Err(BodyFault::TooLong { limit })) => Err(answer::CallRefusal::BodyTooLong { limit }),
         Ok(Err(BodyFault::NoRoom)) => Err(answer::CallRefusal::NoMemory),
-        Ok(Err(BodyFault::Incomplete)) | Err(_) => Err(answer::CallRefusal::BodyTimeout),
+        Ok(Err(BodyFault::Incomplete | BodyFault::Stalled)) | Err(_) => {
+            Err(answer::CallRefusal::BodyTimeout)
+        }
     }
 }
--- a/crates/usher_gateway/src/call.rs
+++ b/crates/usher_gateway/src/call.rs
@@ -3,10 +3,11 @@
 use std::{sync, time};
 
 use tokio::time as tokio_time;
+use usher_memory::PhaseCost;
 use usher_quarantine::PartId;
 use usher_route::RouteRule;
 
-use crate::{answer, body, body_reader, core, dialect, model, plain, run_record};
+use crate::{answer, body, body_reader, core, dialect, line_limit, model, plain, run_record};
 
 /// Time before the deadline of a call at which the gateway gives up, so that its answer arrives.
 const ANSWER_MARGIN: time::Duration = time::Duration::from_millis(40);
@@ -37,6 +38,8 @@
     pub(crate) body: bytes::Bytes,
     /// Memory of the connection and of the body, held until the call ends.
     pub(crate) memory: usher_intake::ConnectionMemory,
+    /// Cost of running the call, without its answer.
+    pub(crate) run_cost: usize,
     pub(crate) arrived: tokio_time::Instant,
     /// The time at which the call is given up.
     pub(crate) deadline: tokio_time::Instant,
@@ -110,6 +113,8 @@
     pub(crate) runs: run_record::RunRecord,
     pub(crate) status: u16,
     pub(crate) metrics: crate::metrics::GatewayMetrics,
+    /// Set when the caller is refused for what it sends; such lines are limited.
+    line_limit: Option<line_limit::LineLimit>,
     ended: bool,
 }
 
@@ -133,6 +138,7 @@
             runs: run_record::RunRecord::default(),
             status: 0,
             metrics,
+            line_limit: None,
             ended: false,
         }
     }
@@ -172,6 +178,11 @@
         if let Some(reason) = self.spill {
             self.metrics.call_spilled(&self.service, reason);
         }
+        let now = tokio_time::Instant::now().into_std();
+        let skipped = self.line_limit.as_ref().map(|limit| limit.take(now));
+        if skipped == Some(None) {
+            return;
+        }
         tracing::info!(
             request = %self.id,
             route = %self.route,
@@ -187,6 +198,7 @@
             spill = self.spill.map(tracing::field::display),
             queued_tokens = ?self.queued_tokens,
             admissions = ?self.admissions,
+            skipped_lines = skipped.flatten(),
             outcome,
             "call ended"
         );
@@ -250,6 +262,9 @@
         Ok(answer) => answer,
         Err(refusal) => {
             log.metrics.call_refused(&log.service, refusal.reason());
+            if refusal.is_of_request() {
+                log.line_limit = Some(core.line_limit.clone());
+            }
             log.record_head(refusal.status());
             log.finish(&refusal.to_string());
             refusal.into_answer()
@@ -268,12 +283,17 @@
     C: usher_types::ClockSource,
 {
     let (parts, body) = request.into_parts();
+    let shape = usher_intake::head_shape(&parts);
+    let prompt = PhaseCost::prompt_parts(core.dialect.count_parts(&parts.headers));
+    if !memory.begin_call(shape, prompt).await {
+        return Err(answer::CallRefusal::NoMemory);
+    }
     let mut metadata = core.dialect.read_call(&parts.headers);
     metadata.work = metadata.work.map(usher_place::PromptWork::limited);
     if let Some(id) = &metadata.id {
         log.id = id.to_string();
     }
-    let head = head_bytes(&parts);
+    let head = shape.bytes;
     let caller_timeout = metadata.caller_timeout.unwrap_or(DEFAULT_CALLER_TIMEOUT);
     let limit = FIRST_ROUTES_WAIT.min(caller_timeout / FIRST_ROUTES_DIVISOR);
     let table = core.wait_for_routes(limit).await;
@@ -319,9 +339,17 @@
     if core.refuses_calls() {
         return Err(answer::CallRefusal::Stopping);
     }
-    let work = metadata.work.iter();
-    let shared_parts = work.flat_map(usher_place::PromptWork::shared_parts);
-    let shared_parts = shared_parts.map(|part| PartId::new(part.id)).collect();
+    // Nothing has been sent: a call that would find no room for its answer isn't run.
+    let answer = if route.kind.is_stream() {
+        PhaseCost::stream()
+    } else {
+        PhaseCost::plain_answer(0)
+    };
+    if !memory.charge_answer(PhaseCost::run(shape) + answer).await {
+        return Err(answer::CallRefusal::NoMemory);
+    }
+    let shared_parts = metadata.work.as_ref().map(read_shared_parts);
+    let shared_parts = shared_parts.unwrap_or_default();
     let mut headers = parts.headers;
     remove_connection_headers(&mut headers);
     headers.remove(http::header::CONTENT_LENGTH);
@@ -342,6 +370,7 @@
         headers,
         body,
         memory,
+        run_cost: PhaseCost::run(shape),
         arrived: log.arrived,
         deadline,
         shared_parts,
@@ -350,15 +379,10 @@
     })
 }
 
-/// Returns a lower bound of the size of a head as its caller wrote it: without optional white
-/// space.
-fn head_bytes(parts: &http::request::Parts) -> usize {
-    const LINE_BYTES: usize = " HTTP/1.1\r\n".len() + 1;
-    const HEADER_BYTES: usize = ":\r\n".len();
-    let line = parts.method.as_str().len() + parts.uri.to_string().len() + LINE_BYTES;
-    let headers = parts.headers.iter();
-    let headers = headers.map(|(name, value)| name.as_str().len() + value.len() + HEADER_BYTES);
-    line + headers.sum::<usize>() + "\r\n".len()
+fn read_shared_parts(work: &usher_place::PromptWork) -> Vec<PartId> {
+    let mut parts = Vec::with_capacity(work.parts.len());
+    parts.extend(work.shared_parts().map(|part| PartId::new(part.id)));
+    parts
 }
 
 /// Removes the headers that apply only to one connection.
--- a/crates/usher_gateway/src/core.rs
+++ b/crates/usher_gateway/src/core.rs
@@ -6,7 +6,8 @@
 use usher_roster::{TargetEntry, TargetRoster};
 
 use crate::{
-    answer, answer_buffer, call, dialect, metrics, options, pool, server, stop_step, usage,
+    answer, answer_buffer, call, dialect, line_limit, metrics, options, pool, server, stop_step,
+    usage,
 };
 
 type ServiceIndex = collections::HashMap<usher_types::ServiceName, sync::Arc<Vec<TargetEntry>>>;
@@ -14,6 +15,12 @@
 type RoleChanges =
     collections::HashMap<net::SocketAddr, collections::HashSet<usher_types::TargetName>>;
 
+/// What connections of load balancers and of collectors of metrics may take.
+const CHECK_BUDGET: usher_memory::MemoryBudget = usher_memory::MemoryBudget {
+    bytes: 4 * 1_024 * 1_024,
+    connections: 64,
+};
+
 /// State of a gateway; shared by its calls and by the watch on registrars.
 #[derive(Debug)]
 pub(crate) struct GatewayCore<D, C> {
@@ -21,9 +28,12 @@
     pub(crate) dialect: D,
     pub(crate) clock: C,
     pub(crate) pool: pool::TargetPool,
-    pub(crate) answers: answer_buffer::AnswerBuffer,
+    pub(crate) answers: answer_buffer::AnswerTotal,
     /// What the connections of callers hold.
     pub(crate) memory: usher_intake::CallerMemory,
+    /// What the connections of load balancers and of collectors of metrics hold.
+    pub(crate) check_memory: usher_intake::CallerMemory,
+    pub(crate) line_limit: line_limit::LineLimit,
     pub(crate) loads: LoadTracker,
     pub(crate) metrics: metrics::GatewayMetrics,
     pub(crate) engine_policy: sync::Mutex<EnginePolicy>,
@@ -59,15 +69,18 @@
     pub(crate) fn new(options: options::GatewayOptions, dialect: D, clock: C) -> Self {
         let quarantine = usher_quarantine::PartQuarantine::new(options.crash_lifetime);
         let usage = options.usage_window.map(usage::GatewayUsage::new);
+        let answers = answer_buffer::AnswerTotal::new(options.caller_budget.bytes);
         let memory = usher_intake::CallerMemory::new("callers", options.caller_budget);
-        let answers = answer_buffer::AnswerBuffer::new(options.caller_budget.bytes);
+        let check_memory = usher_intake::CallerMemory::new("health", CHECK_BUDGET);
         Self {
             options,
+            answers,
             memory,
+            check_memory,
+            line_limit: line_limit::LineLimit::default(),
             dialect,
             clock,
             pool: pool::TargetPool::default(),
-            answers,
             loads: LoadTracker::new(),
             metrics: metrics::GatewayMetrics::new(),
             engine_policy: sync::Mutex::default(),
--- a/crates/usher_gateway/src/dialect.rs
+++ b/crates/usher_gateway/src/dialect.rs
@@ -86,6 +86,9 @@
 
 /// Translates between messages on the wire and the metadata that the gateway uses.
 pub trait CallDialect: usher_route::RouteDialect {
+    /// Returns the number of parts of a prompt that the metadata of a call will have, at most.
+    fn count_parts(&self, headers: &http::HeaderMap) -> usize;
+
     /// Reads the metadata of a call.
     fn read_call(&self, headers: &http::HeaderMap) -> CallMetadata;
 
--- a/crates/usher_gateway/src/lib.rs
+++ b/crates/usher_gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod dialect;
 mod health;
 mod held_prompt;
+mod line_limit;
 mod load_exchange;
 mod metrics;
 mod model;
--- a/crates/usher_gateway/src/metrics.rs
+++ b/crates/usher_gateway/src/metrics.rs
@@ -37,10 +37,8 @@
     spilled_calls: family::Family<Labels, counter::Counter>,
     body_bytes: family::Family<Labels, counter::Counter>,
     pub(crate) quarantined: gauge::Gauge,
-    caller_connections: family::Family<Labels, gauge::Gauge>,
-    caller_bytes: family::Family<Labels, gauge::Gauge>,
-    caller_budget: gauge::Gauge,
-    caller_refusals: family::Family<Labels, counter::Counter>,
+    caller_memory: usher_intake::MemoryMetrics,
+    check_memory: usher_intake::MemoryMetrics,
     first_byte: LatencyFamily,
     total: LatencyFamily,
     pub(crate) running: gauge::Gauge,
@@ -72,18 +70,8 @@
         let spilled_calls = family::Family::default();
         let body_bytes = family::Family::default();
         let quarantined = gauge::Gauge::default();
-        let caller_connections = family::Family::default();
-        let caller_bytes = family::Family::default();
-        let caller_budget = gauge::Gauge::default();
-        let caller_refusals = family::Family::default();
-        let help = "connections of callers, by phase";
-        registry.register("caller_connections", help, caller_connections.clone());
-        let help = "memory that connections of callers hold, by phase";
-        registry.register("caller_memory_bytes", help, caller_bytes.clone());
-        let help = "memory that connections of callers may hold";
-        registry.register("caller_memory_budget_bytes", help, caller_budget.clone());
-        let help = "callers that were refused or closed to stay within the limits, by reason";
-        registry.register("caller_refusals", help, caller_refusals.clone());
+        let caller_memory = usher_intake::MemoryMetrics::register(&mut registry, "caller");
+        let check_memory = usher_intake::MemoryMetrics::register(&mut registry, "check");
         let first_byte = LatencyFamily::new_with_constructor(latency);
         let total = LatencyFamily::new_with_constructor(latency);
         let running = gauge::Gauge::default();
@@ -170,10 +158,8 @@
             spilled_calls,
             body_bytes,
             quarantined,
-            caller_connections,
-            caller_bytes,
-            caller_budget,
-            caller_refusals,
+            caller_memory,
+            check_memory,
             first_byte,
             total,
             running,
@@ -311,22 +297,14 @@
         self.routes_bytes.inc_by(bytes as u64);
     }
 
-    /// Sets the metrics of the memory account of callers.
-    pub(crate) fn set_caller_memory(&self, memory: &usher_intake::CallerMemory) {
-        let number = |count| i64::try_from(count).unwrap_or(i64::MAX);
-        for (phase, (connections, bytes)) in memory.by_phase() {
-            let labels = vec![("phase", phase.to_owned())];
-            let gauge = self.caller_connections.get_or_create(&labels);
-            gauge.set(number(connections));
-            drop(gauge);
-            self.caller_bytes.get_or_create(&labels).set(number(bytes));
-        }
-        self.caller_budget.set(number(memory.budget_bytes()));
-        for (reason, count) in memory.refusals() {
-            let labels = vec![("reason", reason.name().to_owned())];
-            let counter = self.caller_refusals.get_or_create(&labels);
-            counter.inc_by(count.saturating_sub(counter.get()));
-        }
+    /// Sets the metrics of the memory accounts of callers and of health checks.
+    pub(crate) fn set_memory(
+        &self,
+        callers: &usher_intake::CallerMemory,
+        checks: &usher_intake::CallerMemory,
+    ) {
+        self.caller_memory.update(callers);
+        self.check_memory.update(checks);
     }
 
     /// Returns all metrics in the text format.
--- a/crates/usher_gateway/src/model/mod.rs
+++ b/crates/usher_gateway/src/model/mod.rs
@@ -120,7 +120,7 @@
                 NextStep::Place => {}
                 NextStep::GiveUp => break,
                 NextStep::Answer(placed, answer) => {
-                    return to_response(self.core, *placed, answer).await;
+                    return to_response(self.core, self.call, *placed, answer).await;
                 }
             }
         }
@@ -260,6 +260,7 @@
 /// Converts the answer of an engine to a response for the caller.
 async fn to_response<D, C>(
     core: &core::GatewayCore<D, C>,
+    call: &call::RoutedCall,
     placed: placement::PlacedCall,
     answer: Box<send::TargetAnswer>,
 ) -> Result<CallResponse, answer::CallRefusal>
@@ -274,7 +275,7 @@
             answer,
         })));
     }
-    let read = answer.read(&core.answers).await.map_err(|fault| {
+    let read = answer.read(call, &core.answers).await.map_err(|fault| {
         core.record_lost(&placed.target.name);
         answer::CallRefusal::Unknown(fault.to_string())
     });
--- a/crates/usher_gateway/src/node.rs
+++ b/crates/usher_gateway/src/node.rs
@@ -15,12 +15,6 @@
 /// Time before the end of the grace period at which a gateway that is stopping gives up waiting.
 const END_MARGIN: time::Duration = time::Duration::from_millis(300);
 
-/// What connections of load balancers and of collectors of metrics may take.
-const CHECK_BUDGET: usher_memory::MemoryBudget = usher_memory::MemoryBudget {
-    bytes: 2 * 1_024 * 1_024,
-    connections: 64,
-};
-
 /// A gateway before it is started.
 #[derive(Debug)]
 pub struct GatewayNode<D, C> {
@@ -65,16 +59,17 @@
             async move { Ok::<_, convert::Infallible>(call::serve(core, request, memory).await) }
         };
         let (checked, signal) = (core.clone(), stop.clone());
-        let health = move |request: http::Request<hyper::body::Incoming>, _| {
-            let answer = health::answer(&checked, &signal, request.uri().path());
-            async move { answer }
+        let health = move |request, memory| {
+            let (core, signal) = (checked.clone(), signal.clone());
+            async move {
+                Ok::<_, convert::Infallible>(health::serve(&core, &signal, request, memory).await)
+            }
         };
         let limited = core.clone();
         let limits = move || {
             let limits = limited.connection_limits();
             limits.unwrap_or(server::DEFAULT_LIMITS)
         };
-        let check_memory = usher_intake::CallerMemory::new("health", CHECK_BUDGET);
         let identity = usher_wire::WireIdentity {
             cluster: core.options.cluster.clone(),
             node: core.options.node.clone(),
@@ -102,7 +97,7 @@
                 checks,
                 health,
                 || server::DEFAULT_LIMITS,
-                check_memory,
+                core.check_memory.clone(),
                 server::OpenConnections::new(),
                 stop.clone(),
             )),
--- a/crates/usher_gateway/src/plain.rs
+++ b/crates/usher_gateway/src/plain.rs
@@ -142,7 +142,7 @@
 {
     let framing = answer.body.check().framing();
     let sent_at = answer.sent_at;
-    match answer.read(&core.answers).await {
+    match answer.read(call, &core.answers).await {
         Ok((status, headers, bytes)) => {
             let distance = core.distance(target);
             core.metrics.body_moved(distance, "received", bytes.len());
--- a/crates/usher_gateway/src/relay.rs
+++ b/crates/usher_gateway/src/relay.rs
@@ -4,6 +4,7 @@
 use std::sync;
 
 use usher_answer::AnswerFault;
+use usher_memory::PhaseCost;
 use usher_place::CallGuard;
 use usher_quarantine::CallPhase;
 use usher_roster::TargetEntry;
@@ -11,12 +12,8 @@
 
 use crate::{body, call, core, dialect, pool, resume_point, send};
 
-/// Largest chunk of a stream that isn't charged, in bytes; events with a token are smaller.
-const SMALL_CHUNK_BYTES: usize = 4 * 1_024;
-
-/// Buffers of a stream with large chunks whose caller doesn't read, from the connection to its engine
-/// to that of its caller, in bytes.
-const STREAM_BYTES: usize = 384 * 1_024;
+/// Largest chunk that is queued for a caller, in bytes.
+const CHUNK_BYTES: usize = 16 * 1_024;
 
 /// A stream whose head has arrived.
 #[derive(Debug)]
@@ -35,7 +32,7 @@
     CallerLeft,
     /// The deadline of the call passed.
     Late,
-    /// There is no memory for the chunks that a slow caller hasn't read.
+    /// There is no memory for an event that is passed on only when it is complete.
     NoMemory,
     /// The stream broke.
     Broken(AnswerFault),
@@ -60,8 +57,8 @@
     call: sync::Arc<call::RoutedCall>,
     log: call::CallLog,
     sender: usher_answer::StreamSender,
-    /// Whether the buffers of a stream with large chunks were charged.
-    is_charged: bool,
+    /// Bytes of an incomplete event that were charged.
+    held_bytes: usize,
     /// Set where another engine may resume the stream.
     resume: Option<resume_point::ResumePoint>,
 }
@@ -102,7 +99,7 @@
             call,
             log,
             sender,
-            is_charged: false,
+            held_bytes: 0,
             resume: may_resume.then(resume_point::ResumePoint::new),
         };
         tokio::spawn(relay.run(self));
@@ -213,19 +210,14 @@
             if body.check().events() > 0 {
                 self.core.count_usage(&self.call);
             }
-            if bytes.len() > SMALL_CHUNK_BYTES && !self.is_charged {
-                self.is_charged = true;
-                if !self.call.memory.charge_answer(STREAM_BYTES).await {
-                    return RelayResult::NoMemory;
-                }
+            if !self.charge_event().await {
+                return RelayResult::NoMemory;
             }
-            if !bytes.is_empty() {
-                tokio::select! {
-                    is_read = self.sender.send(bytes) => if !is_read {
-                        return RelayResult::CallerLeft;
-                    },
-                    () = &mut late => return RelayResult::Late,
-                }
+            tokio::select! {
+                is_read = self.send(&bytes) => if !is_read {
+                    return RelayResult::CallerLeft;
+                },
+                () = &mut late => return RelayResult::Late,
             }
             if is_end {
                 return RelayResult::Complete;
@@ -233,6 +225,32 @@
         }
     }
 
+    /// Charges an event that is held until it is complete; returns whether there is room. Small ones
+    /// were charged with the stream, before the call ran.
+    async fn charge_event(&mut self) -> bool {
+        let held = self.resume.as_ref();
+        let held = held.map_or(0, resume_point::ResumePoint::held_bytes);
+        if held <= self.held_bytes.max(CHUNK_BYTES) {
+            return true;
+        }
+        self.held_bytes = held;
+        let stream = PhaseCost::stream() + held;
+        let cost = self.call.run_cost + stream;
+        self.call.memory.charge_answer(cost).await
+    }
+
+    /// Queues bytes for the caller; returns whether it still reads.
+    ///
+    /// Copies them, as a small chunk would keep the buffer that it was read into.
+    async fn send(&self, bytes: &[u8]) -> bool {
+        for chunk in bytes.chunks(CHUNK_BYTES) {
+            if !self.sender.send(bytes::Bytes::copy_from_slice(chunk)).await {
+                return false;
+            }
+        }
+        true
+    }
+
     /// Resumes the stream on another engine after the last event that was relayed; asks further ones
     /// while they don't run the call and the route and the budget allow it.
     async fn resume(&mut self, tried: &mut Vec<usher_types::TargetName>) -> Option<StreamStart> {
--- a/crates/usher_gateway/src/resume_point.rs
+++ b/crates/usher_gateway/src/resume_point.rs
@@ -50,6 +50,11 @@
         Ok(events)
     }
 
+    /// Returns the memory of an incomplete event and of those that wait for it.
+    pub(crate) fn held_bytes(&self) -> usize {
+        self.splitter.held_bytes()
+    }
+
     /// Returns the bytes behind the last event.
     pub(crate) fn take_rest(&mut self) -> bytes::Bytes {
         self.splitter.take_rest()
--- a/crates/usher_gateway/src/send.rs
+++ b/crates/usher_gateway/src/send.rs
@@ -206,8 +206,10 @@
     /// Fails when the answer was broken off or is too long; it must not be passed on then.
     pub(crate) async fn read(
         mut self,
-        buffer: &answer_buffer::AnswerBuffer,
+        call: &call::RoutedCall,
+        total: &answer_buffer::AnswerTotal,
     ) -> Result<(http::StatusCode, http::HeaderMap, bytes::Bytes), AnswerFault> {
+        let buffer = answer_buffer::AnswerBuffer::new(call, total);
         let body = buffer.read(&mut self.body).await?;
         self.connection.release();
         Ok((self.status, self.headers, body))
--- a/crates/usher_gateway/src/server.rs
+++ b/crates/usher_gateway/src/server.rs
@@ -9,9 +9,6 @@
 
 use crate::body;
 
-/// Delay after a failed accept, for instance when file handles are exhausted.
-const ACCEPT_RETRY_DELAY: time::Duration = time::Duration::from_millis(50);
-
 /// The limits of a connection until routes state them. The library has a single timer for the idle
 /// time and the head.
 pub(crate) const DEFAULT_LIMITS: ConnectionLimits = ConnectionLimits {
@@ -66,28 +63,18 @@
     let delay_over = wait_drain_delay(stop.clone());
     tokio::pin!(delay_over);
     loop {
-        tokio::select! {
+        let (socket, memory) = tokio::select! {
             () = &mut delay_over => return,
-            accepted = listener.accept() => match accepted {
-                Ok((socket, _)) => {
-                    let Some(memory) = memory.open() else {
-                        continue;
-                    };
-                    let caller = CallerConnection {
-                        socket,
-                        memory,
-                        limits: limits(),
-                        open: open.clone(),
-                        stop: stop.clone(),
-                    };
-                    tokio::spawn(caller.run(service.clone()));
-                }
-                Err(error) => {
-                    tracing::warn!(%error, "failed to accept a connection");
-                    tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-                }
-            },
-        }
+            accepted = usher_intake::accept(&listener, &memory) => accepted,
+        };
+        let caller = CallerConnection {
+            socket,
+            memory,
+            limits: limits(),
+            open: open.clone(),
+            stop: stop.clone(),
+        };
+        tokio::spawn(caller.run(service.clone()));
     }
 }
 
@@ -115,26 +102,13 @@
     {
         let open = self.open.clone();
         open.0.send_modify(|count| *count += 1);
-        if self.begins().await {
+        if usher_intake::begins(&self.socket, &self.memory, self.limits.idle).await {
             // The state of the connection is large, and silent connections don't need it.
             Box::pin(self.serve(service)).await;
         }
         open.0.send_modify(|count| *count -= 1);
     }
 
-    /// Waits for the first byte of a connection, and for room for its buffers.
-    async fn begins(&self) -> bool {
-        let first = tokio::time::timeout(self.limits.idle, self.socket.readable());
-        tokio::select! {
-            first = first => if !matches!(first, Ok(Ok(()))) {
-                return false;
-            },
-            () = self.memory.told_to_end() => return false,
-        }
-        self.memory.enter(HolderPhase::Head);
-        self.memory.charge_connection().await
-    }
-
     async fn serve<S, F>(self, service: S)
     where
         S: Fn(http::Request<hyper::body::Incoming>, ConnectionMemory) -> F + Clone + 'static + Send,
@@ -157,8 +131,8 @@
         let service = hyper::service::service_fn(move |request: http::Request<_>| {
             let old = request.version() < http::Version::HTTP_11;
             is_old.store(old, sync::atomic::Ordering::Relaxed);
-            held.enter(HolderPhase::Call);
-            let answer = service(request, held.clone());
+            // The state of a call is large, and idle connections don't need it.
+            let answer = Box::pin(service(request, held.clone()));
             let draining = draining.clone();
             let held = held.clone();
             async move {
@@ -186,7 +160,10 @@
                 (&mut connection).await
             }
             () = &mut told_to_end => {
-                if matches!(memory.phase(), HolderPhase::Head | HolderPhase::Idle) {
+                if memory.ends_at_once() {
+                    if lacks_chunks.load(sync::atomic::Ordering::Relaxed) {
+                        reset(&connection.into_parts().io.into_inner().into_inner());
+                    }
                     return;
                 }
                 // A call that was accepted is answered first.
@@ -197,7 +174,8 @@
         if let Err(error) = ended {
             tracing::debug!(%error, "caller connection ended with an error");
             // Without chunks, an orderly close would complete a body that was broken off.
-            if error.is_user() && lacks_chunks.load(sync::atomic::Ordering::Relaxed) {
+            let is_unfinished = error.is_user() || memory.phase() == HolderPhase::Call;
+            if is_unfinished && lacks_chunks.load(sync::atomic::Ordering::Relaxed) {
                 reset(&connection.into_parts().io.into_inner().into_inner());
             }
         }
--- a/crates/usher_gateway/tests/support/mod.rs
+++ b/crates/usher_gateway/tests/support/mod.rs
@@ -257,6 +257,10 @@
 }
 
 impl CallDialect for DigitsDialect {
+    fn count_parts(&self, _headers: &http::HeaderMap) -> usize {
+        0
+    }
+
     fn read_call(&self, _headers: &http::HeaderMap) -> CallMetadata {
         CallMetadata::default()
     }
--- a/crates/usher_intake/src/body_reader.rs
+++ b/crates/usher_intake/src/body_reader.rs
@@ -10,8 +10,8 @@
 /// Capacity with which a body begins, in bytes.
 const FIRST_CAPACITY: usize = 8 * 1_024;
 
-/// Largest buffer of the HTTP library beside that of the body, in bytes.
-const MAX_READ_BYTES: usize = 32 * 1_024;
+/// Largest buffers of the HTTP library beside that of the body, in bytes.
+const MAX_READ_BYTES: usize = 56 * 1_024;
 
 /// Bytes and time after which the progress of a body is recorded, so that very small chunks don't
 /// each take the lock of the account.
@@ -27,6 +27,9 @@
         /// Largest allowed body.
         limit: usize,
     },
+    /// No byte arrived for too long.
+    #[error("the body makes no progress")]
+    Stalled,
     /// The connection broke, or the bytes are no body.
     #[error("the body is incomplete")]
     Incomplete,
@@ -40,6 +43,8 @@
 pub struct BodyReader<'c> {
     memory: &'c caller_memory::ConnectionMemory,
     limit: usize,
+    /// Time for which a body may make no progress.
+    stall_limit: Option<time::Duration>,
     content: bytes::BytesMut,
     /// Bytes that were recorded in the account, and when.
     recorded: (usize, time::Instant),
@@ -51,11 +56,19 @@
         Self {
             memory,
             limit,
+            stall_limit: None,
             content: bytes::BytesMut::new(),
             recorded: (0, time::Instant::now()),
         }
     }
 
+    /// Sets the time for which the body may make no progress.
+    #[must_use]
+    pub fn with_stall_limit(mut self, limit: time::Duration) -> Self {
+        self.stall_limit = Some(limit);
+        self
+    }
+
     /// Reads the whole body.
     ///
     /// # Errors
@@ -85,7 +98,10 @@
                 () = &mut told_to_end, if !body.is_end_stream() => {
                     return Err(self.give_up(BodyFault::NoRoom));
                 }
-                frame = body.frame() => frame,
+                frame = next_frame(&mut body, self.stall_limit) => frame,
+            };
+            let Some(frame) = frame else {
+                return Err(self.give_up(BodyFault::Stalled));
             };
             let frame = match frame {
                 None => break,
@@ -138,7 +154,21 @@
     /// Drops what was read, and gives its memory back.
     fn give_up(&mut self, fault: BodyFault) -> BodyFault {
         self.content = bytes::BytesMut::new();
-        self.memory.release_call();
+        self.memory.release_body();
         fault
     }
 }
+
+/// Reads the next frame of a body; returns `None` if none arrives within a time.
+async fn next_frame<B>(
+    body: &mut B,
+    limit: Option<time::Duration>,
+) -> Option<Option<Result<http_body::Frame<B::Data>, B::Error>>>
+where
+    B: http_body::Body + Unpin,
+{
+    match limit {
+        Some(limit) => tokio::time::timeout(limit, body.frame()).await.ok(),
+        None => Some(body.frame().await),
+    }
+}
--- a/crates/usher_intake/src/caller_memory.rs
+++ b/crates/usher_intake/src/caller_memory.rs
@@ -1,16 +1,18 @@
 //! The memory account of a listening port, shared by its connections. Not for: the decisions.
 
-use std::{collections, sync, time};
+use std::{collections, sync, sync::atomic, time};
 
+use futures_util::task;
 use tokio::sync::{watch, Notify};
-use usher_memory::{ChargeDecision, HolderId, HolderPhase, MemoryAccount, OpenDecision};
+use usher_memory::{
+    ChargeDecision, HeadShape, HolderId, HolderPhase, MemoryAccount, OpenDecision, PhaseCost,
+};
 
 /// Shortest time between two log lines on refusals of one port.
 const LOG_INTERVAL: time::Duration = time::Duration::from_secs(1);
 
-/// Memory of a connection from its first byte: two buffers of 8 KiB of the HTTP library, and its
-/// state.
-const CONNECTION_BYTES: usize = 20 * 1_024;
+/// Bytes of a stream that are handed over to be written before more of it is read.
+const MAX_UNWRITTEN_BYTES: usize = 16 * 1_024;
 
 usher_types::value_type! {
     /// The reason for which a connection or a request is refused.
@@ -21,7 +23,7 @@
         Head,
         /// There is no memory for a body.
         Body,
-        /// There is no memory for an answer with large chunks.
+        /// There is no memory to run a call, or for its answer.
         Answer,
         /// The connection ends for another one.
         Ended,
@@ -81,6 +83,16 @@
     id: HolderId,
     phase: sync::Mutex<HolderPhase>,
     end: watch::Receiver<bool>,
+    /// Set from the end of an answer's body until its last byte is written.
+    unwritten: atomic::AtomicBool,
+    /// Notified when an answer is written.
+    written: Notify,
+    /// Set when the read buffer has grown.
+    is_grown: atomic::AtomicBool,
+    /// Bytes that were handed over since all that was handed over was written.
+    handed_over: atomic::AtomicUsize,
+    /// The answer that waits until they are written.
+    waiting_answer: task::AtomicWaker,
 }
 
 fn now() -> time::Instant {
@@ -124,6 +136,11 @@
                     id,
                     phase: sync::Mutex::new(HolderPhase::Silent),
                     end,
+                    unwritten: atomic::AtomicBool::new(false),
+                    written: Notify::new(),
+                    is_grown: atomic::AtomicBool::new(false),
+                    handed_over: atomic::AtomicUsize::new(0),
+                    waiting_answer: task::AtomicWaker::new(),
                 })))
             }
         }
@@ -134,6 +151,11 @@
         self.lock().account.budget().bytes
     }
 
+    /// Returns the most bytes that were charged at a time.
+    pub fn peak_bytes(&self) -> usize {
+        self.lock().account.peak()
+    }
+
     /// Returns the connections and bytes of each phase.
     pub fn by_phase(&self) -> collections::BTreeMap<&'static str, (usize, usize)> {
         self.lock().account.by_phase()
@@ -195,14 +217,17 @@
 
     /// Enters a phase.
     pub fn enter(&self, phase: HolderPhase) {
-        let mut current = self.lock_phase();
-        if *current != phase {
-            *current = phase;
+        if self.set_phase(phase) {
             let mut state = self.0.memory.lock();
             state.account.enter(self.0.id, phase, now());
         }
     }
 
+    /// Sets the phase, of which the account is still to be told; returns whether it is another one.
+    fn set_phase(&self, phase: HolderPhase) -> bool {
+        std::mem::replace(&mut *self.lock_phase(), phase) != phase
+    }
+
     /// Records that bytes of a head or body have arrived.
     pub fn receive(&self, bytes: usize) {
         let mut state = self.0.memory.lock();
@@ -213,16 +238,34 @@
     /// room.
     pub async fn charge_connection(&self) -> bool {
         self.charge(EndReason::Head, |account, id| {
-            account.charge_base(id, CONNECTION_BYTES, now())
+            account.charge_base(id, PhaseCost::idle(), now())
         })
         .await
     }
 
-    /// Charges the buffers of a connection and a head of so many bytes, without waiting.
-    pub fn try_charge_head(&self, bytes: usize) -> ChargeDecision {
+    /// Records that the read buffer of the connection has grown.
+    pub(crate) fn record_growth(&self) {
+        self.0.is_grown.store(true, atomic::Ordering::Relaxed);
+    }
+
+    fn is_grown(&self) -> bool {
+        self.0.is_grown.load(atomic::Ordering::Relaxed)
+    }
+
+    /// Charges a head as far as it has arrived, without waiting; `received` are the bytes that have
+    /// arrived since the last charge.
+    pub(crate) fn try_charge_head(&self, shape: HeadShape, received: usize) -> ChargeDecision {
+        let cost = PhaseCost::head(shape, self.is_grown());
+        let (id, now) = (self.0.id, now());
+        let begins = self.set_phase(HolderPhase::Head);
         let mut state = self.0.memory.lock();
-        let held = CONNECTION_BYTES.saturating_add(bytes.saturating_mul(2));
-        let decision = state.account.charge_base(self.0.id, held, now());
+        if begins {
+            state.account.enter(id, HolderPhase::Head, now);
+        }
+        if received > 0 {
+            state.account.receive(id, received, now);
+        }
+        let decision = state.account.charge_base(id, cost, now);
         match &decision {
             ChargeDecision::Granted => {}
             ChargeDecision::Wait(ends) => self.end_others(&mut state, ends),
@@ -231,10 +274,88 @@
         decision
     }
 
-    /// Gives back what a head took.
-    pub fn release_head(&self) {
-        // A charge that falls is always granted.
-        let _ = self.try_charge_head(0);
+    /// Begins a call whose head is complete, when the answer to the last one is written. Charges the
+    /// head and what is about to be made of it; returns whether there is room.
+    pub async fn begin_call(&self, shape: HeadShape, more: usize) -> bool {
+        if self.0.unwritten.load(atomic::Ordering::Acquire) {
+            self.wait_written().await;
+        }
+        let cost = PhaseCost::head(shape, self.is_grown()).saturating_add(more);
+        let begins = self.set_phase(HolderPhase::Call);
+        self.charge(EndReason::Head, |account, id| {
+            let now = now();
+            if begins {
+                account.enter(id, HolderPhase::Call, now);
+            }
+            account.charge_base(id, cost, now)
+        })
+        .await
+    }
+
+    /// Waits until the last answer is written.
+    async fn wait_written(&self) {
+        loop {
+            let written = self.0.written.notified();
+            tokio::pin!(written);
+            written.as_mut().enable();
+            if !self.0.unwritten.load(atomic::Ordering::Acquire) {
+                return;
+            }
+            written.await;
+        }
+    }
+
+    /// Waits until so little is left to be written that a part of an answer may be handed over.
+    pub(crate) fn poll_room(&self, context: &mut std::task::Context<'_>) -> std::task::Poll<()> {
+        let is_full = || self.0.handed_over.load(atomic::Ordering::Acquire) >= MAX_UNWRITTEN_BYTES;
+        if is_full() {
+            self.0.waiting_answer.register(context.waker());
+            if is_full() {
+                return std::task::Poll::Pending;
+            }
+        }
+        std::task::Poll::Ready(())
+    }
+
+    /// Records bytes of an answer that are handed over to be written.
+    pub(crate) fn hand_over(&self, bytes: usize) {
+        self.0
+            .handed_over
+            .fetch_add(bytes, atomic::Ordering::AcqRel);
+    }
+
+    /// Records that the whole answer was handed over to be written.
+    pub(crate) fn end_answer(&self) {
+        self.0.unwritten.store(true, atomic::Ordering::Release);
+    }
+
+    /// Records that all that was handed over is written. The connection is idle if that was a whole
+    /// answer.
+    pub(crate) fn record_written(&self) {
+        if self.0.handed_over.swap(0, atomic::Ordering::AcqRel) > 0 {
+            self.0.waiting_answer.wake();
+        }
+        if self.0.unwritten.load(atomic::Ordering::Acquire) {
+            self.0.unwritten.store(false, atomic::Ordering::Release);
+            self.end_call();
+            self.0.written.notify_waiters();
+        }
+    }
+
+    /// Records whether the caller takes no byte of its answer, or takes bytes again.
+    pub(crate) fn set_unwritten(&self, unwritten: bool) {
+        let mut state = self.0.memory.lock();
+        state.account.set_unwritten(self.0.id, unwritten, now());
+    }
+
+    /// Returns whether the connection may be closed at once when it is told to end: it has no call, or
+    /// its caller doesn't read the answer. Other calls are answered first.
+    pub fn ends_at_once(&self) -> bool {
+        match self.phase() {
+            HolderPhase::Silent | HolderPhase::Head | HolderPhase::Idle => true,
+            HolderPhase::Body => false,
+            HolderPhase::Call => self.0.memory.lock().account.is_stalled(self.0.id, now()),
+        }
     }
 
     /// Charges a body; returns whether there is room. Waits for room that others are giving back.
@@ -245,8 +366,8 @@
         .await
     }
 
-    /// Charges the buffers of an answer that its caller may read slowly; returns whether there is
-    /// room.
+    /// Charges what a call holds while it runs and until its answer is written; returns whether there
+    /// is room.
     pub async fn charge_answer(&self, bytes: usize) -> bool {
         self.charge(EndReason::Answer, |account, id| {
             account.charge_answer(id, bytes, now())
@@ -254,12 +375,29 @@
         .await
     }
 
-    /// Gives back what a body and its answer took.
-    pub fn release_call(&self) {
+    /// Enters the idle phase, and gives back what a call took: its head, its body and its answer.
+    fn end_call(&self) {
+        let base = if self.is_grown() {
+            PhaseCost::idle_after_long()
+        } else {
+            PhaseCost::idle()
+        };
+        let (id, now) = (self.0.id, now());
+        let begins = self.set_phase(HolderPhase::Idle);
+        let mut state = self.0.memory.lock();
+        state.account.end_call(id, base, now);
+        if begins {
+            state.account.enter(id, HolderPhase::Idle, now);
+        }
+        drop(state);
+        self.0.memory.0.released.notify_waiters();
+    }
+
+    /// Gives back what a body took.
+    pub(crate) fn release_body(&self) {
         let mut state = self.0.memory.lock();
         // A charge that falls is always granted.
         let _ = state.account.charge_body(self.0.id, 0, now());
-        let _ = state.account.charge_answer(self.0.id, 0, now());
         drop(state);
         self.0.memory.0.released.notify_waiters();
     }
@@ -272,7 +410,6 @@
         loop {
             let released = self.0.memory.0.released.notified();
             tokio::pin!(released);
-            released.as_mut().enable();
             {
                 let mut state = self.0.memory.lock();
                 match charge(&mut state.account, self.0.id) {
@@ -283,6 +420,8 @@
                     }
                     ChargeDecision::Wait(ends) => self.end_others(&mut state, &ends),
                 }
+                // Memory is given back under the same lock, and notified later.
+                released.as_mut().enable();
             }
             tokio::select! {
                 () = released => {}
--- a/crates/usher_intake/src/held_body.rs
+++ b/crates/usher_intake/src/held_body.rs
@@ -1,9 +1,7 @@
-//! The body of an answer, until whose end the call counts as running. Not for: its contents.
+//! The body of an answer, which hands over no more than its caller reads. Not for: its contents.
 
 use std::{pin, task};
 
-use usher_memory::HolderPhase;
-
 use crate::caller_memory;
 
 /// The body of an answer on a metered connection.
@@ -22,8 +20,7 @@
 
 impl<B> Drop for HeldBody<B> {
     fn drop(&mut self) {
-        self.memory.release_call();
-        self.memory.enter(HolderPhase::Idle);
+        self.memory.end_answer();
     }
 }
 
@@ -38,7 +35,15 @@
         mut self: pin::Pin<&mut Self>,
         context: &mut task::Context<'_>,
     ) -> task::Poll<Option<Result<http_body::Frame<B::Data>, B::Error>>> {
-        pin::Pin::new(&mut self.body).poll_frame(context)
+        if self.memory.poll_room(context).is_pending() {
+            return task::Poll::Pending;
+        }
+        let frame = task::ready!(pin::Pin::new(&mut self.body).poll_frame(context));
+        if let Some(Ok(frame)) = &frame {
+            let bytes = frame.data_ref().map_or(0, bytes::Buf::remaining);
+            self.memory.hand_over(bytes);
+        }
+        task::Poll::Ready(frame)
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/usher_intake/src/metered_socket.rs
+++ b/crates/usher_intake/src/metered_socket.rs
@@ -4,13 +4,10 @@
 use std::{future::Future as _, io, pin, task, time};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use usher_memory::{ChargeDecision, HolderPhase};
+use usher_memory::{ChargeDecision, HeadShape, HolderPhase, PhaseCost};
 
 use crate::caller_memory;
 
-/// Bytes of a head that are charged with the connection, and read at a time.
-const HEAD_STEP: usize = 8 * 1_024;
-
 /// Bytes of a body that are read at a time; the buffer of the library grows to twice as many.
 const BODY_STEP: usize = 16 * 1_024;
 
@@ -40,8 +37,12 @@
     socket: S,
     memory: caller_memory::ConnectionMemory,
     limits: ConnectionLimits,
-    /// Bytes of the current head.
-    head_bytes: usize,
+    /// The current head, as far as it has arrived.
+    head: HeadShape,
+    /// Bytes of it that were read and wait for memory.
+    waiting: Vec<u8>,
+    /// Whether the caller takes no byte of its answer.
+    is_blocked: bool,
     head_timer: Timer,
     write_timer: Timer,
     charge_timer: Timer,
@@ -67,7 +68,9 @@
             socket,
             memory,
             limits,
-            head_bytes: 0,
+            head: HeadShape::default(),
+            waiting: Vec::new(),
+            is_blocked: false,
             head_timer: None,
             write_timer: None,
             charge_timer: None,
@@ -81,34 +84,84 @@
 
     /// Returns whether the next bytes belong to a head.
     fn reads_head(&mut self) -> bool {
-        match self.memory.phase() {
-            HolderPhase::Head => true,
-            HolderPhase::Silent | HolderPhase::Idle => {
-                self.end_head();
-                true
+        let phase = self.memory.phase();
+        if phase != HolderPhase::Head {
+            self.head = HeadShape::default();
+            self.head_timer = None;
+        }
+        matches!(
+            phase,
+            HolderPhase::Silent | HolderPhase::Head | HolderPhase::Idle
+        )
+    }
+
+    /// Reads the next bytes of a head, and passes them on when what the library will make of them is
+    /// charged.
+    fn poll_head(
+        &mut self,
+        context: &mut task::Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> task::Poll<io::Result<()>>
+    where
+        S: AsyncRead + Unpin,
+    {
+        if self.waiting.is_empty() {
+            let begin = buffer.filled().len();
+            let (read, bytes) = self.poll_step(context, buffer, PhaseCost::HEAD_STEP);
+            match read {
+                task::Poll::Ready(Ok(())) if bytes > 0 => {}
+                other => return self.check_head_time(other, context),
             }
-            HolderPhase::Body | HolderPhase::Call => {
-                self.end_head();
-                false
+            let read = &buffer.filled()[begin..];
+            self.receive_head(bytes, read.iter().filter(|byte| **byte == b'\n').count());
+            if self.poll_charge(context, bytes)?.is_ready() {
+                return task::Poll::Ready(Ok(()));
             }
+            self.waiting = buffer.filled()[begin..].to_vec();
+            buffer.set_filled(begin);
+            return task::Poll::Pending;
         }
+        if self.poll_charge(context, 0)?.is_pending() {
+            return self.check_head_time(task::Poll::Pending, context);
+        }
+        self.pass_on(buffer);
+        task::Poll::Ready(Ok(()))
     }
 
-    /// Gives back what the last head took.
-    fn end_head(&mut self) {
-        if std::mem::take(&mut self.head_bytes) >= HEAD_STEP {
-            self.memory.release_head();
-        }
-        self.head_timer = None;
+    /// Passes on bytes that have waited for memory.
+    fn pass_on(&mut self, buffer: &mut ReadBuf<'_>) {
+        let bytes = self.waiting.len().min(buffer.remaining());
+        buffer.put_slice(&self.waiting[..bytes]);
+        self.waiting.drain(..bytes);
     }
 
-    /// Charges the next bytes of a head; pending while others give memory back.
-    fn poll_charge(&mut self, context: &mut task::Context<'_>) -> task::Poll<io::Result<()>> {
-        if self.head_bytes < HEAD_STEP {
-            return task::Poll::Ready(Ok(()));
+    /// Ends a head that takes too long.
+    fn check_head_time(
+        &mut self,
+        read: task::Poll<io::Result<()>>,
+        context: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        if read.is_pending() && is_over(&mut self.head_timer, context) {
+            self.memory
+                .record_end(caller_memory::EndReason::HeadTimeout);
+            return task::Poll::Ready(Err(timed_out("the head of the request took too long")));
         }
+        read
+    }
+
+    /// Charges the head, of which so many bytes have just arrived; pending while others give memory
+    /// back.
+    fn poll_charge(
+        &mut self,
+        context: &mut task::Context<'_>,
+        received: usize,
+    ) -> task::Poll<io::Result<()>> {
+        let mut received = received;
         loop {
-            match self.memory.try_charge_head(self.head_bytes + HEAD_STEP) {
+            match self
+                .memory
+                .try_charge_head(self.head, std::mem::take(&mut received))
+            {
                 ChargeDecision::Granted => return task::Poll::Ready(Ok(())),
                 ChargeDecision::Refused => {
                     return task::Poll::Ready(Err(io::Error::other("no memory for the head")))
@@ -136,26 +189,30 @@
         S: AsyncRead + Unpin,
     {
         let socket = pin::Pin::new(&mut self.socket);
-        if buffer.remaining() <= step {
+        let (read, bytes) = if buffer.remaining() <= step {
             let filled = buffer.filled().len();
             let read = socket.poll_read(context, buffer);
-            return (read, buffer.filled().len() - filled);
+            (read, buffer.filled().len() - filled)
+        } else {
+            let mut part = ReadBuf::new(buffer.initialize_unfilled_to(step));
+            let read = socket.poll_read(context, &mut part);
+            let bytes = part.filled().len();
+            buffer.advance(bytes);
+            (read, bytes)
+        };
+        if bytes >= PhaseCost::HEAD_STEP {
+            self.memory.record_growth();
         }
-        let mut part = ReadBuf::new(buffer.initialize_unfilled_to(step));
-        let read = socket.poll_read(context, &mut part);
-        let bytes = part.filled().len();
-        buffer.advance(bytes);
         (read, bytes)
     }
 
-    /// Records bytes of a head.
-    fn receive_head(&mut self, bytes: usize) {
+    /// Records bytes and lines of a head.
+    fn receive_head(&mut self, bytes: usize, lines: usize) {
         if self.head_timer.is_none() {
             self.head_timer = Some(Box::pin(tokio::time::sleep(self.limits.head)));
-            self.memory.enter(HolderPhase::Head);
         }
-        self.head_bytes += bytes;
-        self.memory.receive(bytes);
+        self.head.bytes += bytes;
+        self.head.headers += lines;
     }
 
     fn finish_write<T>(
@@ -165,8 +222,14 @@
     ) -> task::Poll<io::Result<T>> {
         if written.is_ready() {
             self.write_timer = None;
+            if std::mem::take(&mut self.is_blocked) {
+                self.memory.set_unwritten(false);
+            }
             return written;
         }
+        if !std::mem::replace(&mut self.is_blocked, true) {
+            self.memory.set_unwritten(true);
+        }
         let limit = self.limits.write;
         self.write_timer
             .get_or_insert_with(|| Box::pin(tokio::time::sleep(limit)));
@@ -189,26 +252,14 @@
         buffer: &mut ReadBuf<'_>,
     ) -> task::Poll<io::Result<()>> {
         let this = self.get_mut();
-        let reads_head = this.reads_head();
-        let step = if reads_head { HEAD_STEP } else { BODY_STEP };
-        if reads_head {
-            task::ready!(this.poll_charge(context))?;
+        if this.reads_head() {
+            return this.poll_head(context, buffer);
         }
-        let (read, bytes) = this.poll_step(context, buffer, step);
-        match read {
-            task::Poll::Ready(Ok(())) => {
-                if reads_head && bytes > 0 {
-                    this.receive_head(bytes);
-                }
-                task::Poll::Ready(Ok(()))
-            }
-            task::Poll::Pending if reads_head && is_over(&mut this.head_timer, context) => {
-                this.memory
-                    .record_end(caller_memory::EndReason::HeadTimeout);
-                task::Poll::Ready(Err(timed_out("the head of the request took too long")))
-            }
-            other => other,
+        if !this.waiting.is_empty() {
+            this.pass_on(buffer);
+            return task::Poll::Ready(Ok(()));
         }
+        this.poll_step(context, buffer, BODY_STEP).0
     }
 }
 
@@ -230,7 +281,13 @@
         self: pin::Pin<&mut Self>,
         context: &mut task::Context<'_>,
     ) -> task::Poll<io::Result<()>> {
-        pin::Pin::new(&mut self.get_mut().socket).poll_flush(context)
+        let this = self.get_mut();
+        let flushed = pin::Pin::new(&mut this.socket).poll_flush(context);
+        // The library flushes the socket when it has written all that it holds.
+        if matches!(flushed, task::Poll::Ready(Ok(()))) {
+            this.memory.record_written();
+        }
+        flushed
     }
 
     fn poll_shutdown(
--- a/crates/usher_memory/src/holder.rs
+++ b/crates/usher_memory/src/holder.rs
@@ -2,9 +2,19 @@
 
 use std::time;
 
-/// Time without a byte after which a head or a body counts as stalled.
+use crate::cost;
+
+/// Time without a byte after which a body or an answer counts as stalled.
 const STALL_TIME: time::Duration = time::Duration::from_secs(1);
 
+/// Time without a byte after which a head, or a new connection, counts as stalled. A head has one or two packets, and a
+/// lost one is sent again within this time.
+const HEAD_STALL_TIME: time::Duration = time::Duration::from_millis(300);
+
+/// Time after which an incomplete head counts as stalled: the longest legal one comes sooner at the
+/// lowest rate.
+const HEAD_TIME: time::Duration = time::Duration::from_secs(2);
+
 /// Time from its beginning in which a body may be slower than the lowest rate.
 const START_TIME: time::Duration = time::Duration::from_secs(2);
 
@@ -60,7 +70,7 @@
     pub(crate) base: usize,
     /// Bytes charged for a body.
     pub(crate) body: usize,
-    /// Bytes charged for an answer.
+    /// Bytes charged for running a call and for its answer.
     pub(crate) answer: usize,
     /// Begin of the phase.
     pub(crate) since: time::Instant,
@@ -72,6 +82,8 @@
     pub(crate) received: usize,
     /// Set while the process doesn't read, because it waits for room.
     pub(crate) waits_since: Option<time::Instant>,
+    /// Set while the caller takes no byte of its answer.
+    pub(crate) unwritten_since: Option<time::Instant>,
     /// The connection was told to end.
     pub(crate) ending: bool,
 }
@@ -80,7 +92,7 @@
     pub(crate) fn new(now: time::Instant) -> Self {
         Self {
             phase: HolderPhase::Silent,
-            base: 0,
+            base: cost::PhaseCost::silent(),
             body: 0,
             answer: 0,
             since: now,
@@ -88,6 +100,7 @@
             unread: time::Duration::ZERO,
             received: 0,
             waits_since: None,
+            unwritten_since: None,
             ending: false,
         }
     }
@@ -99,6 +112,7 @@
         self.unread = time::Duration::ZERO;
         self.received = 0;
         self.waits_since = None;
+        self.unwritten_since = None;
     }
 
     pub(crate) fn receive(&mut self, bytes: usize, now: time::Instant) {
@@ -125,13 +139,20 @@
             .saturating_add(self.answer)
     }
 
-    /// Returns whether a head or body makes no progress.
+    /// Returns whether a head, a body or the reading of an answer makes no progress.
     pub(crate) fn is_stalled(&self, now: time::Instant) -> bool {
         if self.waits_since.is_some() {
             return false;
         }
+        let is_unread = |since| now.saturating_duration_since(since) >= STALL_TIME;
+        if self.unwritten_since.is_some_and(is_unread) {
+            return true;
+        }
         match self.phase {
-            HolderPhase::Head => now.saturating_duration_since(self.progress) >= STALL_TIME,
+            HolderPhase::Silent | HolderPhase::Head => {
+                now.saturating_duration_since(self.progress) >= HEAD_STALL_TIME
+                    || now.saturating_duration_since(self.since) >= HEAD_TIME
+            }
             HolderPhase::Body => {
                 let age = now.saturating_duration_since(self.since);
                 let read = age.saturating_sub(self.unread).saturating_sub(START_TIME);
@@ -139,7 +160,7 @@
                 now.saturating_duration_since(self.progress) >= STALL_TIME
                     || (self.received as u128) < expected
             }
-            HolderPhase::Silent | HolderPhase::Call | HolderPhase::Idle => false,
+            HolderPhase::Call | HolderPhase::Idle => false,
         }
     }
 
--- a/crates/usher_memory/src/lib.rs
+++ b/crates/usher_memory/src/lib.rs
@@ -5,8 +5,10 @@
 
 mod account;
 mod budget;
+mod cost;
 mod holder;
 
 pub use account::{ChargeDecision, MemoryAccount, OpenDecision};
 pub use budget::MemoryBudget;
+pub use cost::{HeadShape, PhaseCost};
 pub use holder::{HolderId, HolderPhase};
