--- a/crates/usher_config/src/settings/process.rs
+++ b/crates/usher_config/src/settings/process.rs
@@ -4,7 +4,7 @@
 
 use crate::settings::{
     accounts, control, error, fake, gateway, limits, links, node, objectives, orders, output,
-    reader, routing, value,
+    reader, routing, value, vm,
 };
 
 usher_types::value_type! {
@@ -26,6 +26,8 @@
         pub objectives: objectives::ObjectiveSettings,
         /// Accounts of callers.
         pub accounts: accounts::AccountSettings,
+        /// Resources of the process.
+        pub vm: vm::VmSettings,
         /// Log settings.
         pub log: output::LogSettings,
         /// Metrics settings.
@@ -48,6 +50,8 @@
         pub operator_listen: Option<net::SocketAddr>,
         /// Rate limits for orders to engines.
         pub orders: orders::OrderSettings,
+        /// Resources of the process.
+        pub vm: vm::VmSettings,
         /// Log settings.
         pub log: output::LogSettings,
         /// Metrics settings.
@@ -198,6 +202,7 @@
         routing: routing::RoutingSettings::read(file),
         objectives: objectives::ObjectiveSettings::read(file),
         accounts: accounts::AccountSettings::read(file),
+        vm: vm::VmSettings::read(file),
         log: output::LogSettings::read(file),
         metrics: output::MetricSettings::read(file),
     }
@@ -210,6 +215,7 @@
         wire_listen: file.section("listen").optional("wire"),
         operator_listen: file.section("listen").optional("operators"),
         orders: orders::OrderSettings::read(file),
+        vm: vm::VmSettings::read(file),
         log: output::LogSettings::read(file),
         metrics: output::MetricSettings::read(file),
     };
