Bound what callers and targets make an entry hold

Callers saw: an entry bounded each connection alone, so that a few hundred callers with legal bodies that stop short ended it for its memory.

Cause: bodies, heads and connections had limits of their own, and no sum; a JSON body was parsed into a form that may be many times as large.

Change: entries serve their connections within the account of usher_intake, like gateways. A call is charged for its run, for the parsed form of its body and for its answer before it is parsed or sent; without room it gets 503 no_memory, Retry-After and X-Run: not-run.

--- a/crates/pimentousher/src/daemon/entry.rs
+++ b/crates/pimentousher/src/daemon/entry.rs
@@ -5,7 +5,7 @@
 use usher_config::{EntrySettings, ProcessSettings};
 
 use crate::{
-    daemon::{self, burn_recorder},
+    daemon::{self, burn_recorder, process_limits},
     error, file,
 };
 
@@ -26,6 +26,7 @@
         .with_plain_timeout(limits.plain)
         .with_caller_timeout(limits.caller)
         .with_accounts(account_directory(&settings.accounts))
+        .with_caller_budget(process_limits::caller_budget(&settings.vm))
 }
 
 fn account_directory(settings: &usher_config::AccountSettings) -> usher_entry::AccountDirectory {
--- a/crates/usher_entry/src/announce.rs
+++ b/crates/usher_entry/src/announce.rs
@@ -5,14 +5,15 @@
 use std::net;
 
 use axum::{extract, response, response::IntoResponse as _, Json};
+use usher_intake::CallMemory;
 
-use crate::{core, error, types};
+use crate::{body, core, error, types};
 
 /// Interval at which targets announce themselves, in ms.
 const ANNOUNCE_INTERVAL_MS: u64 = 1_000;
 
 /// Maximum size of an announcement, in bytes.
-pub(crate) const MAX_ANNOUNCEMENT_BYTES: usize = 64 << 10;
+const MAX_ANNOUNCEMENT_BYTES: usize = 64 << 10;
 
 /// The load part of an announcement.
 #[derive(Clone, Copy, Debug, Default, PartialEq, serde::Deserialize, serde::Serialize)]
@@ -123,11 +124,17 @@
 /// Answers `POST /v1/targets/announce`.
 pub(crate) async fn announce<P>(
     extract::State(core): core::CoreState<P>,
-    body: bytes::Bytes,
+    axum::Extension(memory): axum::Extension<CallMemory>,
+    body: axum::body::Body,
 ) -> response::Response
 where
     P: types::EntryTypes,
 {
+    let timeout = core.options.caller_timeout;
+    let body = match body::read_body(body, &memory, MAX_ANNOUNCEMENT_BYTES, timeout).await {
+        Ok(body) => body,
+        Err(error) => return error.into_response(),
+    };
     let parsed: Result<Announcement, _> = serde_json::from_slice(&body);
     let announcement = match parsed {
         Ok(announcement) => announcement,
--- a/crates/usher_entry/src/body.rs
+++ b/crates/usher_entry/src/body.rs
@@ -5,8 +5,9 @@
 use std::time;
 
 use http_body_util::BodyExt as _;
+use usher_intake::{BodyFault, BodyReader, CallMemory};
 
-use crate::{error, options};
+use crate::error;
 
 /// Time limit for a complete body, as a multiple of the limit for one frame.
 const TOTAL_TIMEOUT_FACTOR: u32 = 10;
@@ -14,65 +15,29 @@
 /// How long the rest of a refused body is read, so that the sender receives the refusal.
 const DISCARD_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 
-/// Reads a complete body.
+/// Reads a complete body of at most `limit` bytes within the memory of its call.
 pub(crate) async fn read_body(
     mut body: axum::body::Body,
-    options: &options::EntryOptions,
-) -> Result<bytes::Bytes, error::CallError> {
-    use http_body::Body as _;
-    let limit = options.max_body;
-    if body.size_hint().lower() > limit as u64 {
-        discard(body, limit).await;
-        return Err(error::CallError::too_large(limit));
-    }
-    let total_timeout = options.caller_timeout.saturating_mul(TOTAL_TIMEOUT_FACTOR);
-    let read = read_frames(&mut body, limit, options.caller_timeout);
-    let read = tokio::time::timeout(total_timeout, read).await;
-    let result = read.unwrap_or_else(|_| Err(error::CallError::body_timeout()));
-    if matches!(&result, Err(error) if error.status == http::StatusCode::PAYLOAD_TOO_LARGE) {
-        discard(body, limit).await;
-    }
-    result
-}
-
-async fn read_frames(
-    body: &mut axum::body::Body,
+    memory: &CallMemory,
     limit: usize,
-    frame_timeout: time::Duration,
+    caller_timeout: time::Duration,
 ) -> Result<bytes::Bytes, error::CallError> {
-    let mut first: Option<bytes::Bytes> = None;
-    let mut rest = bytes::BytesMut::new();
-    loop {
-        let frame = tokio::time::timeout(frame_timeout, body.frame()).await;
-        let frame = frame.map_err(|_| error::CallError::body_timeout())?;
-        let Some(frame) = frame else {
-            break;
-        };
-        let frame = frame.map_err(|error| {
-            error::CallError::invalid(None, format!("failed to read the request body: {error}"))
-        })?;
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
-        let buffered = first.as_ref().map_or(0, bytes::Bytes::len).max(rest.len());
-        if buffered + data.len() > limit {
-            return Err(error::CallError::too_large(limit));
-        }
-        // Most bodies consist of one frame, which isn't copied.
-        match &first {
-            None => first = Some(data),
-            Some(begin) => {
-                if rest.is_empty() {
-                    rest.extend_from_slice(begin);
-                }
-                rest.extend_from_slice(&data);
-            }
+    let total_timeout = caller_timeout.saturating_mul(TOTAL_TIMEOUT_FACTOR);
+    let reader = BodyReader::new(memory.connection(), limit).with_stall_limit(caller_timeout);
+    let read = tokio::time::timeout(total_timeout, reader.read(&mut body)).await;
+    match read.unwrap_or(Err(BodyFault::Stalled)) {
+        Ok(body) => Ok(body),
+        Err(BodyFault::TooLong { limit }) => {
+            discard(body, limit).await;
+            Err(error::CallError::too_large(limit))
         }
+        Err(BodyFault::Stalled) => Err(error::CallError::body_timeout()),
+        Err(BodyFault::NoRoom) => Err(error::CallError::no_memory()),
+        Err(fault @ BodyFault::Incomplete) => Err(error::CallError::invalid(
+            None,
+            format!("failed to read the request body: {fault}"),
+        )),
     }
-    if rest.is_empty() {
-        return Ok(first.unwrap_or_default());
-    }
-    Ok(rest.freeze())
 }
 
 async fn discard(mut body: axum::body::Body, limit: usize) {
--- a/crates/usher_entry/src/builder.rs
+++ b/crates/usher_entry/src/builder.rs
@@ -115,7 +115,9 @@
         self,
         stop: usher_kernel::StopSignal,
     ) -> io::Result<node::EntryNode<types::TypeSet<L, C, O, D>>> {
+        let memory = usher_intake::CallerMemory::new("callers", self.options.caller_budget);
         let core = core::EntryCore {
+            memory,
             right: right::RoutingRight::new(self.clock.now()),
             routing: sync::Mutex::new(routing::RoutingState::new(self.policy, &self.options)),
             config: config::ConfigStore::new(),
--- a/crates/usher_entry/src/core.rs
+++ b/crates/usher_entry/src/core.rs
@@ -25,6 +25,8 @@
     pub(crate) link: P::Link,
     pub(crate) outcomes: P::Outcomes,
     pub(crate) metrics: metrics::EntryMetrics,
+    /// What the connections of callers and targets hold.
+    pub(crate) memory: usher_intake::CallerMemory,
     pub(crate) routing: sync::Mutex<routing::RoutingState<P::Policy>>,
     pub(crate) right: right::RoutingRight,
     pub(crate) config: config::ConfigStore,
--- a/crates/usher_entry/src/error.rs
+++ b/crates/usher_entry/src/error.rs
@@ -83,6 +83,12 @@
         }
     }
 
+    /// Returns the error of a call that finds no room beside others; nothing was sent. Connections
+    /// without progress for a second end for others.
+    pub(crate) fn no_memory() -> Self {
+        Self::unavailable("no_memory", "this entry has no memory for the call")
+    }
+
     /// Returns the error of a call refused because a limit was reached.
     pub(crate) fn limited(code: &'static str, message: impl Into<String>) -> Self {
         let status = http::StatusCode::TOO_MANY_REQUESTS;
--- a/crates/usher_entry/src/heartbeat.rs
+++ b/crates/usher_entry/src/heartbeat.rs
@@ -231,6 +231,7 @@
     core.metrics.gauge("entry.running", running);
     let version = core.config.current().version.get();
     core.metrics.gauge("entry.config.version", version);
+    core.metrics.caller_memory(&core.memory);
     core.metrics
         .gauge("entry.ready", u64::from(core.is_ready()));
     let routing = core.routing();
--- a/crates/usher_entry/src/metrics.rs
+++ b/crates/usher_entry/src/metrics.rs
@@ -44,6 +44,30 @@
         let _ = self.client.gauge(name, value);
     }
 
+    /// Reports what the connections of callers hold, and the refusals since the start of the process.
+    pub(crate) fn caller_memory(&self, memory: &usher_intake::CallerMemory) {
+        let number = |count| u64::try_from(count).unwrap_or(u64::MAX);
+        for (phase, (connections, bytes)) in memory.by_phase() {
+            self.gauge_tagged(
+                "entry.caller.connections",
+                "phase",
+                phase,
+                number(connections),
+            );
+            self.gauge_tagged("entry.caller.memory", "phase", phase, number(bytes));
+        }
+        self.gauge("entry.caller.memory.budget", number(memory.budget_bytes()));
+        self.gauge("entry.caller.memory.peak", number(memory.peak_bytes()));
+        for (reason, count) in memory.refusals() {
+            self.gauge_tagged("entry.caller.refusals", "reason", reason.name(), count);
+        }
+    }
+
+    fn gauge_tagged(&self, name: &str, tag: &str, tag_value: &str, value: u64) {
+        let gauge = self.client.gauge_with_tags(name, value);
+        gauge.with_tag(tag, tag_value).send();
+    }
+
     pub(crate) fn gauge_share(&self, name: &str, value: f64) {
         let _ = self.client.gauge(name, value);
     }
--- a/crates/usher_entry/src/model/handler.rs
+++ b/crates/usher_entry/src/model/handler.rs
@@ -3,6 +3,8 @@
 //! Not for: relaying the engine's stream.
 
 use axum::{extract, response, response::IntoResponse as _, Json};
+use usher_intake::CallMemory;
+use usher_memory::PhaseCost;
 use usher_policy::CallRequest;
 use usher_types::{ClockSource as _, WorkClass};
 
@@ -17,29 +19,32 @@
 /// Answers `POST /v1/chat/completions`.
 pub(crate) async fn chat<P>(
     state: core::CoreState<P>,
+    memory: axum::Extension<CallMemory>,
     headers: http::HeaderMap,
     body: axum::body::Body,
 ) -> response::Response
 where
     P: types::EntryTypes,
 {
-    handle(state, headers, body, true).await
+    handle(state, memory, headers, body, true).await
 }
 
 /// Answers `POST /v1/completions`.
 pub(crate) async fn complete<P>(
     state: core::CoreState<P>,
+    memory: axum::Extension<CallMemory>,
     headers: http::HeaderMap,
     body: axum::body::Body,
 ) -> response::Response
 where
     P: types::EntryTypes,
 {
-    handle(state, headers, body, false).await
+    handle(state, memory, headers, body, false).await
 }
 
 async fn handle<P>(
     extract::State(core): core::CoreState<P>,
+    axum::Extension(memory): axum::Extension<CallMemory>,
     headers: http::HeaderMap,
     body: axum::body::Body,
     chat: bool,
@@ -48,7 +53,7 @@
     P: types::EntryTypes,
 {
     let mut identity = identity::CallIdentity::anonymous(&core.ids, core.now(), core.clock.wall());
-    let answered = answer(&core, &mut identity, &headers, body, chat).await;
+    let answered = answer(&core, &mut identity, &memory, &headers, body, chat).await;
     let mut response = answered.unwrap_or_else(error::CallError::into_response);
     identity.set_request_id(&mut response);
     response
@@ -57,6 +62,7 @@
 async fn answer<P>(
     core: &std::sync::Arc<core::EntryCore<P>>,
     identity: &mut identity::CallIdentity,
+    memory: &CallMemory,
     headers: &http::HeaderMap,
     body: axum::body::Body,
     chat: bool,
@@ -65,8 +71,15 @@
     P: types::EntryTypes,
 {
     identity.read(headers, &core.options.accounts)?;
-    let body = body::read_body(body, &core.options).await?;
+    let (limit, timeout) = (core.options.max_body, core.options.caller_timeout);
+    let body = body::read_body(body, memory, limit, timeout).await?;
+    // Nothing has been sent: a call that would find no room for its answer isn't run.
+    let cost = PhaseCost::parsed_call(&body) + PhaseCost::stream();
+    if !memory.charge_run(cost).await {
+        return Err(CallError::no_memory());
+    }
     let mut call = call::ModelCall::parse(&body, chat)?;
+    drop(body);
     let location = core.find_model(&call.model);
     if let Err((error, cause)) = core.check_accepting() {
         let service = location
--- a/crates/usher_entry/src/node.rs
+++ b/crates/usher_entry/src/node.rs
@@ -4,7 +4,7 @@
 
 use std::{io, net, sync, sync::atomic, time};
 
-use axum::{extract, routing};
+use axum::routing;
 
 use crate::{
     announce, cache_events, core, explain, health, heartbeat, model, plain,
@@ -71,6 +71,7 @@
             listener,
             router(core.clone()),
             limits,
+            core.memory.clone(),
             core.stop.clone(),
         ));
         tokio::spawn(heartbeat::run_heartbeats(core.clone()));
@@ -127,9 +128,7 @@
 where
     P: types::EntryTypes,
 {
-    let announce = routing::post(announce::announce::<P>).layer(extract::DefaultBodyLimit::max(
-        announce::MAX_ANNOUNCEMENT_BYTES,
-    ));
+    let announce = routing::post(announce::announce::<P>);
     axum::Router::new()
         .route("/v1/chat/completions", routing::post(model::chat::<P>))
         .route("/v1/completions", routing::post(model::complete::<P>))
--- a/crates/usher_entry/src/options.rs
+++ b/crates/usher_entry/src/options.rs
@@ -67,6 +67,8 @@
         pub default_output: usher_types::TokenCount,
         /// Accounts of callers.
         pub accounts: accounts::AccountDirectory,
+        /// What the connections of callers and targets may take together.
+        pub caller_budget: usher_memory::MemoryBudget,
         /// Mechanisms disabled by tests that show the failure without them.
         pub disabled: DisabledFeatures,
     }
@@ -145,6 +147,7 @@
             crash_lifetime: time::Duration::from_secs(30 * 60),
             default_output: usher_types::TokenCount::new(256),
             accounts: accounts::AccountDirectory::new(),
+            caller_budget: usher_memory::MemoryBudget::default(),
             disabled: DisabledFeatures::default(),
         }
     }
@@ -190,6 +193,8 @@
         with_cache_poll(cache_poll: time::Duration);
         /// Sets the accounts of callers.
         with_accounts(accounts: accounts::AccountDirectory);
+        /// Sets what the connections of callers and targets may take together.
+        with_caller_budget(caller_budget: usher_memory::MemoryBudget);
     }
 
     disablers! {
--- a/crates/usher_entry/src/plain/handler.rs
+++ b/crates/usher_entry/src/plain/handler.rs
@@ -5,6 +5,8 @@
 use std::sync;
 
 use axum::{extract, response, response::IntoResponse as _};
+use usher_intake::CallMemory;
+use usher_memory::PhaseCost;
 use usher_types::ClockSource as _;
 
 use crate::{
@@ -15,6 +17,10 @@
     types,
 };
 
+/// Memory of an answer: the part that control records, with its copy for the record, and the rest that
+/// is passed on while it arrives.
+const ANSWER_BYTES: usize = 2 * claim::MAX_RECORDED_ANSWER_BYTES + PhaseCost::stream();
+
 /// Answers requests of all methods under `/svc/{service}`.
 pub(crate) async fn handle<P>(
     extract::State(core): core::CoreState<P>,
@@ -40,7 +46,10 @@
 {
     let (parts, body) = request.into_parts();
     identity.read(&parts.headers, &core.options.accounts)?;
-    let body = body::read_body(body, &core.options).await?;
+    let memory = parts.extensions.get::<CallMemory>().cloned();
+    let memory = memory.ok_or_else(CallError::no_memory)?;
+    let (limit, timeout) = (core.options.max_body, core.options.caller_timeout);
+    let body = body::read_body(body, &memory, limit, timeout).await?;
     let path = parts.uri.path().strip_prefix("/svc/").unwrap_or_default();
     let service = path.split('/').next().unwrap_or_default().to_owned();
     let mut call = call::PlainCall::parse(&service, &parts, body)?;
@@ -52,6 +61,10 @@
         let wall = core.clock.wall();
         call.key = Some(key::make_key(wall, &identity.engine_id));
     }
+    // Nothing has been sent: a call that would find no room for its answer isn't run.
+    if !memory.charge_run(ANSWER_BYTES).await {
+        return Err(CallError::no_memory());
+    }
     let mut run = runner::PlainRunner::new(core.clone(), identity.clone(), call.clone());
     run.admit()?;
     if call.idempotent || core.options.disabled.claims {
--- a/crates/usher_entry/src/server.rs
+++ b/crates/usher_entry/src/server.rs
@@ -2,16 +2,23 @@
 //!
 //! Not for: the handlers.
 
-use std::{future, io, pin, sync, task, time};
+use std::{convert, io, pin, sync, task, time};
 
+use axum::response::IntoResponse as _;
 use tokio::{io as tokio_io, net as tokio_net};
 use tower::ServiceExt as _;
+use usher_intake::{
+    CallMemory, CallerMemory, ConnectionLimits, ConnectionMemory, HeldBody, MeteredSocket,
+};
+use usher_memory::HolderPhase;
+
+use crate::error;
 
 /// Timeout for receiving the head of a request.
 const HEAD_TIMEOUT: time::Duration = time::Duration::from_secs(30);
 
-/// Delay after a failed accept, such as when no file descriptors are left.
-const ACCEPT_RETRY_DELAY: time::Duration = time::Duration::from_millis(50);
+/// Time after which a caller that accepts no bytes is disconnected, where a test disables the limit.
+const NO_TIMEOUT: time::Duration = time::Duration::from_secs(24 * 60 * 60);
 
 /// Limits of a connection.
 #[derive(Clone, Copy, Debug)]
@@ -22,40 +29,14 @@
     pub(crate) write_timeout: Option<time::Duration>,
 }
 
-/// A socket with a write timeout.
-struct TimedSocket {
+/// A socket whose close can be made a reset.
+struct ResetSocket {
     inner: tokio_net::TcpStream,
-    write_timeout: Option<time::Duration>,
-    write_timer: Option<pin::Pin<Box<tokio::time::Sleep>>>,
     /// Set when the close of the connection must be a reset.
     resets: sync::Arc<sync::atomic::AtomicBool>,
 }
 
-impl TimedSocket {
-    /// Returns an error if a write has been pending longer than the write timeout.
-    fn check_timeout<T>(
-        &mut self,
-        context: &mut task::Context<'_>,
-        written: task::Poll<io::Result<T>>,
-    ) -> task::Poll<io::Result<T>> {
-        if written.is_ready() {
-            self.write_timer = None;
-            return written;
-        }
-        let Some(write_timeout) = self.write_timeout else {
-            return written;
-        };
-        let write_timer = self
-            .write_timer
-            .get_or_insert_with(|| Box::pin(tokio::time::sleep(write_timeout)));
-        match future::Future::poll(write_timer.as_mut(), context) {
-            task::Poll::Ready(()) => task::Poll::Ready(Err(io::ErrorKind::TimedOut.into())),
-            task::Poll::Pending => task::Poll::Pending,
-        }
-    }
-}
-
-impl Drop for TimedSocket {
+impl Drop for ResetSocket {
     fn drop(&mut self) {
         if !self.resets.load(sync::atomic::Ordering::Relaxed) {
             return;
@@ -67,7 +48,7 @@
     }
 }
 
-impl tokio_io::AsyncRead for TimedSocket {
+impl tokio_io::AsyncRead for ResetSocket {
     fn poll_read(
         mut self: pin::Pin<&mut Self>,
         context: &mut task::Context<'_>,
@@ -77,14 +58,13 @@
     }
 }
 
-impl tokio_io::AsyncWrite for TimedSocket {
+impl tokio_io::AsyncWrite for ResetSocket {
     fn poll_write(
         mut self: pin::Pin<&mut Self>,
         context: &mut task::Context<'_>,
         bytes: &[u8],
     ) -> task::Poll<io::Result<usize>> {
-        let written = pin::Pin::new(&mut self.inner).poll_write(context, bytes);
-        self.check_timeout(context, written)
+        pin::Pin::new(&mut self.inner).poll_write(context, bytes)
     }
 
     fn poll_write_vectored(
@@ -92,8 +72,7 @@
         context: &mut task::Context<'_>,
         parts: &[io::IoSlice<'_>],
     ) -> task::Poll<io::Result<usize>> {
-        let written = pin::Pin::new(&mut self.inner).poll_write_vectored(context, parts);
-        self.check_timeout(context, written)
+        pin::Pin::new(&mut self.inner).poll_write_vectored(context, parts)
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -120,66 +99,129 @@
     listener: tokio_net::TcpListener,
     router: axum::Router,
     limits: ServerLimits,
+    memory: CallerMemory,
     stop: usher_kernel::StopSignal,
 ) {
     let graceful = hyper_util::server::graceful::GracefulShutdown::new();
-    let watcher = sync::Arc::new(graceful);
     let stopped = stop.stopped();
     tokio::pin!(stopped);
     loop {
-        tokio::select! {
+        let (socket, memory) = tokio::select! {
             () = &mut stopped => break,
-            accepted = listener.accept() => match accepted {
-                Ok((socket, _)) => serve_socket(socket, router.clone(), limits, &watcher),
-                Err(error) => {
-                    tracing::warn!(%error, "failed to accept a connection");
-                    tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-                }
-            },
-        }
+            accepted = usher_intake::accept(&listener, &memory) => accepted,
+        };
+        let caller = CallerConnection {
+            socket,
+            router: router.clone(),
+            limits,
+            memory,
+        };
+        tokio::spawn(caller.run(graceful.watcher(), stop.clone()));
     }
     drop(listener);
-    if let Ok(graceful) = sync::Arc::try_unwrap(watcher) {
-        graceful.shutdown().await;
-    }
+    graceful.shutdown().await;
 }
 
-fn serve_socket(
+/// The connection of a caller or a target.
+struct CallerConnection {
     socket: tokio_net::TcpStream,
     router: axum::Router,
     limits: ServerLimits,
-    watcher: &hyper_util::server::graceful::GracefulShutdown,
-) {
-    let _ = socket.set_nodelay(true);
-    let resets = sync::Arc::new(sync::atomic::AtomicBool::new(false));
-    let socket = TimedSocket {
-        inner: socket,
-        write_timeout: limits.write_timeout,
-        write_timer: None,
-        resets: resets.clone(),
-    };
-    let lacks_chunks = sync::Arc::new(sync::atomic::AtomicBool::new(false));
-    let is_old = lacks_chunks.clone();
-    let router = router.map_request(move |request: http::Request<hyper::body::Incoming>| {
-        let old = request.version() < http::Version::HTTP_11;
-        is_old.store(old, sync::atomic::Ordering::Relaxed);
-        request
-    });
-    let service = hyper_util::service::TowerToHyperService::new(router);
-    let connection = hyper::server::conn::http1::Builder::new()
-        .timer(hyper_util::rt::TokioTimer::new())
-        .header_read_timeout(HEAD_TIMEOUT)
-        .max_buf_size(limits.max_head)
-        .serve_connection(hyper_util::rt::TokioIo::new(socket), service);
-    let connection = watcher.watch(connection);
-    tokio::spawn(async move {
+    memory: ConnectionMemory,
+}
+
+impl CallerConnection {
+    async fn run(
+        self,
+        watcher: hyper_util::server::graceful::Watcher,
+        stop: usher_kernel::StopSignal,
+    ) {
+        tokio::select! {
+            begins = usher_intake::begins(&self.socket, &self.memory, HEAD_TIMEOUT) => if !begins {
+                return;
+            },
+            () = stop.stopped() => return,
+        }
+        // The state of the connection is large, and silent connections don't need it.
+        Box::pin(self.serve(watcher)).await;
+    }
+
+    async fn serve(self, watcher: hyper_util::server::graceful::Watcher) {
+        let Self {
+            socket,
+            router,
+            limits,
+            memory,
+        } = self;
+        let _ = socket.set_nodelay(true);
+        let resets = sync::Arc::new(sync::atomic::AtomicBool::new(false));
+        let socket = ResetSocket {
+            inner: socket,
+            resets: resets.clone(),
+        };
+        let limits = ConnectionLimits {
+            idle: HEAD_TIMEOUT,
+            head: HEAD_TIMEOUT,
+            write: limits.write_timeout.unwrap_or(NO_TIMEOUT),
+            head_bytes: limits.max_head,
+        };
+        let socket = MeteredSocket::new(socket, memory.clone(), limits);
+        let lacks_chunks = sync::Arc::new(sync::atomic::AtomicBool::new(false));
+        let is_old = lacks_chunks.clone();
+        let held = memory.clone();
+        let service = hyper::service::service_fn(move |request: http::Request<_>| {
+            let old = request.version() < http::Version::HTTP_11;
+            is_old.store(old, sync::atomic::Ordering::Relaxed);
+            let (router, held) = (router.clone(), held.clone());
+            async move {
+                let answer = answer(router, request, &held).await;
+                Ok::<_, convert::Infallible>(answer.map(|body| HeldBody::new(body, held)))
+            }
+        });
+        let connection = hyper::server::conn::http1::Builder::new()
+            .timer(hyper_util::rt::TokioTimer::new())
+            .header_read_timeout(limits.idle)
+            .max_buf_size(limits.head_bytes)
+            .serve_connection(hyper_util::rt::TokioIo::new(socket), service);
+        let connection = watcher.watch(connection);
         tokio::pin!(connection);
-        if let Err(error) = connection.as_mut().await {
+        let ended = tokio::select! {
+            ended = connection.as_mut() => ended,
+            () = memory.told_to_end() => {
+                if memory.ends_at_once() {
+                    let is_old = lacks_chunks.load(sync::atomic::Ordering::Relaxed);
+                    resets.store(is_old, sync::atomic::Ordering::Relaxed);
+                    return;
+                }
+                // A call that was accepted is answered first.
+                connection.await
+            }
+        };
+        if let Err(error) = ended {
             tracing::debug!(%error, "caller connection failed");
             // Without chunks, an orderly close would complete a body that was broken off.
+            let is_unfinished = error.is_user() || memory.phase() == HolderPhase::Call;
             let resets_connection =
-                error.is_user() && lacks_chunks.load(sync::atomic::Ordering::Relaxed);
+                is_unfinished && lacks_chunks.load(sync::atomic::Ordering::Relaxed);
             resets.store(resets_connection, sync::atomic::Ordering::Relaxed);
         }
-    });
+    }
+}
+
+/// Charges the head of a request, and has it answered.
+async fn answer(
+    router: axum::Router,
+    request: http::Request<hyper::body::Incoming>,
+    memory: &ConnectionMemory,
+) -> axum::response::Response {
+    let (mut parts, body) = request.into_parts();
+    let shape = usher_intake::head_shape(&parts);
+    if !memory.begin_call(shape, 0).await {
+        return error::CallError::no_memory().into_response();
+    }
+    let call = CallMemory::new(memory.clone(), shape);
+    parts.extensions.insert(call);
+    let request = http::Request::from_parts(parts, axum::body::Body::new(body));
+    let answered: Result<_, convert::Infallible> = router.oneshot(request).await;
+    answered.unwrap_or_else(|never| match never {})
 }
