Bound what operators make a control node hold

Operators saw: a control node that clients at the address for operators and health checks fill up to its memory, although they may call nothing there.

Cause: the address was served by the library's own server, which bounds neither heads and bodies together nor the number of connections.

Change: it is served within an account like the address of a registrar.

--- a/crates/pimentousher/src/daemon/control.rs
+++ b/crates/pimentousher/src/daemon/control.rs
@@ -4,7 +4,10 @@
 
 use cadence::Gauged as _;
 
-use crate::{daemon, error, file};
+use crate::{
+    daemon::{self, process_limits},
+    error, file,
+};
 
 /// Converts settings into the options of a control node.
 ///
@@ -51,7 +54,8 @@
             settings.orders.weight_store_burst,
         )
         .with_orders_per_service(usize::try_from(settings.orders.per_service).unwrap_or(1))
-        .with_engine_timeout(settings.orders.engine_timeout);
+        .with_engine_timeout(settings.orders.engine_timeout)
+        .with_client_budget(process_limits::caller_budget(&settings.vm));
     Ok(options)
 }
 
@@ -80,6 +84,7 @@
     );
     let gauges = tokio::spawn(report_gauges(
         node.replica().clone(),
+        node.client_memory().clone(),
         daemon::metric_client(&settings.metrics, &settings.node.name)?,
         settings.metrics.interval,
     ));
@@ -91,6 +96,7 @@
 /// Reports the replica's state as gauges until the task is aborted.
 async fn report_gauges(
     replica: usher_replica::ReplicaHandle<usher_state::FleetState>,
+    memory: usher_intake::CallerMemory,
     client: cadence::StatsdClient,
     interval: time::Duration,
 ) {
@@ -113,6 +119,29 @@
             // A failure to send a metric must not stop the daemon.
             let _ = client.gauge(name, value);
         }
+        report_memory(&memory, &client);
+    }
+}
+
+/// Reports what the connections of operators hold, and the refusals since the start of the process.
+fn report_memory(memory: &usher_intake::CallerMemory, client: &cadence::StatsdClient) {
+    let number = |count| u64::try_from(count).unwrap_or(u64::MAX);
+    let tagged = |name, value, tag, tag_value| {
+        let gauge = client.gauge_with_tags(name, value);
+        gauge.with_tag(tag, tag_value).send();
+    };
+    for (phase, (connections, bytes)) in memory.by_phase() {
+        let connections = number(connections);
+        tagged("control.client.connections", connections, "phase", phase);
+        tagged("control.client.memory", number(bytes), "phase", phase);
+    }
+    let _ = client.gauge(
+        "control.client.memory.budget",
+        number(memory.budget_bytes()),
+    );
+    let _ = client.gauge("control.client.memory.peak", number(memory.peak_bytes()));
+    for (reason, count) in memory.refusals() {
+        tagged("control.client.refusals", count, "reason", reason.name());
     }
 }
 
--- a/crates/pimentousher/tests/memory.rs
+++ b/crates/pimentousher/tests/memory.rs
@@ -191,6 +191,12 @@
     });
 }
 
+fn check_control(name: &str, request: CrowdRequest) {
+    check_crowd(&format!("control-{name}"), &request, |installation| {
+        (&installation.control[0], installation.operators[0])
+    });
+}
+
 fn call() -> RequestHead {
     RequestHead::new("POST", "/svc/rounds/call-outs").with_header("host", "entry")
 }
@@ -199,6 +205,12 @@
     RequestHead::new("POST", "/v1/chat/completions").with_header("host", "entry")
 }
 
+fn change() -> RequestHead {
+    RequestHead::new("POST", "/v1/config")
+        .with_header("host", "control")
+        .with_header("content-type", "application/json")
+}
+
 /// A legal body whose parsed form is many times as large.
 fn nested_body(length: usize) -> CrowdRequest {
     let begin = "{\"model\":\"gum-8b\",\"messages\":[{\"role\":\"user\",\"content\":[";
@@ -222,3 +234,16 @@
     entry_with_silent_connections("silent", CrowdRequest::whole(Vec::new()));
     entry_with_idle_connections("idle", call().whole_body(BODY_BYTES).reading());
 }
+
+// Guards against the same at the address for operators and health checks.
+usher_types::cases! { check_control:
+    control_with_long_heads("long", change().long_head(290 * 1_024));
+    control_with_endless_heads("endless", change().endless_line(400 * 1_024));
+    control_with_empty_lines("lines", RequestHead::empty_lines(200 * 1_024));
+    control_with_full_heads("full", change().filled(HEADERS).short_body(SMALL_BODY));
+    control_with_short_bodies("bodies", change().short_body(BODY_BYTES));
+    control_with_bodies_in_pieces("pieces", change().short_body_in_pieces(BODY_BYTES, 16 * 1_024));
+    control_with_large_chunks("chunks", change().short_chunks(BODY_BYTES, 64 * 1_024));
+    control_with_tiny_chunks("tiny", change().short_chunks(32 * 1_024, 1));
+    control_with_silent_connections("silent", CrowdRequest::whole(Vec::new()));
+}
--- a/crates/usher_control/src/node.rs
+++ b/crates/usher_control/src/node.rs
@@ -37,6 +37,7 @@
     replica: usher_replica::ReplicaHandle<usher_state::FleetState>,
     wire_address: net::SocketAddr,
     operator_address: net::SocketAddr,
+    client_memory: usher_intake::CallerMemory,
     stop: usher_kernel::StopSource,
     servers: Vec<tokio::task::JoinHandle<()>>,
     tasks: Vec<tokio::task::JoinHandle<()>>,
@@ -92,15 +93,24 @@
         let replica = replica.start().await?;
         let services = self.register(&replica)?;
         let (stop, signal) = usher_kernel::StopSource::new();
+        let client_memory =
+            usher_intake::CallerMemory::new("operators", self.options.client_budget);
         let servers = vec![
             self.serve_wire(wire, &services, &replica, signal.clone()),
-            self.serve_operators(operators, operator_address, &services, signal.clone()),
+            self.serve_operators(
+                operators,
+                operator_address,
+                &services,
+                client_memory.clone(),
+                signal.clone(),
+            ),
         ];
         let tasks = self.run_tasks(&services, &replica, signal);
         Ok(RunningControl {
             replica,
             wire_address,
             operator_address,
+            client_memory,
             stop,
             servers,
             tasks,
@@ -183,6 +193,7 @@
         listener: tokio::net::TcpListener,
         address: net::SocketAddr,
         services: &ControlServices<C>,
+        memory: usher_intake::CallerMemory,
         stop: usher_kernel::StopSignal,
     ) -> tokio::task::JoinHandle<()> {
         let api = sync::Arc::new(operator::OperatorApi {
@@ -197,13 +208,13 @@
             clock: self.clock.clone(),
         });
         let routes = operator::router(api);
-        tokio::spawn(async move {
-            let server = axum::serve(listener, routes);
-            let server = server.with_graceful_shutdown(async move { stop.stopped().await });
-            if let Err(error) = server.await {
-                tracing::error!(%error, "operator server failed");
-            }
-        })
+        tokio::spawn(usher_intake::serve_router(
+            listener,
+            routes,
+            memory,
+            operator::MAX_BODY_BYTES,
+            stop,
+        ))
     }
 
     fn run_tasks(
@@ -265,6 +276,11 @@
         self.operator_address
     }
 
+    /// Returns what the connections of operators hold.
+    pub fn client_memory(&self) -> &usher_intake::CallerMemory {
+        &self.client_memory
+    }
+
     /// Returns this node's replica of the fleet state.
     pub fn replica(&self) -> &usher_replica::ReplicaHandle<usher_state::FleetState> {
         &self.replica
--- a/crates/usher_control/src/operator/api.rs
+++ b/crates/usher_control/src/operator/api.rs
@@ -10,7 +10,7 @@
 };
 
 /// Largest request body: a sheet of 1 MiB as JSON text.
-const MAX_BODY_BYTES: usize = 2 * 1_024 * 1_024 + 65_536;
+pub(crate) const MAX_BODY_BYTES: usize = 2 * 1_024 * 1_024 + 65_536;
 
 /// Dependencies of the request handlers.
 pub(crate) struct OperatorApi<C> {
--- a/crates/usher_control/src/operator/mod.rs
+++ b/crates/usher_control/src/operator/mod.rs
@@ -5,4 +5,4 @@
 mod change;
 mod status;
 
-pub(crate) use api::{router, OperatorApi};
+pub(crate) use api::{router, OperatorApi, MAX_BODY_BYTES};
--- a/crates/usher_control/src/options.rs
+++ b/crates/usher_control/src/options.rs
@@ -45,6 +45,8 @@
     pub orders_per_service: usize,
     /// Timeout of connecting to an engine, and of its answer to an order or a read.
     pub engine_timeout: time::Duration,
+    /// What the connections of operators may take together.
+    pub client_budget: usher_memory::MemoryBudget,
 }
 
 usher_types::value_type! {
@@ -83,6 +85,7 @@
             weight_store_burst: 2,
             orders_per_service: 1,
             engine_timeout: time::Duration::from_secs(2),
+            client_budget: usher_memory::MemoryBudget::default(),
         }
     }
 
@@ -147,6 +150,13 @@
         self
     }
 
+    /// Sets what the connections of operators may take together.
+    #[must_use]
+    pub fn with_client_budget(mut self, budget: usher_memory::MemoryBudget) -> Self {
+        self.client_budget = budget;
+        self
+    }
+
     /// Sets the rate limit of load orders.
     #[must_use]
     pub fn with_weight_store(mut self, per_second: f64, burst: u32) -> Self {
